Set down the modules, the core types, the controllers and the filter chains

The shape comes first: value-class ids and typed failures in model, every decision in controllers of one control thread, filters for requests in traffic, policies as sealed classes. Nothing here knows an encoding or a socket.

--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/ConfigurationController.kt
@@ -0,0 +1,239 @@
+/**
+ * Decides which object set is in force in this process.
+ *
+ * The revision in force only rises. A set that fails the check never displaces a good one. Two sets with one revision
+ * raise an alarm, and every process settles on the one with the greater digest, which needs no exchange. A process
+ * serves only while its configuration is confirmed: at its start and after a pause it asks peers and the platform first.
+ */
+package lagoonrudder.control
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import lagoonrudder.model.Digest
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.Peer
+import lagoonrudder.model.Revision
+import lagoonrudder.model.SealedChanges
+import lagoonrudder.model.SealedSet
+import lagoonrudder.model.Step
+import lagoonrudder.model.changesBetween
+import lagoonrudder.model.checkObjects
+import kotlin.time.Duration
+
+/** What became of an offered set. */
+sealed class ConfigurationOutcome {
+    /** The set is in force; [changes] led to it from the one before. */
+    data class Accepted(
+        val set: SealedSet,
+        val changes: SealedChanges,
+        val replacedTwin: Boolean,
+    ) : ConfigurationOutcome()
+
+    /** The set was in force already. */
+    data object Known : ConfigurationOutcome()
+
+    /** The offer is older than what is in force, or lost against its twin of the same revision. */
+    data class Superseded(
+        val inForce: Revision,
+        val twin: Boolean,
+    ) : ConfigurationOutcome()
+
+    /** The changes start from another set than the one in force; the whole set is needed. */
+    data object WholeNeeded : ConfigurationOutcome()
+
+    data class Rejected(
+        val failure: Failure,
+    ) : ConfigurationOutcome()
+}
+
+/** Whether the process may rely on the set in force. */
+sealed class Confirmation {
+    data object Confirmed : Confirmation()
+
+    /** Peers and platform are being asked since [since]; at [until] the process goes on with what it has. */
+    data class Pending(
+        val since: Duration,
+        val until: Duration,
+    ) : Confirmation()
+}
+
+/** A set in force and the process-local time at which it came into force. */
+data class ForcedSet(
+    val set: SealedSet,
+    val since: Duration,
+)
+
+class ConfigurationController(
+    private val invariants: Invariants,
+) {
+    var current: SealedSet = SealedSet.EMPTY
+        private set
+    var confirmation: Confirmation = Confirmation.Pending(Duration.ZERO, Duration.INFINITE)
+        private set
+    private val recent = ArrayDeque<SealedChanges>()
+    private var alarms = 0
+    private var rejections = 0
+
+    /** Offers a whole set that [peer] sent. */
+    fun offer(
+        offered: SealedSet,
+        peer: Peer,
+    ): ConfigurationOutcome =
+        when {
+            offered.revision < current.revision -> ConfigurationOutcome.Superseded(current.revision, twin = false)
+            offered.revision > current.revision -> accept(offered, peer, replacedTwin = false)
+            offered.digest == current.digest -> ConfigurationOutcome.Known
+            else -> settleTwins(offered, peer)
+        }
+
+    /** Offers changes that [peer] sent. */
+    fun offer(
+        offered: SealedChanges,
+        peer: Peer,
+    ): ConfigurationOutcome =
+        when {
+            offered.revision < current.revision -> ConfigurationOutcome.Superseded(current.revision, twin = false)
+            offered.revision == current.revision && offered.digest == current.digest -> ConfigurationOutcome.Known
+            offered.base != current.revision || offered.baseDigest != current.digest -> ConfigurationOutcome.WholeNeeded
+            else -> apply(offered, peer).getOrElse { reject(it) }
+        }
+
+    /** The changes from [base] to the set in force, when they are still held; they may combine several revisions. */
+    fun changesSince(
+        base: Revision,
+        baseDigest: Digest,
+    ): SealedChanges? = recent.firstOrNull { it.base == base && it.baseDigest == baseDigest && it.revision == current.revision }
+
+    /** Starts to ask peers and the platform; new work waits until [confirm] or [limit] has passed. */
+    fun suspectStale(
+        now: Duration,
+        limit: Duration,
+    ) {
+        confirmation = Confirmation.Pending(now, now + limit)
+    }
+
+    /** Everyone who was asked has answered or timed out. */
+    fun confirm() {
+        confirmation = Confirmation.Confirmed
+    }
+
+    /** Whether new work may be taken at [now]: a set is in force and nothing suggests that it is stale. */
+    fun mayServe(now: Duration): Boolean {
+        val state = confirmation
+        val confirmed =
+            when (state) {
+                Confirmation.Confirmed -> true
+                is Confirmation.Pending -> now >= state.until
+            }
+        return confirmed && current.revision > Revision.NONE
+    }
+
+    fun dump(): DumpSection =
+        dumpSection("configuration") {
+            entry("revision", current.revision.number)
+            entry("digest", current.digest.hexadecimal)
+            entry("objects", current.objects.byKey.size)
+            entry("confirmation", confirmation)
+            entry("recent-changes", recent.size)
+            entry("twin-alarms", alarms)
+            entry("rejections", rejections)
+        }
+
+    private fun settleTwins(
+        offered: SealedSet,
+        peer: Peer,
+    ): ConfigurationOutcome {
+        alarms++
+        if (offered.digest < current.digest) return ConfigurationOutcome.Superseded(current.revision, twin = true)
+        return accept(offered, peer, replacedTwin = true)
+    }
+
+    private fun apply(
+        offered: SealedChanges,
+        peer: Peer,
+    ): Either<Failure, ConfigurationOutcome> {
+        val next = SealedSet(offered.revision, current.objects.plus(offered.changes))
+        return next
+            .right()
+            .flatMap { if (it.digest == offered.digest) it.right() else damaged(offered, peer).left() }
+            .map { accept(it, peer, replacedTwin = false) }
+    }
+
+    private fun damaged(
+        offered: SealedChanges,
+        peer: Peer,
+    ): Failure = Failure.Damaged(Step.ACCEPT_CONFIGURATION, peer, "changes to revision ${offered.revision.number} don't lead to its digest")
+
+    private fun accept(
+        offered: SealedSet,
+        peer: Peer,
+        replacedTwin: Boolean,
+    ): ConfigurationOutcome {
+        val findings = checkObjects(offered.objects, peer.toString()).leftOrNull()
+        if (findings != null) return reject(findings.first())
+        invariants.check(
+            offered.revision >= current.revision,
+            Invariant.CONFIGURATION_NEVER_REVERTS,
+            Step.ACCEPT_CONFIGURATION,
+            peer,
+        ) { "from=${current.revision.number} to=${offered.revision.number}" }
+        val changes =
+            SealedChanges(
+                current.revision,
+                current.digest,
+                offered.revision,
+                offered.digest,
+                changesBetween(current.objects, offered.objects),
+            )
+        current = offered
+        remember(changes)
+        return ConfigurationOutcome.Accepted(offered, changes, replacedTwin)
+    }
+
+    private fun remember(changes: SealedChanges) {
+        val extended = recent.map { join(it, changes) }
+        recent.clear()
+        recent.addAll(extended)
+        recent.addLast(changes)
+        while (recent.size > CHANGES_HELD || recent.sumOf { it.changes.changed.size } > OBJECTS_HELD) {
+            if (recent.size == 1) break
+            recent.removeFirst()
+        }
+    }
+
+    private fun join(
+        first: SealedChanges,
+        second: SealedChanges,
+    ): SealedChanges {
+        val changed = first.changes.changed.associateBy { it.key } - second.changes.removed.toSet()
+        val removed =
+            first.changes.removed.toSet() -
+                second.changes.changed
+                    .map { it.key }
+                    .toSet()
+        return first.copy(
+            revision = second.revision,
+            digest = second.digest,
+            changes =
+                first.changes.copy(
+                    changed = (changed + second.changes.changed.associateBy { it.key }).values.toList(),
+                    removed = (removed + second.changes.removed).toList(),
+                ),
+        )
+    }
+
+    private fun reject(failure: Failure): ConfigurationOutcome {
+        rejections++
+        return ConfigurationOutcome.Rejected(failure)
+    }
+
+    private companion object {
+        const val CHANGES_HELD = 32
+        const val OBJECTS_HELD = 4_000
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/Dump.kt
@@ -0,0 +1,33 @@
+/**
+ * The readable state of a controller, for operators.
+ */
+package lagoonrudder.control
+
+data class DumpSection(
+    val controller: String,
+    val entries: List<DumpEntry>,
+)
+
+data class DumpEntry(
+    val key: String,
+    val value: String,
+)
+
+/** Builds a section from key and value pairs. */
+fun dumpSection(
+    controller: String,
+    build: MutableList<DumpEntry>.() -> Unit,
+): DumpSection = DumpSection(controller, buildList(build))
+
+fun MutableList<DumpEntry>.entry(
+    key: String,
+    value: Any?,
+) {
+    add(DumpEntry(key, value.toString()))
+}
+
+/** The sections as text: a header for each controller and one line for each entry. */
+fun renderDump(sections: List<DumpSection>): String =
+    sections.joinToString("\n") { section ->
+        section.entries.joinToString("", prefix = "[${section.controller}]\n") { "${it.key} = ${it.value}\n" }
+    }
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/RepeatController.kt
@@ -0,0 +1,331 @@
+/**
+ * Decides at a target daemon whether a request that may run at most once may run now.
+ *
+ * All requests of one key go to one owner, which the published object set alone names. The owner remembers the keys it
+ * ran for [RepeatPolicy.memory]. What it can't remember it must not run: keys that may have been run before this process
+ * started, or before the key became this target's, are answered as uncertain. A key that carries its time of issue (a
+ * version 7 UUID) proves that it is younger than that; other keys wait until the memory is old enough.
+ */
+package lagoonrudder.control
+
+import lagoonrudder.model.Digest
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.OperatorObject
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RepeatKey
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.rendezvousFirst
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+/**
+ * [memory] is how long a key is remembered and the longest age of a key that may run; [clockSkew] bounds the difference
+ * between clocks; [spread] bounds the time a published set takes to reach all; [permitLife] bounds how long a reservation
+ * is good for; [keysHeld] bounds the keys and [answerBytesHeld] the answers in memory.
+ */
+data class RepeatPolicy(
+    val memory: Duration = 10.minutes,
+    val clockSkew: Duration = 5.seconds,
+    val spread: Duration = 10.seconds,
+    val permitLife: Duration = 2.seconds,
+    val keysHeld: Int = 100_000,
+    val answerBytesHeld: Long = 8_000_000,
+)
+
+/** The answer of a run, kept for repeats of its key. */
+class RecordedAnswer(
+    val status: Int,
+    val contentType: String,
+    val body: ByteArray,
+)
+
+sealed class RepeatDecision {
+    /** The request may run when it comes with [permit] before the permit ends. */
+    data class Permitted(
+        val permit: Long,
+    ) : RepeatDecision()
+
+    /** The request ran before; [answer] is what it answered, or null when that is no longer held. */
+    data class RanBefore(
+        val answer: RecordedAnswer?,
+    ) : RepeatDecision()
+
+    /** It runs at this moment, or it may have run before this process could know. */
+    data class Uncertain(
+        val detail: String,
+    ) : RepeatDecision()
+
+    data class Refused(
+        val refusal: Refusal,
+    ) : RepeatDecision()
+}
+
+sealed class RunDecision {
+    data object Run : RunDecision()
+
+    /** The permit is unknown, used or too old: the request doesn't run. */
+    data class Refused(
+        val refusal: Refusal,
+    ) : RunDecision()
+}
+
+class RepeatController(
+    private val self: TargetId,
+    private val policy: RepeatPolicy,
+    private val invariants: Invariants,
+    startedAt: Instant,
+    startedElapsed: Duration,
+) {
+    private sealed class KeyState {
+        data object Open : KeyState()
+
+        data class Permitted(
+            val permit: Long,
+            val until: Duration,
+        ) : KeyState()
+
+        data object Running : KeyState()
+
+        /** It was started and its end is not known. */
+        data object Lost : KeyState()
+
+        data class Ended(
+            val answer: RecordedAnswer?,
+        ) : KeyState()
+    }
+
+    private class Entry(
+        val body: Digest,
+        var state: KeyState,
+        var touched: Duration,
+        var runs: Int = 0,
+    )
+
+    /** From [sinceInstant] on this target has owned the keys that it owns under [targets]. */
+    private class Ownership(
+        val targets: List<TargetId>,
+        val sinceInstant: Instant,
+        val sinceElapsed: Duration,
+    )
+
+    private val entries = LinkedHashMap<RepeatKey, Entry>()
+    private val history = ArrayDeque<Ownership>()
+    private val start = Ownership(emptyList(), startedAt, startedElapsed)
+    private var nextPermit = 1L
+    private var answerBytes = 0L
+
+    /** Notes the targets in service of this target's fleet under a set that came into force now. */
+    fun configure(
+        targets: List<TargetId>,
+        now: Duration,
+        date: Instant,
+    ) {
+        if (history.lastOrNull()?.targets == targets) return
+        history.addLast(Ownership(targets, date, now))
+        while (history.size > 1 && now - history[1].sinceElapsed > policy.memory + policy.spread) history.removeFirst()
+    }
+
+    /** Decides on a request with [key] and [body]; nothing runs before [begin]. */
+    fun reserve(
+        key: RepeatKey,
+        body: Digest,
+        now: Duration,
+        date: Instant,
+    ): RepeatDecision {
+        forgetOld(now)
+        val known = entries[key]
+        if (known != null) return repeat(known, body, now)
+        refusalForNew(key, date)?.let { return it }
+        unsafeReason(key, now, date)?.let { return RepeatDecision.Uncertain(it) }
+        val entry = Entry(body, KeyState.Open, now)
+        entries[key] = entry
+        return permit(entry, now)
+    }
+
+    /** Starts the run of [key] if [permit] is the one given out last and still good. */
+    fun begin(
+        key: RepeatKey,
+        permit: Long,
+        now: Duration,
+    ): RunDecision {
+        val entry = entries[key]
+        val state = entry?.state
+        val good = state is KeyState.Permitted && state.permit == permit && now < state.until
+        if (entry == null || !good) return RunDecision.Refused(Refusal.TooLate(PERMIT_RETRY))
+        entry.state = KeyState.Running
+        entry.touched = now
+        entry.runs++
+        invariants.check(entry.runs == 1, Invariant.AT_MOST_ONCE, Step.GUARD_REPEATS) { "key=${key.text} runs=${entry.runs}" }
+        return RunDecision.Run
+    }
+
+    /** The run of [key] ended with [answer]. */
+    fun ended(
+        key: RepeatKey,
+        answer: RecordedAnswer,
+        now: Duration,
+    ) {
+        val entry = entries[key] ?: return
+        val held = answer.takeIf { answerBytes + it.body.size <= policy.answerBytesHeld }
+        answerBytes += held?.body?.size ?: 0
+        entry.state = KeyState.Ended(held)
+        entry.touched = now
+    }
+
+    /** The run of [key] proved not to have reached the back end: the key may run later. */
+    fun notRun(key: RepeatKey) {
+        val entry = entries[key] ?: return
+        entry.runs = 0
+        entry.state = KeyState.Open
+    }
+
+    /** The run of [key] broke and may have happened. */
+    fun lost(
+        key: RepeatKey,
+        now: Duration,
+    ) {
+        val entry = entries[key] ?: return
+        entry.state = KeyState.Lost
+        entry.touched = now
+    }
+
+    fun dump(): DumpSection =
+        dumpSection("repeats") {
+            entry("keys", entries.size)
+            entry("running", entries.values.count { it.state is KeyState.Running })
+            entry("lost", entries.values.count { it.state is KeyState.Lost })
+            entry("answer-bytes", answerBytes)
+            entry("ownerships", history.size)
+            entry("started", start.sinceInstant)
+        }
+
+    private fun repeat(
+        known: Entry,
+        body: Digest,
+        now: Duration,
+    ): RepeatDecision {
+        if (known.body != body) return RepeatDecision.Refused(Refusal.Invalid("a key of its own: this key came with another body"))
+        return when (val state = known.state) {
+            KeyState.Open, is KeyState.Permitted -> permit(known, now)
+            KeyState.Running -> RepeatDecision.Uncertain("the request with this key is running")
+            KeyState.Lost -> RepeatDecision.Uncertain("the request with this key was started and its end is not known")
+            is KeyState.Ended -> RepeatDecision.RanBefore(state.answer)
+        }
+    }
+
+    private fun permit(
+        entry: Entry,
+        now: Duration,
+    ): RepeatDecision {
+        val permit = nextPermit++
+        entry.state = KeyState.Permitted(permit, now + policy.permitLife)
+        entry.touched = now
+        return RepeatDecision.Permitted(permit)
+    }
+
+    private fun refusalForNew(
+        key: RepeatKey,
+        date: Instant,
+    ): RepeatDecision? {
+        val owned = history.lastOrNull()?.let { owner(key, it.targets) } == self
+        val issued = issueTime(key)
+        val refusal =
+            when {
+                !owned -> Refusal.NotServing(PERMIT_RETRY, "another target owns this key")
+                issued != null && issued > date + policy.clockSkew -> Refusal.Invalid("a key that was not issued in the future")
+                entries.size >= policy.keysHeld -> Refusal.Overloaded(PERMIT_RETRY)
+                else -> null
+            }
+        return refusal?.let { RepeatDecision.Refused(it) }
+    }
+
+    /** Why a key that isn't in memory may have run all the same, or null when it can't have. */
+    private fun unsafeReason(
+        key: RepeatKey,
+        now: Duration,
+        date: Instant,
+    ): String? {
+        val issued = issueTime(key)
+        if (issued != null && issued < date - policy.memory + policy.clockSkew) return "the key is older than the memory of keys"
+        val bounds = listOf(start) + history.filterIndexed { index, it -> index > 0 && becameOwner(key, index, it) }
+        val spreads = bounds.map { if (it === start) Duration.ZERO else policy.spread }
+        val unsafe = bounds.zip(spreads).any { (bound, spread) -> !isYounger(issued, bound, spread, now) }
+        return if (unsafe) "the key may have run before this process could remember it" else null
+    }
+
+    private fun becameOwner(
+        key: RepeatKey,
+        index: Int,
+        ownership: Ownership,
+    ): Boolean = owner(key, ownership.targets) == self && owner(key, history[index - 1].targets) != self
+
+    private fun isYounger(
+        issued: Instant?,
+        bound: Ownership,
+        spread: Duration,
+        now: Duration,
+    ): Boolean =
+        if (issued != null) {
+            issued > bound.sinceInstant + policy.clockSkew + spread
+        } else {
+            now - bound.sinceElapsed > policy.memory + spread
+        }
+
+    private fun owner(
+        key: RepeatKey,
+        targets: List<TargetId>,
+    ): TargetId? = ownerOf(key, targets)
+
+    private fun forgetOld(now: Duration) {
+        val iterator = entries.entries.iterator()
+        var looked = 0
+        while (iterator.hasNext() && looked < FORGET_STEPS) {
+            looked++
+            val entry = iterator.next().value
+            if (now - entry.touched <= policy.memory + policy.clockSkew * 2) break
+            if (entry.state is KeyState.Running) continue
+            answerBytes -= (entry.state as? KeyState.Ended)?.answer?.body?.size ?: 0
+            iterator.remove()
+        }
+    }
+
+    private companion object {
+        const val FORGET_STEPS = 64
+        val PERMIT_RETRY = 500.milliseconds
+    }
+}
+
+/** The targets of [fleet] that operators have in service: the candidates for the ownership of keys. */
+fun keyOwners(
+    objects: ObjectSet,
+    fleet: OperatorObject.Fleet,
+): List<TargetId> =
+    objects.targetsOf[fleet.id]
+        .orEmpty()
+        .filter(objects::inService)
+        .map { it.id }
+
+/** The owner of [key] among [targets]; the same in every process that has the same set in force. */
+fun ownerOf(
+    key: RepeatKey,
+    targets: List<TargetId>,
+): TargetId? = rendezvousFirst(key.text, targets) { it.text }
+
+private const val VERSION_7_PATTERN = "[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}"
+private val version7 = Regex(VERSION_7_PATTERN)
+private const val TIME_DIGITS = 12
+private const val HEXADECIMAL = 16
+
+/** The time at which [key] was issued when it is a version 7 UUID, otherwise null. */
+fun issueTime(key: RepeatKey): Instant? {
+    val text = key.text.lowercase()
+    if (!text.matches(version7)) return null
+    val milliseconds = text.replace("-", "").take(TIME_DIGITS).toLong(HEXADECIMAL)
+    return Instant.fromEpochMilliseconds(milliseconds)
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
@@ -0,0 +1,333 @@
+/**
+ * Decides at an entry daemon which target gets a request.
+ *
+ * It keeps what each target last reported and what this process has sent since. Reports age: a target without a fresh
+ * report gets one request at a time. Targets that fail are set aside for a time that grows, then tried with one request.
+ * Other failure domains are used when the own one has no room, within a budget for the link and for their room.
+ */
+package lagoonrudder.control
+
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.FleetId
+import lagoonrudder.model.IncarnationId
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.OperatorObject
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.VersionId
+import lagoonrudder.model.rendezvousOrder
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How a target is chosen among those that may serve. */
+sealed class ChoicePolicy {
+    /** Each in turn, whatever its load: a baseline. */
+    data object RoundRobin : ChoicePolicy()
+
+    /** The one with the fewest requests of this process, whatever others send: a baseline. */
+    data object LeastInFlight : ChoicePolicy()
+
+    /** The one with more room of [choices] drawn at random; a known prompt prefix counts as [prefixBonus] of room. */
+    data class FreshRoom(
+        val choices: Int = 2,
+        val prefixBonus: Double = 0.25,
+    ) : ChoicePolicy()
+}
+
+/** What a target daemon tells of itself. */
+data class TargetReport(
+    val target: TargetId,
+    val incarnation: IncarnationId,
+    val room: Room,
+    val version: VersionId?,
+    val accepting: Boolean,
+)
+
+/** What a request needs of a target. [bytes] is what it may carry over a link, body and answer together. */
+data class Need(
+    val fleet: FleetId,
+    val owner: TargetId?,
+    val tokens: Long,
+    val bytes: Long,
+    val prefix: Int?,
+    val excluded: Set<TargetId>,
+)
+
+sealed class Choice {
+    data class Chosen(
+        val target: TargetId,
+        val domain: DomainId,
+    ) : Choice()
+
+    /** Some target may serve it later. */
+    data object NoRoom : Choice()
+
+    /** No target in service can be reached. */
+    data object NoTarget : Choice()
+}
+
+class RoutingController(
+    private val self: String,
+    private val domain: DomainId,
+    private val policy: ChoicePolicy,
+    private val random: Random,
+    private val subsetSize: Int = 16,
+    private val remoteSubsetSize: Int = 2,
+) {
+    private class TargetState {
+        var report: TargetReport? = null
+        var reportedAt = -Duration.INFINITE
+        var ownInFlight = 0
+        var sentSinceReport = 0
+        var failures = 0
+        var asideUntil = -Duration.INFINITE
+        var linked = false
+    }
+
+    private val states = mutableMapOf<TargetId, TargetState>()
+    private val prefixes = PrefixMemory()
+    private val spillBudgets = mutableMapOf<DomainId, TokenBucket>()
+    private var objects = ObjectSet.EMPTY
+    private var subsets: Map<FleetId, List<OperatorObject.Target>> = emptyMap()
+    private var turn = 0
+    private var spills = 0L
+
+    /** Takes over a set that came into force; [entries] is the number of entry daemons that share this domain's links. */
+    fun configure(
+        set: ObjectSet,
+        entries: Int,
+    ) {
+        objects = set
+        subsets = set.fleets.keys.associateWith { subsetOf(set.targetsOf[it].orEmpty()) }
+        states.keys.retainAll(set.targets.keys)
+        set.domains.keys
+            .filter { it != domain }
+            .forEach { configureSpill(it, entries.coerceAtLeast(1)) }
+    }
+
+    /** The targets whose reports this process should receive. */
+    fun subset(): List<OperatorObject.Target> = subsets.values.flatten().filter(objects::inService)
+
+    fun reported(
+        report: TargetReport,
+        now: Duration,
+    ) {
+        val state = stateOf(report.target)
+        state.report = report
+        state.reportedAt = now
+        state.sentSinceReport = 0
+        state.linked = true
+    }
+
+    /** The connection that carries reports of [target] broke or went silent. */
+    fun unlinked(target: TargetId) {
+        val state = states[target] ?: return
+        state.linked = false
+        state.report = null
+    }
+
+    /** Chooses a target and counts the request as sent to it; [finished] must follow. */
+    fun choose(
+        need: Need,
+        now: Duration,
+    ): Choice {
+        val candidates = candidates(need)
+        if (candidates.isEmpty()) return Choice.NoTarget
+        val near = candidates.filter { it.domain == domain }
+        val chosen = pick(near, need, now) ?: spill(candidates - near.toSet(), near, need, now) ?: return noneFree(candidates)
+        val state = stateOf(chosen.id)
+        state.ownInFlight++
+        state.sentSinceReport++
+        need.prefix?.let { prefixes.remember(it, chosen.id) }
+        return Choice.Chosen(chosen.id, chosen.domain)
+    }
+
+    /** The request that [choose] counted has ended at [target]; [failed] when the target, not the request, was at fault. */
+    fun finished(
+        target: TargetId,
+        failed: Boolean,
+        now: Duration,
+    ) {
+        val state = stateOf(target)
+        state.ownInFlight = (state.ownInFlight - 1).coerceAtLeast(0)
+        if (failed) setAside(state, now) else state.failures = 0
+    }
+
+    /** The target turned a request away without running it: its room is gone until it reports again. */
+    fun turnedAway(target: TargetId) {
+        val state = stateOf(target)
+        state.ownInFlight = (state.ownInFlight - 1).coerceAtLeast(0)
+        state.report = state.report?.let { it.copy(room = it.room.copy(inFlight = it.room.limit)) }
+    }
+
+    /** The engine of [target] dropped these prompt prefixes from its cache. */
+    fun forgetPrefixes(
+        target: TargetId,
+        dropped: Collection<Int>,
+    ) = prefixes.forget(target, dropped)
+
+    fun dump(now: Duration): DumpSection =
+        dumpSection("routing") {
+            entry("policy", policy)
+            entry("spills", spills)
+            entry("prefixes", prefixes.size)
+            for ((target, state) in states) entry("target ${target.text}", describe(state, now))
+        }
+
+    private fun subsetOf(targets: List<OperatorObject.Target>): List<OperatorObject.Target> {
+        val byDomain = targets.groupBy { it.domain }
+        return byDomain.flatMap { (home, members) ->
+            val size = if (home == domain) subsetSize else remoteSubsetSize
+            rendezvousOrder(self, members) { it.id.text }.take(size)
+        }
+    }
+
+    private fun configureSpill(
+        other: DomainId,
+        entries: Int,
+    ) {
+        val mine = objects.regionOf(domain)
+        val theirs = objects.regionOf(other)
+        val link = if (mine != null && theirs != null) objects.link(mine, theirs) else null
+        val rate = (link?.bytesPerSecond ?: UNLIMITED_BYTES) * SPILL_SHARE / entries
+        val bucket = spillBudgets.getOrPut(other) { TokenBucket(rate, rate * SPILL_BURST_SECONDS) }
+        bucket.configure(rate, rate * SPILL_BURST_SECONDS)
+    }
+
+    private fun candidates(need: Need): List<OperatorObject.Target> {
+        if (need.owner != null) return listOfNotNull(objects.targets[need.owner]).filter(objects::inService)
+        val fleet = objects.fleets[need.fleet] ?: return emptyList()
+        return subsets[need.fleet].orEmpty().filter { it.id !in need.excluded && objects.inService(it) && mayServe(it, fleet) }
+    }
+
+    private fun mayServe(
+        target: OperatorObject.Target,
+        fleet: OperatorObject.Fleet,
+    ): Boolean {
+        val report = states[target.id]?.report ?: return true
+        return report.accepting && fleet.accepts(report.version)
+    }
+
+    private fun pick(
+        candidates: List<OperatorObject.Target>,
+        need: Need,
+        now: Duration,
+    ): OperatorObject.Target? {
+        val free = candidates.filter { hasRoom(it.id, need.tokens, now) }
+        if (free.isEmpty()) return null
+        return when (policy) {
+            ChoicePolicy.RoundRobin -> free[turn++ % free.size]
+            ChoicePolicy.LeastInFlight -> free.minBy { stateOf(it.id).ownInFlight }
+            is ChoicePolicy.FreshRoom -> pickFresh(policy, free, need, now)
+        }
+    }
+
+    private fun pickFresh(
+        policy: ChoicePolicy.FreshRoom,
+        free: List<OperatorObject.Target>,
+        need: Need,
+        now: Duration,
+    ): OperatorObject.Target {
+        val warm = need.prefix?.let { prefix -> free.firstOrNull { prefixes.isWarm(prefix, it.id) } }
+        val drawn = free.shuffled(random).take(policy.choices) + listOfNotNull(warm)
+        return drawn.maxBy { freeShare(it.id, now) + if (it == warm) policy.prefixBonus else 0.0 }
+    }
+
+    private fun spill(
+        far: List<OperatorObject.Target>,
+        near: List<OperatorObject.Target>,
+        need: Need,
+        now: Duration,
+    ): OperatorObject.Target? {
+        val reported = far.filter { isFresh(stateOf(it.id), now) && spillRoom(it.id) }
+        val chosen = pick(reported, need, now) ?: return null
+        val budget = spillBudgets[chosen.domain] ?: return null
+        val ownGone = near.isEmpty() || near.all { isAside(stateOf(it.id), now) }
+        if (need.owner == null && !ownGone && !budget.take(need.bytes.toDouble(), now)) return null
+        spills++
+        return chosen
+    }
+
+    /** Neighbours keep half of their room for their own callers. */
+    private fun spillRoom(target: TargetId): Boolean {
+        val report = stateOf(target).report ?: return false
+        return report.room.inFlight + stateOf(target).sentSinceReport < (report.room.limit + 1) / 2
+    }
+
+    private fun hasRoom(
+        target: TargetId,
+        tokens: Long,
+        now: Duration,
+    ): Boolean {
+        val state = stateOf(target)
+        if (isAside(state, now)) return false
+        val ignoresRoom = policy !is ChoicePolicy.FreshRoom
+        if (ignoresRoom) return true
+        if (!isFresh(state, now) || state.failures > 0) return state.ownInFlight == 0
+        val report = state.report ?: return false
+        return freeSlots(state) > 0 && report.room.freeTokens >= tokens
+    }
+
+    private fun freeShare(
+        target: TargetId,
+        now: Duration,
+    ): Double {
+        val state = stateOf(target)
+        val report = state.report
+        if (report == null || !isFresh(state, now)) return 0.0
+        return freeSlots(state).toDouble() / report.room.limit.coerceAtLeast(1)
+    }
+
+    private fun freeSlots(state: TargetState): Int {
+        val room = state.report?.room ?: return 0
+        return room.limit - maxOf(room.inFlight + state.sentSinceReport, state.ownInFlight)
+    }
+
+    private fun isFresh(
+        state: TargetState,
+        now: Duration,
+    ): Boolean = state.report != null && now - state.reportedAt < REPORT_LIFE
+
+    private fun isAside(
+        state: TargetState,
+        now: Duration,
+    ): Boolean = now < state.asideUntil
+
+    private fun setAside(
+        state: TargetState,
+        now: Duration,
+    ) {
+        state.failures++
+        val doublings = (state.failures - 1).coerceAtMost(MOST_DOUBLINGS)
+        state.asideUntil = now + FIRST_ASIDE * (1 shl doublings)
+        state.report = null
+    }
+
+    private fun noneFree(candidates: List<OperatorObject.Target>): Choice {
+        val reachable = candidates.any { stateOf(it.id).linked }
+        return if (reachable) Choice.NoRoom else Choice.NoTarget
+    }
+
+    private fun stateOf(target: TargetId): TargetState = states.getOrPut(target) { TargetState() }
+
+    private fun describe(
+        state: TargetState,
+        now: Duration,
+    ): String {
+        val report = state.report
+        val room = report?.room
+        val age = if (report == null) "none" else (now - state.reportedAt).toString()
+        return "limit=${room?.limit} in-flight=${room?.inFlight} own=${state.ownInFlight} version=${report?.version?.text} " +
+            "accepting=${report?.accepting} report-age=$age failures=${state.failures} aside=${isAside(state, now)}"
+    }
+
+    private companion object {
+        val REPORT_LIFE = 3.seconds
+        val FIRST_ASIDE = 250.milliseconds
+        const val MOST_DOUBLINGS = 5
+        const val SPILL_SHARE = 0.4
+        const val SPILL_BURST_SECONDS = 2.0
+        const val UNLIMITED_BYTES = 1_000_000_000L
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/ServiceController.kt
@@ -0,0 +1,96 @@
+/**
+ * Decides whether this process takes new work.
+ *
+ * A process leaves when it is told to stop, and never returns from that. Operators' published state, a configuration
+ * that must be confirmed, and a pause of the process hold new work back as well; work in hand always goes on.
+ */
+package lagoonrudder.control
+
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.Service
+import lagoonrudder.model.TargetId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+sealed class ServiceState {
+    data object Serving : ServiceState()
+
+    /** New work is refused with [reason]; callers may try elsewhere after [retryAfter]. */
+    data class Closed(
+        val reason: String,
+        val retryAfter: Duration,
+    ) : ServiceState()
+}
+
+class ServiceController(
+    private val domain: DomainId,
+    private val target: TargetId?,
+) {
+    private var leaving = false
+    private var inHand = 0
+    private var lastTick: Duration? = null
+
+    /** The process was told to stop: no new work from now on. */
+    fun leave() {
+        leaving = true
+    }
+
+    /** Whether everything that was in hand when the process was told to stop has ended. */
+    fun mayExit(): Boolean = leaving && inHand == 0
+
+    fun began() {
+        inHand++
+    }
+
+    fun ended() {
+        inHand--
+    }
+
+    fun inHand(): Int = inHand
+
+    /** Notes the regular tick of the control thread; returns whether the process was paused since the last one. */
+    fun tick(now: Duration): Boolean {
+        val last = lastTick
+        lastTick = now
+        return last != null && now - last > LONGEST_TICK_GAP
+    }
+
+    /** Whether the process was paused up to now, seen from any decision rather than from the tick. */
+    fun wasPaused(now: Duration): Boolean {
+        val last = lastTick ?: return false
+        return now - last > LONGEST_TICK_GAP
+    }
+
+    /** The state for new work under [objects]; [confirmed] as the configuration controller says. */
+    fun state(
+        objects: ObjectSet,
+        confirmed: Boolean,
+    ): ServiceState =
+        when {
+            leaving -> ServiceState.Closed("leaving", RETRY_AT_ONCE)
+            !confirmed -> ServiceState.Closed("configuration is being confirmed", RETRY_SOON)
+            objects.domains[domain]?.service == Service.OUT -> ServiceState.Closed("failure domain out of service", RETRY_AT_ONCE)
+            target != null && objects.targets[target]?.service != Service.IN -> ServiceState.Closed("target out of service", RETRY_AT_ONCE)
+            else -> ServiceState.Serving
+        }
+
+    fun dump(): DumpSection =
+        dumpSection("service") {
+            entry("domain", domain.text)
+            entry("target", target?.text)
+            entry("leaving", leaving)
+            entry("in-hand", inHand)
+        }
+
+    private companion object {
+        val LONGEST_TICK_GAP = 1.seconds
+        val RETRY_AT_ONCE = 50.milliseconds
+        val RETRY_SOON = 500.milliseconds
+    }
+}
+
+/** The refusal that goes with a closed state. */
+fun ServiceState.Closed.refusal(): Refusal = Refusal.NotServing(retryAfter, reason)
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/WeightController.kt
@@ -0,0 +1,389 @@
+/**
+ * Decides which chunks a target daemon draws next, from whom, and what it keeps.
+ *
+ * Every chunk is checked against its digest when it arrives and is passed on at once. A source that sends damaged chunks,
+ * fails or keeps its caller waiting is set aside for a while. Draws between regions keep to a share of the link, so that
+ * live traffic goes first. A version that is no longer wanted is dropped with all its chunks.
+ */
+package lagoonrudder.control
+
+import lagoonrudder.model.ChunkIndex
+import lagoonrudder.model.Digest
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.OperatorObject
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.Step
+import lagoonrudder.model.VersionId
+import lagoonrudder.model.rendezvousScore
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** [parallel] bounds the draws at once, [memory] the bytes of chunks held for peers and the engine. */
+data class WeightBounds(
+    val parallel: Int = 4,
+    val memory: Long = 512_000_000,
+    val drawLimit: Duration = 10.seconds,
+)
+
+sealed class DrawDecision {
+    data class Draw(
+        val version: VersionId,
+        val chunk: ChunkIndex,
+        val source: ChunkSource,
+    ) : DrawDecision()
+
+    /** Nothing can be drawn before [until]. */
+    data class Wait(
+        val until: Duration,
+    ) : DrawDecision()
+
+    /** As many draws as allowed are under way. */
+    data object Busy : DrawDecision()
+
+    data object Complete : DrawDecision()
+}
+
+/** How a draw ended. */
+sealed class DrawResult {
+    data class Arrived(
+        val digest: Digest,
+        val bytes: ByteArray,
+    ) : DrawResult()
+
+    /** The source will have the chunk but does not yet. */
+    data object NotYet : DrawResult()
+
+    data object Failed : DrawResult()
+}
+
+sealed class ChunkDecision {
+    /** The chunk is good: it goes to the engine and to peers that wait for it. */
+    data object Keep : ChunkDecision()
+
+    data object Damaged : ChunkDecision()
+
+    /** Not wanted any more, or here already. */
+    data object Discard : ChunkDecision()
+}
+
+/** Progress of the version that is being drawn. */
+data class WeightProgress(
+    val version: VersionId,
+    val verified: Int,
+    val chunks: Int,
+) {
+    val complete: Boolean get() = verified == chunks
+}
+
+class WeightController(
+    private val self: Holder,
+    private val policy: SourcePolicy,
+    private val bounds: WeightBounds,
+    private val invariants: Invariants,
+) {
+    private class Pending(
+        val chunk: ChunkIndex,
+        var notBefore: Duration = Duration.ZERO,
+        var notYet: Int = 0,
+    )
+
+    private class Draft(
+        val version: OperatorObject.Version,
+        val digests: List<Digest>,
+        var plan: WeightPlan,
+    ) {
+        val pending = ArrayDeque<Pending>()
+        val drawing = mutableMapOf<ChunkIndex, Pending>()
+        val verified = mutableSetOf<ChunkIndex>()
+        val held = mutableMapOf<ChunkIndex, ByteArray>()
+    }
+
+    private var draft: Draft? = null
+    private var objects = ObjectSet.EMPTY
+    private var originRegion: RegionId? = null
+    private val aside = mutableMapOf<ChunkSource, Duration>()
+    private val damage = mutableMapOf<ChunkSource, Int>()
+    private val links = mutableMapOf<RegionId, TokenBucket>()
+    private var heldBytes = 0L
+    private var originBytes = 0L
+    private var peerBytes = 0L
+
+    /** Takes over a set that came into force. */
+    fun configure(set: ObjectSet) {
+        objects = set
+        originRegion =
+            set.regions.values
+                .firstOrNull { it.origin }
+                ?.id
+        draft?.let { configureLinks(it.plan) }
+    }
+
+    /** Starts to draw [version] for [holders]; another version that was being drawn is dropped. */
+    fun want(
+        version: OperatorObject.Version,
+        digests: List<Digest>,
+        holders: Collection<Holder>,
+    ) {
+        val known = draft
+        if (known != null && known.version == version) return replan(known, holders)
+        drop()
+        val plan = planFor(version, holders)
+        val started = Draft(version, digests, plan)
+        started.pending.addAll(orderOf(version, plan).map { Pending(it) })
+        draft = started
+        configureLinks(plan)
+    }
+
+    /** Forgets the version and gives back its memory. */
+    fun drop() {
+        draft = null
+        heldBytes = 0
+    }
+
+    fun progress(): WeightProgress? = draft?.let { WeightProgress(it.version.id, it.verified.size, it.digests.size) }
+
+    /** Decides on the next draw; a draw that is given out must be answered by [ended]. */
+    fun next(now: Duration): DrawDecision {
+        val current = draft ?: return DrawDecision.Complete
+        if (current.verified.size == current.digests.size) return DrawDecision.Complete
+        if (current.drawing.size >= bounds.parallel || current.pending.isEmpty()) return DrawDecision.Busy
+        return firstReady(current, now)
+    }
+
+    /** Takes in how the draw of [chunk] ended. */
+    fun ended(
+        version: VersionId,
+        chunk: ChunkIndex,
+        source: ChunkSource,
+        result: DrawResult,
+        now: Duration,
+    ): ChunkDecision {
+        val current = draft?.takeIf { it.version.id == version } ?: return ChunkDecision.Discard
+        val pending = current.drawing.remove(chunk) ?: return ChunkDecision.Discard
+        return when (result) {
+            DrawResult.NotYet -> again(current, pending, source, now)
+            DrawResult.Failed -> setAside(current, pending, source, FAILED_ASIDE, now)
+            is DrawResult.Arrived -> verify(current, pending, source, result, now)
+        }
+    }
+
+    /** The bytes of a verified chunk when they are held, for peers. */
+    fun held(
+        version: VersionId,
+        chunk: ChunkIndex,
+    ): ByteArray? = draft?.takeIf { it.version.id == version }?.held?.get(chunk)
+
+    /** Whether this process draws [version], so that a peer may wait for a chunk of it. */
+    fun draws(version: VersionId): Boolean = draft?.version?.id == version
+
+    /** The engine has the whole version: only what this holder leads stays in memory, for latecomers. */
+    fun release() {
+        val current = draft ?: return
+        current.held.keys
+            .filterNot(current.plan::leads)
+            .forEach { forget(current, it) }
+    }
+
+    /** The engine lost what it had been given: everything that isn't held is drawn again. */
+    fun restart() {
+        val current = draft ?: return
+        val lost = current.verified.filter { it !in current.held }
+        current.verified.removeAll(lost.toSet())
+        current.pending.addAll(lost.map { Pending(it) })
+    }
+
+    /** The chunks that are held and verified, to be handed to an engine that lost them. */
+    fun heldChunks(): Map<ChunkIndex, ByteArray> = draft?.held.orEmpty().toMap()
+
+    fun dump(): DumpSection =
+        dumpSection("weights") {
+            entry("policy", policy)
+            entry("version", draft?.version?.id?.text)
+            entry("verified", draft?.verified?.size)
+            entry("chunks", draft?.digests?.size)
+            entry("drawing", draft?.drawing?.size)
+            entry("held-bytes", heldBytes)
+            entry("origin-bytes", originBytes)
+            entry("peer-bytes", peerBytes)
+            entry("set-aside", aside.size)
+            entry("damaged", damage.values.sum())
+        }
+
+    private fun planFor(
+        version: OperatorObject.Version,
+        holders: Collection<Holder>,
+    ) = WeightPlan(policy, version.id, self, holders, originRegion)
+
+    private fun replan(
+        current: Draft,
+        holders: Collection<Holder>,
+    ) {
+        current.plan = planFor(current.version, holders)
+        configureLinks(current.plan)
+    }
+
+    /** Chunks that others wait for first, then the rest in an order of this holder's own. */
+    private fun orderOf(
+        version: OperatorObject.Version,
+        plan: WeightPlan,
+    ): List<ChunkIndex> {
+        val shuffled =
+            (0 until version.chunkCount)
+                .map { ChunkIndex(it) }
+                .sortedBy { rendezvousScore(self.daemon.text, it.number.toString()) }
+        val (led, others) = shuffled.partition(plan::leads)
+        return led + others
+    }
+
+    private fun configureLinks(plan: WeightPlan) {
+        for (region in objects.regions.keys) {
+            if (region == self.region) continue
+            val bytes = objects.link(self.region, region)?.bytesPerSecond ?: continue
+            val rate = bytes * WEIGHT_SHARE / plan.holdersInRegion
+            val burst = rate * LINK_BURST_SECONDS
+            links.getOrPut(region) { TokenBucket(rate, burst) }.configure(rate, burst)
+        }
+    }
+
+    private fun firstReady(
+        current: Draft,
+        now: Duration,
+    ): DrawDecision {
+        var earliest = Duration.INFINITE
+        val looks = minOf(current.pending.size, LOOKS)
+        repeat(looks) {
+            val pending = current.pending.removeFirst()
+            val source = sourceFor(current, pending, now)
+            val ready = maxOf(pending.notBefore, linkReady(current, source, now))
+            if (ready <= now) return draw(current, pending, source, now)
+            earliest = minOf(earliest, ready)
+            current.pending.addLast(pending)
+        }
+        return DrawDecision.Wait(earliest)
+    }
+
+    private fun draw(
+        current: Draft,
+        pending: Pending,
+        source: ChunkSource,
+        now: Duration,
+    ): DrawDecision {
+        bucketOf(source)?.take(current.version.chunkBytes.toDouble(), now)
+        current.drawing[pending.chunk] = pending
+        return DrawDecision.Draw(current.version.id, pending.chunk, source)
+    }
+
+    private fun sourceFor(
+        current: Draft,
+        pending: Pending,
+        now: Duration,
+    ): ChunkSource {
+        val sources = current.plan.sources(pending.chunk)
+        return sources.firstOrNull { (aside[it] ?: Duration.ZERO) <= now } ?: sources.last()
+    }
+
+    private fun linkReady(
+        current: Draft,
+        source: ChunkSource,
+        now: Duration,
+    ): Duration {
+        val bucket = bucketOf(source) ?: return now
+        return now + bucket.wait(current.version.chunkBytes.toDouble(), now)
+    }
+
+    private fun bucketOf(source: ChunkSource): TokenBucket? =
+        when (source) {
+            ChunkSource.Origin -> originRegion?.takeIf { it != self.region }?.let(links::get)
+            is ChunkSource.Peer -> links[source.holder.region]
+        }
+
+    private fun again(
+        current: Draft,
+        pending: Pending,
+        source: ChunkSource,
+        now: Duration,
+    ): ChunkDecision {
+        pending.notYet++
+        if (pending.notYet % NOT_YET_LIMIT == 0) return setAside(current, pending, source, SLOW_ASIDE, now)
+        pending.notBefore = now
+        current.pending.addLast(pending)
+        return ChunkDecision.Discard
+    }
+
+    private fun setAside(
+        current: Draft,
+        pending: Pending,
+        source: ChunkSource,
+        time: Duration,
+        now: Duration,
+    ): ChunkDecision {
+        aside[source] = now + time
+        if (source is ChunkSource.Origin) pending.notBefore = now + ORIGIN_PAUSE
+        current.pending.addFirst(pending)
+        return ChunkDecision.Discard
+    }
+
+    private fun verify(
+        current: Draft,
+        pending: Pending,
+        source: ChunkSource,
+        result: DrawResult.Arrived,
+        now: Duration,
+    ): ChunkDecision {
+        if (result.digest != current.digests[pending.chunk.number]) {
+            val times = (damage[source] ?: 0) + 1
+            damage[source] = times
+            setAside(current, pending, source, DAMAGED_ASIDE * times, now)
+            return ChunkDecision.Damaged
+        }
+        count(source, result.bytes.size)
+        current.verified += pending.chunk
+        hold(current, pending.chunk, result.bytes)
+        return ChunkDecision.Keep
+    }
+
+    private fun count(
+        source: ChunkSource,
+        bytes: Int,
+    ) {
+        when (source) {
+            ChunkSource.Origin -> originBytes += bytes
+            is ChunkSource.Peer -> peerBytes += bytes
+        }
+    }
+
+    private fun hold(
+        current: Draft,
+        chunk: ChunkIndex,
+        bytes: ByteArray,
+    ) {
+        while (heldBytes + bytes.size > bounds.memory) {
+            val spare = current.held.keys.firstOrNull { !current.plan.leads(it) } ?: break
+            forget(current, spare)
+        }
+        if (heldBytes + bytes.size > bounds.memory) return
+        current.held[chunk] = bytes
+        heldBytes += bytes.size
+        invariants.check(heldBytes <= bounds.memory, Invariant.WEIGHT_MEMORY_WITHIN_BUDGET, Step.DRAW_CHUNK) { "held=$heldBytes" }
+    }
+
+    private fun forget(
+        current: Draft,
+        chunk: ChunkIndex,
+    ) {
+        heldBytes -= current.held.remove(chunk)?.size ?: 0
+    }
+
+    private companion object {
+        const val WEIGHT_SHARE = 0.75
+        const val LINK_BURST_SECONDS = 0.5
+        const val LOOKS = 32
+        const val NOT_YET_LIMIT = 10
+        val FAILED_ASIDE = 5.seconds
+        val SLOW_ASIDE = 10.seconds
+        val DAMAGED_ASIDE = 20.seconds
+        val ORIGIN_PAUSE = 1.seconds
+    }
+}
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/RelayFilter.kt
@@ -0,0 +1,87 @@
+/**
+ * Opens the memory of an answer, writes it to the caller while it arrives, and ends it whole or visibly broken.
+ */
+package lagoonrudder.traffic.entry
+
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
+import lagoonrudder.model.Clock
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.Step
+import lagoonrudder.traffic.Filter
+import lagoonrudder.traffic.Next
+import kotlin.time.Duration.Companion.seconds
+
+/** The caller closed its connection or it broke; thrown by an [AnswerSink]. */
+class CallerGone(
+    cause: Throwable?,
+) : Exception("the caller has gone", cause)
+
+class RelayFilter(
+    private val control: EntryControl,
+    private val clock: Clock,
+    private val invariants: Invariants,
+) : Filter<EntryCall> {
+    override suspend fun handle(
+        call: EntryCall,
+        next: Next<EntryCall>,
+    ): Outcome {
+        val request = call.identity.request
+        call.relay = AnswerRelay(request, control, clock)
+        if (!control.thread.decide { control.open(request, call.relay) }) return refuse(call)
+        try {
+            return relay(call, next)
+        } catch (gone: CallerGone) {
+            return Outcome.Broken(Failure.Interrupted(Step.RELAY, callerOf(call), gone.message.orEmpty()))
+        } finally {
+            withContext(NonCancellable) { control.thread.decide { control.close(request) } }
+        }
+    }
+
+    private suspend fun relay(
+        call: EntryCall,
+        next: Next<EntryCall>,
+    ): Outcome =
+        coroutineScope {
+            val writer = launch { call.relay.drain(call.sink) }
+            val outcome = next.proceed(call)
+            call.relay.complete()
+            writer.join()
+            finish(call, outcome)
+            outcome
+        }
+
+    private suspend fun finish(
+        call: EntryCall,
+        outcome: Outcome,
+    ) {
+        when (outcome) {
+            is Outcome.Completed -> {
+                val whole = outcome.length == call.relay.offset && call.relay.started
+                invariants.check(whole, Invariant.WHOLE_OWN_ANSWER, Step.RELAY, callerOf(call)) { "request=${call.identity.request.text}" }
+                call.sink.finish(outcome.length, call.relay.checksum)
+            }
+            is Outcome.Broken -> call.sink.abort(outcome.failure)
+            is Outcome.Refused, is Outcome.Unknown -> Unit
+        }
+    }
+
+    private suspend fun refuse(call: EntryCall): Outcome {
+        control.thread.decide { control.ended(call.ticket, call.choice.target, failed = false) }
+        return Outcome.Refused(Refusal.Overloaded(RETRY), Step.RELAY, Peer.SELF)
+    }
+
+    private fun callerOf(call: EntryCall) = Peer(PeerRole.CALLER, call.identity.customer.id.text)
+
+    private companion object {
+        val RETRY = 1.seconds
+    }
+}
