Add the wire, the daemon of both roles and its loops

gRPC methods over kotlinx.serialization messages, INI documents, sealed sets, HTTP front, platform clients, configuration, weight and switch loops. Compiles; not yet run.

--- a/control/src/main/kotlin/lagoonrudder/control/ConfigurationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/ConfigurationController.kt
@@ -7,22 +7,13 @@
  */
 package lagoonrudder.control
 
-import arrow.core.Either
-import arrow.core.flatMap
-import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
 import lagoonrudder.model.Digest
-import lagoonrudder.model.Failure
 import lagoonrudder.model.Invariant
 import lagoonrudder.model.Invariants
-import lagoonrudder.model.Peer
 import lagoonrudder.model.Revision
 import lagoonrudder.model.SealedChanges
 import lagoonrudder.model.SealedSet
 import lagoonrudder.model.Step
-import lagoonrudder.model.changesBetween
-import lagoonrudder.model.checkObjects
 import kotlin.time.Duration
 
 /** What became of an offered set. */
@@ -43,12 +34,8 @@
         val twin: Boolean,
     ) : ConfigurationOutcome()
 
-    /** The changes start from another set than the one in force; the whole set is needed. */
-    data object WholeNeeded : ConfigurationOutcome()
-
-    data class Rejected(
-        val failure: Failure,
-    ) : ConfigurationOutcome()
+    /** Another set came into force while the offer was checked: check it again. */
+    data object BaseMoved : ConfigurationOutcome()
 }
 
 /** Whether the process may rely on the set in force. */
@@ -79,29 +66,22 @@
     private var alarms = 0
     private var rejections = 0
 
-    /** Offers a whole set that [peer] sent. */
-    fun offer(
-        offered: SealedSet,
-        peer: Peer,
-    ): ConfigurationOutcome =
-        when {
-            offered.revision < current.revision -> ConfigurationOutcome.Superseded(current.revision, twin = false)
-            offered.revision > current.revision -> accept(offered, peer, replacedTwin = false)
-            offered.digest == current.digest -> ConfigurationOutcome.Known
-            else -> settleTwins(offered, peer)
+    /** Offers a checked set; the check was made against the set in force at that time. */
+    fun offer(offered: CheckedSet): ConfigurationOutcome {
+        val set = offered.set
+        return when {
+            set.revision < current.revision -> ConfigurationOutcome.Superseded(current.revision, twin = false)
+            set.revision == current.revision && set.digest == current.digest -> ConfigurationOutcome.Known
+            offered.base !== current -> ConfigurationOutcome.BaseMoved
+            set.revision > current.revision -> accept(offered, replacedTwin = false)
+            else -> settleTwins(offered)
         }
+    }
 
-    /** Offers changes that [peer] sent. */
-    fun offer(
-        offered: SealedChanges,
-        peer: Peer,
-    ): ConfigurationOutcome =
-        when {
-            offered.revision < current.revision -> ConfigurationOutcome.Superseded(current.revision, twin = false)
-            offered.revision == current.revision && offered.digest == current.digest -> ConfigurationOutcome.Known
-            offered.base != current.revision || offered.baseDigest != current.digest -> ConfigurationOutcome.WholeNeeded
-            else -> apply(offered, peer).getOrElse { reject(it) }
-        }
+    /** An offer that could not be read, verified or checked. */
+    fun rejected() {
+        rejections++
+    }
 
     /** The changes from [base] to the set in force, when they are still held; they may combine several revisions. */
     fun changesSince(
@@ -144,55 +124,26 @@
             entry("rejections", rejections)
         }
 
-    private fun settleTwins(
-        offered: SealedSet,
-        peer: Peer,
-    ): ConfigurationOutcome {
+    private fun settleTwins(offered: CheckedSet): ConfigurationOutcome {
         alarms++
-        if (offered.digest < current.digest) return ConfigurationOutcome.Superseded(current.revision, twin = true)
-        return accept(offered, peer, replacedTwin = true)
+        if (offered.set.digest < current.digest) return ConfigurationOutcome.Superseded(current.revision, twin = true)
+        return accept(offered, replacedTwin = true)
     }
 
-    private fun apply(
-        offered: SealedChanges,
-        peer: Peer,
-    ): Either<Failure, ConfigurationOutcome> {
-        val next = SealedSet(offered.revision, current.objects.plus(offered.changes))
-        return next
-            .right()
-            .flatMap { if (it.digest == offered.digest) it.right() else damaged(offered, peer).left() }
-            .map { accept(it, peer, replacedTwin = false) }
-    }
-
-    private fun damaged(
-        offered: SealedChanges,
-        peer: Peer,
-    ): Failure = Failure.Damaged(Step.ACCEPT_CONFIGURATION, peer, "changes to revision ${offered.revision.number} don't lead to its digest")
-
     private fun accept(
-        offered: SealedSet,
-        peer: Peer,
+        offered: CheckedSet,
         replacedTwin: Boolean,
     ): ConfigurationOutcome {
-        val findings = checkObjects(offered.objects, peer.toString()).leftOrNull()
-        if (findings != null) return reject(findings.first())
+        val set = offered.set
         invariants.check(
-            offered.revision >= current.revision,
+            set.revision >= current.revision,
             Invariant.CONFIGURATION_NEVER_REVERTS,
             Step.ACCEPT_CONFIGURATION,
-            peer,
-        ) { "from=${current.revision.number} to=${offered.revision.number}" }
-        val changes =
-            SealedChanges(
-                current.revision,
-                current.digest,
-                offered.revision,
-                offered.digest,
-                changesBetween(current.objects, offered.objects),
-            )
-        current = offered
-        remember(changes)
-        return ConfigurationOutcome.Accepted(offered, changes, replacedTwin)
+            offered.peer,
+        ) { "from=${current.revision.number} to=${set.revision.number}" }
+        current = set
+        remember(offered.changes)
+        return ConfigurationOutcome.Accepted(set, offered.changes, replacedTwin)
     }
 
     private fun remember(changes: SealedChanges) {
@@ -227,11 +178,6 @@
         )
     }
 
-    private fun reject(failure: Failure): ConfigurationOutcome {
-        rejections++
-        return ConfigurationOutcome.Rejected(failure)
-    }
-
     private companion object {
         const val CHANGES_HELD = 32
         const val OBJECTS_HELD = 4_000
--- a/control/src/main/kotlin/lagoonrudder/control/MembershipController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/MembershipController.kt
@@ -14,6 +14,14 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+/** What turns the list at generation [base] into that at [generation]. A [base] of zero means the whole list. */
+data class InstanceChanges(
+    val base: Long,
+    val generation: Long,
+    val changed: List<Instance>,
+    val removed: List<DaemonId>,
+)
+
 class MembershipController(
     private val self: DaemonId,
     private val suspicionLife: Duration = SUSPICION_LIFE,
@@ -21,19 +29,49 @@
     private var listed: Map<DaemonId, Instance> = emptyMap()
     private var generation = 0L
     private val suspectedUntil = mutableMapOf<DaemonId, Duration>()
+    private val changedAt = mutableMapOf<DaemonId, Long>()
+    private var changesKnownFrom = Long.MAX_VALUE
 
-    /** Takes over a list from the platform or a peer; an older [offeredGeneration] is passed over. Returns whether it was newer. */
+    /** Takes over a whole list; one that is not newer is passed over. Returns whether it was newer. */
     fun replaceList(
         instances: List<Instance>,
         offeredGeneration: Long,
     ): Boolean {
         if (offeredGeneration <= generation) return false
-        generation = offeredGeneration
-        listed = instances.associateBy { it.daemon }
-        suspectedUntil.keys.retainAll(listed.keys)
+        val next = instances.associateBy { it.daemon }
+        val changed = (listed.keys + next.keys).filter { listed[it] != next[it] }
+        if (generation == 0L) changesKnownFrom = offeredGeneration else changed.forEach { changedAt[it] = offeredGeneration }
+        adopt(next, offeredGeneration)
         return true
     }
 
+    /** Takes over changes from a peer; false when they don't start at or before what this process has, or bring nothing. */
+    fun apply(changes: InstanceChanges): Boolean {
+        if (changes.generation <= generation || changes.base > generation) return false
+        val next = listed - changes.removed.toSet() + changes.changed.associateBy { it.daemon }
+        return replaceList(next.values.toList(), changes.generation)
+    }
+
+    /** What changed after [base]: the whole list when this process doesn't know. Null when nothing did. */
+    fun changesSince(base: Long): InstanceChanges? {
+        if (base >= generation) return null
+        if (base < changesKnownFrom) return InstanceChanges(0, generation, listed.values.toList(), emptyList())
+        val daemons = changedAt.filterValues { it > base }.keys
+        return InstanceChanges(base, generation, daemons.mapNotNull { listed[it] }, daemons.filter { it !in listed })
+    }
+
+    private fun adopt(
+        next: Map<DaemonId, Instance>,
+        offeredGeneration: Long,
+    ) {
+        generation = offeredGeneration
+        listed = next
+        suspectedUntil.keys.retainAll(next.keys)
+        val oldest = changedAt.values.sortedDescending().getOrNull(CHANGES_HELD) ?: return
+        changedAt.values.removeIf { it <= oldest }
+        changesKnownFrom = maxOf(changesKnownFrom, oldest)
+    }
+
     fun generation(): Long = generation
 
     fun instances(): List<Instance> = listed.values.toList()
@@ -97,5 +135,6 @@
 
     private companion object {
         val SUSPICION_LIFE = 3.seconds
+        const val CHANGES_HELD = 2_000
     }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
@@ -120,6 +120,19 @@
         state.linked = true
     }
 
+    /** An answer or a refusal of [target] told its room. */
+    fun roomSeen(
+        target: TargetId,
+        room: Room,
+        now: Duration,
+    ) {
+        val state = states[target] ?: return
+        val report = state.report ?: return
+        state.report = report.copy(room = room)
+        state.reportedAt = now
+        state.sentSinceReport = 0
+    }
+
     /** The connection that carries reports of [target] broke or went silent. */
     fun unlinked(target: TargetId) {
         val state = states[target] ?: return
--- a/control/src/main/kotlin/lagoonrudder/control/ServiceController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/ServiceController.kt
@@ -6,6 +6,7 @@
  */
 package lagoonrudder.control
 
+import kotlinx.coroutines.CompletableDeferred
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.ObjectSet
 import lagoonrudder.model.Refusal
@@ -33,20 +34,22 @@
     private var inHand = 0
     private var lastTick: Duration? = null
 
+    /** Completed when the process was told to stop and everything that was in hand has ended. */
+    val drained = CompletableDeferred<Unit>()
+
     /** The process was told to stop: no new work from now on. */
     fun leave() {
         leaving = true
+        completeWhenDrained()
     }
 
-    /** Whether everything that was in hand when the process was told to stop has ended. */
-    fun mayExit(): Boolean = leaving && inHand == 0
-
     fun began() {
         inHand++
     }
 
     fun ended() {
         inHand--
+        completeWhenDrained()
     }
 
     fun inHand(): Int = inHand
@@ -77,6 +80,10 @@
             else -> ServiceState.Serving
         }
 
+    private fun completeWhenDrained() {
+        if (leaving && inHand == 0) drained.complete(Unit)
+    }
+
     fun dump(): DumpSection =
         dumpSection("service") {
             entry("domain", domain.text)
--- a/control/src/main/kotlin/lagoonrudder/control/SwitchController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/SwitchController.kt
@@ -120,7 +120,7 @@
     /** Whether new work may go to the engine: it serves a whole version that the fleet accepts. */
     fun refusal(): Refusal? {
         val fleet = fleet ?: return Refusal.NotServing(RETRY, "no fleet for this target")
-        if (fleet.kind == FleetKind.PLAIN) return null
+        if (fleet.kind == FleetKind.PLAIN) return if (readNeeded) Refusal.NotServing(RETRY, "back end not reached") else null
         if (draining) return Refusal.NotServing(RETRY, "switching")
         val version = serving() ?: return Refusal.NotServing(RETRY, "no version loaded")
         return if (fleet.accepts(version)) null else Refusal.WrongVersion(RETRY)
--- a/control/src/main/kotlin/lagoonrudder/control/WeightController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/WeightController.kt
@@ -78,7 +78,7 @@
 }
 
 class WeightController(
-    private val self: Holder,
+    private var self: Holder,
     private val policy: SourcePolicy,
     private val bounds: WeightBounds,
     private val invariants: Invariants,
@@ -113,6 +113,7 @@
     /** Takes over a set that came into force. */
     fun configure(set: ObjectSet) {
         objects = set
+        set.regionOf(self.domain)?.let { self = self.copy(region = it) }
         originRegion =
             set.regions.values
                 .firstOrNull { it.origin }
@@ -136,6 +137,11 @@
         configureLinks(plan)
     }
 
+    /** The daemons that want the version may have changed. */
+    fun replan(holders: Collection<Holder>) {
+        draft?.let { replan(it, holders) }
+    }
+
     /** Forgets the version and gives back its memory. */
     fun drop() {
         draft = null
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/DaemonCore.kt
@@ -0,0 +1,71 @@
+/**
+ * What every daemon has, whatever its role: the control thread with the controllers of configuration and membership, the
+ * connections to peers and to the platform, the log and the metrics.
+ */
+package lagoonrudder.daemon
+
+import io.ktor.client.HttpClient
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import lagoonrudder.control.ConfigurationController
+import lagoonrudder.control.ControlThread
+import lagoonrudder.control.MembershipController
+import lagoonrudder.control.ServiceController
+import lagoonrudder.control.SpreadController
+import lagoonrudder.daemon.observe.DaemonMetrics
+import lagoonrudder.daemon.observe.EventLog
+import lagoonrudder.daemon.platform.ConfigurationService
+import lagoonrudder.daemon.settings.DaemonSettings
+import lagoonrudder.model.Clock
+import lagoonrudder.model.IncarnationId
+import lagoonrudder.model.Invariants
+import lagoonrudder.wire.rpc.RpcClient
+import kotlin.random.Random
+
+class DaemonCore(
+    val settings: DaemonSettings,
+    val options: DaemonOptions,
+    val http: HttpClient,
+) : AutoCloseable {
+    val clock: Clock = options.clock
+    val random = Random(options.seed)
+    val incarnation = IncarnationId(random.nextLong().toULong().toString(HEXADECIMAL))
+    val log = EventLog(settings.name.text)
+    val invariants =
+        Invariants { violation ->
+            log.error(
+                "invariant-violated",
+                "invariant" to violation.invariant.name.lowercase(),
+                "step" to violation.step.name.lowercase(),
+                "peer" to violation.peer,
+                "detail" to violation.detail,
+            )
+            options.onViolation(violation)
+        }
+    val thread = ControlThread.start(settings.name.text, clock, invariants)
+    val configuration = ConfigurationController(invariants)
+    val membership = MembershipController(settings.name)
+    val spread = SpreadController(settings.name, options.spread, random)
+    val service = ServiceController(settings.domain, settings.slot?.target)
+    val metrics = DaemonMetrics(thread, invariants)
+    val rpc = RpcClient()
+    val platform = ConfigurationService(http, settings.platform.configuration)
+    val scope =
+        CoroutineScope(
+            SupervisorJob() + Dispatchers.Default +
+                CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
+        )
+
+    override fun close() {
+        scope.cancel()
+        rpc.close()
+        thread.close()
+    }
+
+    private companion object {
+        const val HEXADECIMAL = 16
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/DaemonOptions.kt
@@ -0,0 +1,44 @@
+/**
+ * What can be exchanged in a daemon without a setting: the clock, the policies, and what happens on a violation.
+ */
+package lagoonrudder.daemon
+
+import io.ktor.client.HttpClient
+import lagoonrudder.control.ChoicePolicy
+import lagoonrudder.control.LimitPolicy
+import lagoonrudder.control.QueuePolicy
+import lagoonrudder.control.ReaderMemoryPolicy
+import lagoonrudder.control.RepeatPolicy
+import lagoonrudder.control.SourcePolicy
+import lagoonrudder.control.SpreadPolicy
+import lagoonrudder.model.Clock
+import lagoonrudder.model.SystemClock
+import lagoonrudder.model.Violation
+import lagoonrudder.traffic.entry.SendLimits
+import lagoonrudder.traffic.target.EngineLimits
+
+@DslMarker
+annotation class DaemonDsl
+
+@DaemonDsl
+class DaemonOptions {
+    var clock: Clock = SystemClock()
+    var seed: Long = System.nanoTime()
+    var choice: ChoicePolicy = ChoicePolicy.FreshRoom()
+    var queue: QueuePolicy = QueuePolicy.WeightedFair
+    var limit: LimitPolicy = LimitPolicy.Adaptive()
+    var sources: SourcePolicy = SourcePolicy.Striped
+    var spread: SpreadPolicy = SpreadPolicy.Tree()
+    var repeats: RepeatPolicy = RepeatPolicy()
+    var send: SendLimits = SendLimits()
+    var engine: EngineLimits = EngineLimits()
+
+    /** Takes the place of the reader memory in the settings when it is set. */
+    var readers: ReaderMemoryPolicy? = null
+
+    /** A client to share between daemons of one process; each has its own when this is null. */
+    var http: HttpClient? = null
+
+    /** Called for each violated invariant, after it was logged. */
+    var onViolation: (Violation) -> Unit = {}
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/entry/EntryDaemon.kt
@@ -0,0 +1,169 @@
+/**
+ * The daemon between callers and targets.
+ */
+package lagoonrudder.daemon.entry
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import lagoonrudder.control.AdmissionController
+import lagoonrudder.control.DumpSection
+import lagoonrudder.control.ReaderMemoryController
+import lagoonrudder.control.RoutingController
+import lagoonrudder.control.ServiceState
+import lagoonrudder.control.UploadController
+import lagoonrudder.daemon.Daemon
+import lagoonrudder.daemon.DaemonAddresses
+import lagoonrudder.daemon.DaemonCore
+import lagoonrudder.daemon.PeerEnd
+import lagoonrudder.daemon.configuration.ConfigurationLoop
+import lagoonrudder.daemon.front.CallerFront
+import lagoonrudder.daemon.front.CompletionDecoder
+import lagoonrudder.daemon.operators.DaemonView
+import lagoonrudder.daemon.operators.OperatorServer
+import lagoonrudder.model.Address
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.RequestId
+import lagoonrudder.traffic.FilterChain
+import lagoonrudder.traffic.entry.AccountFilter
+import lagoonrudder.traffic.entry.AdmitFilter
+import lagoonrudder.traffic.entry.EntryCall
+import lagoonrudder.traffic.entry.EntryControl
+import lagoonrudder.traffic.entry.IdentifyFilter
+import lagoonrudder.traffic.entry.RelayFilter
+import lagoonrudder.traffic.entry.SendFilter
+import lagoonrudder.traffic.entry.entryFilters
+import lagoonrudder.wire.rpc.RpcServer
+import java.util.UUID
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class EntryDaemon(
+    override val core: DaemonCore,
+) : Daemon,
+    DaemonView {
+    private val settings = core.settings
+    private val uploads = UploadController(settings.limits.uploadBytes)
+    private val control =
+        EntryControl(
+            thread = core.thread,
+            clock = core.clock,
+            domain = settings.domain,
+            configuration = core.configuration,
+            membership = core.membership,
+            routing = RoutingController(settings.name.text, settings.domain, core.options.choice, core.random),
+            admission = AdmissionController(core.options.queue, settings.limits.queue, core.invariants),
+            readers = ReaderMemoryController(core.options.readers ?: settings.limits.readers, core.invariants),
+            service = core.service,
+        )
+    private val reports = ReportLoop(core, control)
+    private val configuration = ConfigurationLoop(core) { configured() }
+    private val front = CallerFront(core, FilterChain(filters()), uploads, checkNotNull(settings.listen.callers))
+    private val operators = OperatorServer(core, this)
+    private var rpcServer: RpcServer? = null
+
+    override suspend fun start(): DaemonAddresses {
+        val rpc = RpcServer.start(settings.listen.rpc, core.scope.coroutineContext, PeerEnd(configuration), null)
+        rpcServer = rpc
+        val addresses = DaemonAddresses(Address(settings.listen.rpc.host, rpc.port), front.start(), operators.start())
+        configuration.start()
+        core.scope.launch { tick() }
+        core.log.info(
+            "started",
+            "role" to "entry",
+            "rpc" to addresses.rpc,
+            "callers" to addresses.callers,
+            "operators" to addresses.operators,
+        )
+        return addresses
+    }
+
+    override suspend fun stop() {
+        core.log.info("leaving", "in-hand" to core.thread.decide { core.service.inHand() })
+        core.thread.decide { core.service.leave() }
+        core.service.drained.await()
+        core.log.info("stopped")
+        close()
+    }
+
+    override fun close() {
+        rpcServer?.close()
+        core.scope.launch { front.close() }
+        operators.close()
+        front.close()
+        core.close()
+    }
+
+    override fun ready(): Boolean = core.service.state(core.configuration.current.objects, mayServe()) is ServiceState.Serving
+
+    override fun status(): String =
+        "name=${settings.name.text} role=entry domain=${settings.domain.text} ready=${ready()} " +
+            "revision=${core.configuration.current.revision.number} in-hand=${core.service.inHand()} violations=${core.invariants.total()}"
+
+    override fun dump(): List<DumpSection> = control.dump() + uploads.dump()
+
+    private fun mayServe(): Boolean = core.configuration.mayServe(core.clock.elapsed())
+
+    private fun configured() {
+        control.configured()
+        reports.match()
+    }
+
+    private suspend fun tick() {
+        while (core.scope.isActive) {
+            val paused =
+                core.thread.decide {
+                    control.tick()
+                    control.wasPaused(CONFIRM_LIMIT)
+                }
+            if (paused) core.scope.launch { confirmAfterPause() }
+            delay(TICK)
+        }
+    }
+
+    private suspend fun confirmAfterPause() {
+        core.log.warning("paused", "action" to "confirm-configuration")
+        configuration.confirm(CONFIRM_LIMIT)
+    }
+
+    private fun filters() =
+        entryFilters(
+            account = AccountFilter(control, core.clock, ::ended),
+            identify = IdentifyFilter(control, core.clock, CompletionDecoder) { RequestId(UUID.randomUUID().toString()) },
+            admit = AdmitFilter(control),
+            relay = RelayFilter(control, core.clock, core.invariants),
+            send = SendFilter(control, core.rpc, core.clock, core.options.send),
+        )
+
+    private fun ended(
+        call: EntryCall,
+        outcome: Outcome,
+        took: Duration,
+    ) {
+        core.metrics.requestEnded(outcome, took)
+        val request = call.identityOrNull()
+        core.log.info(
+            "request-ended",
+            "request" to request?.request?.text,
+            "route" to request?.route?.id?.text,
+            "customer" to request?.customer?.id?.text,
+            "outcome" to outcome.code,
+            "took-ms" to took.inWholeMilliseconds,
+            "detail" to detailOf(outcome),
+        )
+    }
+
+    private fun detailOf(outcome: Outcome): String =
+        when (outcome) {
+            is Outcome.Completed -> "length=${outcome.length}"
+            is Outcome.Refused -> "step=${outcome.step.name.lowercase()} peer=${outcome.peer}"
+            is Outcome.Unknown -> outcome.failure.describe()
+            is Outcome.Broken -> outcome.failure.describe()
+        }
+
+    private companion object {
+        val TICK = 100.milliseconds
+        val CONFIRM_LIMIT = 1.seconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/front/HttpAnswerSink.kt
@@ -0,0 +1,98 @@
+/**
+ * The way back to a caller over HTTP: text as server-sent events, anything else as it is.
+ */
+package lagoonrudder.daemon.front
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeFully
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import lagoonrudder.model.Failure
+import lagoonrudder.model.VersionId
+import lagoonrudder.traffic.entry.AnswerSink
+import lagoonrudder.traffic.entry.CallerGone
+import java.io.IOException
+import java.nio.ByteBuffer
+import java.nio.CharBuffer
+import java.nio.charset.CharsetDecoder
+
+/** The status line of an answer that has begun. */
+data class AnswerStart(
+    val status: Int,
+    val contentType: String,
+    val version: VersionId?,
+)
+
+/** The answer broke after its start; thrown to make the server close the connection. */
+class BrokenAnswer(
+    failure: Failure,
+) : IOException(failure.describe())
+
+class HttpAnswerSink : AnswerSink {
+    /** Completed when the answer begins. */
+    val started = CompletableDeferred<AnswerStart>()
+    private val channel = CompletableDeferred<ByteWriteChannel>()
+    private val text = TextPieces()
+
+    /** Gives the sink the body to write to, once the status line is out. */
+    fun attach(body: ByteWriteChannel) {
+        channel.complete(body)
+    }
+
+    override suspend fun start(
+        status: Int,
+        contentType: String,
+        version: VersionId?,
+    ) {
+        started.complete(AnswerStart(status, contentType, version))
+        channel.await()
+    }
+
+    override suspend fun write(data: ByteArray) {
+        if (started.await().version == null) send(data) else sendText(data)
+    }
+
+    override suspend fun finish(
+        length: Long,
+        checksum: Long,
+    ) {
+        val version = started.await().version ?: return
+        val end = callerJson.encodeToString(CompletionEndJson.serializer(), CompletionEndJson(length, checksum, version.text))
+        send("event: end\ndata: $end\n\n".encodeToByteArray())
+    }
+
+    override suspend fun abort(failure: Failure) = Unit
+
+    private suspend fun sendText(data: ByteArray) {
+        val piece = text.decode(data)
+        if (piece.isEmpty()) return
+        val json = callerJson.encodeToString(CompletionTextJson.serializer(), CompletionTextJson(piece))
+        send("data: $json\n\n".encodeToByteArray())
+    }
+
+    private suspend fun send(bytes: ByteArray) {
+        val body = channel.await()
+        try {
+            body.writeFully(bytes)
+            body.flush()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (broken: IOException) {
+            throw CallerGone(broken)
+        }
+    }
+}
+
+/** Decodes UTF-8 that arrives in pieces which may end inside a character. */
+internal class TextPieces {
+    private val decoder: CharsetDecoder = Charsets.UTF_8.newDecoder()
+    private var rest = ByteArray(0)
+
+    fun decode(data: ByteArray): String {
+        val input = ByteBuffer.wrap(rest + data)
+        val output = CharBuffer.allocate(input.remaining())
+        decoder.decode(input, output, false)
+        rest = ByteArray(input.remaining()).also { input.get(it) }
+        return output.flip().toString()
+    }
+}
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
@@ -6,6 +6,7 @@
 import arrow.core.Either
 import kotlinx.coroutines.flow.Flow
 import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Room
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.TargetReport
 import lagoonrudder.model.CustomerId
@@ -64,9 +65,10 @@
 
 /** Part of the answer of one attempt. */
 sealed class RunEvent {
-    /** The attempt did not run and will not run. */
+    /** The attempt did not run and will not run; [room] is what the target has, when it could say. */
     data class NotRun(
         val refusal: Refusal,
+        val room: Room?,
     ) : RunEvent()
 
     data class Head(
@@ -86,6 +88,7 @@
     data class End(
         val length: Long,
         val checksum: Long,
+        val room: Room?,
     ) : RunEvent()
 }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryCall.kt
@@ -72,6 +72,10 @@
     val arrived: Duration,
 ) {
     lateinit var identity: Identity
+
+    /** The identity, or null while the request is not identified. */
+    fun identityOrNull(): Identity? = if (::identity.isInitialized) identity else null
+
     lateinit var ticket: Ticket
     lateinit var choice: Dispatched.Go
     lateinit var relay: AnswerRelay
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryControl.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryControl.kt
@@ -17,6 +17,7 @@
 import lagoonrudder.control.QueueDecision
 import lagoonrudder.control.ReaderMemoryController
 import lagoonrudder.control.RetryBudget
+import lagoonrudder.control.Room
 import lagoonrudder.control.RoutingController
 import lagoonrudder.control.ServiceController
 import lagoonrudder.control.TargetReport
@@ -27,6 +28,7 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.RequestId
 import lagoonrudder.model.TargetId
+import kotlin.time.Duration
 
 class EntryControl(
     val thread: ControlThread,
@@ -81,11 +83,21 @@
         pump()
     }
 
-    fun turnedAway(target: TargetId) {
+    fun turnedAway(
+        target: TargetId,
+        room: Room?,
+    ) {
         routing.turnedAway(target)
+        room?.let { routing.roomSeen(target, it, clock.elapsed()) }
         pump()
     }
 
+    /** An answer carried back what room its target has. */
+    fun roomSeen(
+        target: TargetId,
+        room: Room,
+    ) = routing.roomSeen(target, room, clock.elapsed())
+
     fun reported(report: TargetReport) {
         routing.reported(report, clock.elapsed())
         pump()
@@ -122,6 +134,14 @@
         readers.close(request)
     }
 
+    /** Notes the regular tick; returns whether the process was paused, in which case its configuration must be confirmed. */
+    fun wasPaused(limit: Duration): Boolean {
+        val now = clock.elapsed()
+        val paused = service.tick(now)
+        if (paused) configuration.suspectStale(now, limit)
+        return paused
+    }
+
     /** Time has passed: late requests are refused and a stalled answer may have to give up its back end. */
     fun tick() {
         pump()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/IdentifyFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/IdentifyFilter.kt
@@ -51,7 +51,8 @@
 
     private fun openSet(): Either<Refusal, SealedSet> {
         val set = control.configuration.current
-        val confirmed = control.configuration.mayServe(clock.elapsed())
+        val now = clock.elapsed()
+        val confirmed = control.configuration.mayServe(now) && !control.service.wasPaused(now)
         return when (val state = control.service.state(set.objects, confirmed)) {
             ServiceState.Serving -> set.right()
             is ServiceState.Closed -> state.refusal().left()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
@@ -23,6 +23,7 @@
 import lagoonrudder.control.Dispatched
 import lagoonrudder.control.RecordedAnswer
 import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Room
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Instance
@@ -73,12 +74,14 @@
 private sealed class AttemptResult {
     data class Ended(
         val outcome: Outcome,
+        val room: Room? = null,
     ) : AttemptResult()
 
     /** The target proved that it did not run. */
     data class TurnedAway(
         val refusal: Refusal,
         val peer: Peer,
+        val room: Room?,
     ) : AttemptResult()
 
     /** The target did not get the request, or the request may be repeated. */
@@ -131,9 +134,12 @@
 
     private fun account(result: AttemptResult?) {
         when (result) {
-            is AttemptResult.TurnedAway -> control.turnedAway(target)
+            is AttemptResult.TurnedAway -> control.turnedAway(target, result.room)
             is AttemptResult.Lost -> control.ended(ticket, target, failed = true)
-            is AttemptResult.Ended -> control.ended(ticket, target, failed = result.outcome is Outcome.Unknown)
+            is AttemptResult.Ended -> {
+                result.room?.let { control.roomSeen(target, it) }
+                control.ended(ticket, target, failed = result.outcome is Outcome.Unknown)
+            }
             AttemptResult.Parked, null -> control.ended(ticket, target, failed = false)
         }
     }
@@ -224,7 +230,7 @@
         val peer = peerOf(instance)
         return when (decision) {
             is RepeatDecision.Permitted -> attemptRun(instance, RunPermit(key, decision.permit))
-            is RepeatDecision.Refused -> AttemptResult.TurnedAway(decision.refusal, peer)
+            is RepeatDecision.Refused -> AttemptResult.TurnedAway(decision.refusal, peer, null)
             is RepeatDecision.Uncertain -> unknown(Failure.Declined(Step.GUARD_REPEATS, peer, decision.detail))
             is RepeatDecision.RanBefore -> repeatAnswer(decision.answer, peer)
         }
@@ -308,7 +314,7 @@
     ): AttemptResult? {
         if (!known && event !is RunEvent.NotRun) return damaged(permit, peer, "an answer without a head")
         return when (event) {
-            is RunEvent.NotRun -> AttemptResult.TurnedAway(event.refusal, peer)
+            is RunEvent.NotRun -> AttemptResult.TurnedAway(event.refusal, peer, event.room)
             is RunEvent.Head -> takeHead(event, permit, peer)
             is RunEvent.Bytes -> takeBytes(event, check, permit, peer)
             is RunEvent.End -> takeEnd(event, check, permit, peer)
@@ -345,7 +351,7 @@
         peer: Peer,
     ): AttemptResult {
         if (!check.endsWith(end.length, end.checksum)) return damaged(permit, peer, "length or checksum of the answer differ")
-        return AttemptResult.Ended(Outcome.Completed(end.length, relay.version))
+        return AttemptResult.Ended(Outcome.Completed(end.length, relay.version), end.room)
     }
 
     private fun damaged(
--- /dev/null
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
@@ -0,0 +1,204 @@
+/**
+ * Between messages and the types that the rest of the code works with.
+ *
+ * A message that breaks its contract raises a [MalformedMessage], which the callers turn into a failure with the peer.
+ */
+package lagoonrudder.wire.messages
+
+import lagoonrudder.control.InstanceChanges
+import lagoonrudder.control.RecordedAnswer
+import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Room
+import lagoonrudder.control.SwitchReport
+import lagoonrudder.control.SwitchStatus
+import lagoonrudder.control.TargetReport
+import lagoonrudder.model.CustomerId
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Digest
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.FleetId
+import lagoonrudder.model.IncarnationId
+import lagoonrudder.model.Instance
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RepeatKey
+import lagoonrudder.model.RequestId
+import lagoonrudder.model.Revision
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.VersionId
+import lagoonrudder.model.addressOrNull
+import lagoonrudder.traffic.ReserveRequest
+import lagoonrudder.traffic.RunEvent
+import lagoonrudder.traffic.RunPermit
+import lagoonrudder.traffic.RunRequest
+import lagoonrudder.traffic.Work
+import kotlin.time.Duration.Companion.milliseconds
+
+class MalformedMessage(
+    detail: String,
+) : Exception(detail)
+
+private fun malformed(detail: String): Nothing = throw MalformedMessage(detail)
+
+private fun versionOrNull(text: String): VersionId? = text.takeIf { it.isNotEmpty() }?.let(::VersionId)
+
+fun RunRequest.toMessage(): RunMessage =
+    RunMessage(
+        request = request.text,
+        attempt = attempt,
+        customer = customer.text,
+        fleet = fleet.text,
+        revision = revision.number,
+        versions = versions.map { it.text },
+        offset = offset,
+        timeLeftMilliseconds = timeLeft.inWholeMilliseconds,
+        tokens = tokens,
+        priority = priority,
+        permit = permit?.let { PermitMessage(it.key.text, it.number) },
+        generate = (work as? Work.Generate)?.let { GenerateMessage(it.prompt, it.maximumTokens) },
+        plain = (work as? Work.Plain)?.let { PlainMessage(it.method, it.path, it.contentType, it.body) },
+    )
+
+fun RunMessage.toRequest(): RunRequest =
+    RunRequest(
+        request = RequestId(request),
+        attempt = attempt,
+        customer = CustomerId(customer),
+        fleet = FleetId(fleet),
+        revision = Revision(revision),
+        versions = versions.map(::VersionId),
+        offset = offset.takeIf { it >= 0 } ?: malformed("offset $offset"),
+        timeLeft = timeLeftMilliseconds.milliseconds,
+        tokens = tokens.takeIf { it > 0 } ?: malformed("tokens $tokens"),
+        priority = priority,
+        permit = permit?.let { RunPermit(RepeatKey(it.key), it.number) },
+        work = workOf(this),
+    )
+
+private fun workOf(message: RunMessage): Work {
+    val generate = message.generate
+    val plain = message.plain
+    return when {
+        generate != null && plain == null -> Work.Generate(generate.prompt, generate.maximumTokens)
+        plain != null && generate == null -> Work.Plain(plain.method, plain.path, plain.contentType, plain.body)
+        else -> malformed("expected one kind of work")
+    }
+}
+
+fun RunEvent.toMessage(): EventMessage =
+    when (this) {
+        is RunEvent.NotRun -> EventMessage(notRun = refusal.toMessage(room))
+        is RunEvent.Head -> EventMessage(head = HeadMessage(request.text, attempt, version?.text.orEmpty(), status, contentType))
+        is RunEvent.Bytes -> EventMessage(bytes = BytesMessage(offset, data))
+        is RunEvent.End -> EventMessage(end = EndMessage(length, checksum, room?.toMessage()))
+    }
+
+fun EventMessage.toEvent(): RunEvent {
+    notRun?.let { return RunEvent.NotRun(it.toRefusal(), it.room?.toRoom()) }
+    head?.let { return RunEvent.Head(RequestId(it.request), it.attempt, versionOrNull(it.version), it.status, it.contentType) }
+    bytes?.let { return RunEvent.Bytes(it.offset, it.data) }
+    end?.let { return RunEvent.End(it.length, it.checksum, it.room?.toRoom()) }
+    malformed("an event without content")
+}
+
+fun Room.toMessage() = RoomMessage(limit, inFlight, freeTokens)
+
+fun RoomMessage.toRoom() = Room(limit, inFlight, freeTokens)
+
+fun Refusal.toMessage(room: Room? = null): RefusalMessage {
+    val detail =
+        when (this) {
+            is Refusal.Invalid -> expected
+            is Refusal.NotServing -> reason
+            Refusal.UnknownRoute, Refusal.UnknownCustomer -> ""
+            is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NoTarget, is Refusal.WrongVersion -> ""
+        }
+    return RefusalMessage(code, retryAfter?.inWholeMilliseconds ?: 0, detail, room?.toMessage())
+}
+
+fun RefusalMessage.toRefusal(): Refusal {
+    val retry = retryAfterMilliseconds.milliseconds
+    return when (code) {
+        "unknown-route" -> Refusal.UnknownRoute
+        "unknown-customer" -> Refusal.UnknownCustomer
+        "invalid" -> Refusal.Invalid(detail)
+        "overloaded" -> Refusal.Overloaded(retry)
+        "too-late" -> Refusal.TooLate(retry)
+        "not-serving" -> Refusal.NotServing(retry, detail)
+        "no-target" -> Refusal.NoTarget(retry)
+        "wrong-version" -> Refusal.WrongVersion(retry)
+        else -> malformed("refusal code $code")
+    }
+}
+
+fun ReserveRequest.toMessage() = ReserveMessage(request.text, fleet.text, key.text, body.hexadecimal, revision.number)
+
+fun ReserveMessage.toRequest() = ReserveRequest(RequestId(request), FleetId(fleet), RepeatKey(key), Digest(body), Revision(revision))
+
+fun RepeatDecision.toMessage(): ReserveReply =
+    when (this) {
+        is RepeatDecision.Permitted -> ReserveReply(permit = permit)
+        is RepeatDecision.Uncertain -> ReserveReply(uncertain = detail)
+        is RepeatDecision.Refused -> ReserveReply(refused = refusal.toMessage())
+        is RepeatDecision.RanBefore -> ReserveReply(ranBefore = recorded(answer))
+    }
+
+private fun recorded(answer: RecordedAnswer?): RecordedMessage =
+    if (answer == null) RecordedMessage() else RecordedMessage(true, answer.status, answer.contentType, answer.body)
+
+fun ReserveReply.toDecision(): RepeatDecision {
+    permit?.let { return RepeatDecision.Permitted(it) }
+    uncertain?.let { return RepeatDecision.Uncertain(it) }
+    refused?.let { return RepeatDecision.Refused(it.toRefusal()) }
+    val recorded = ranBefore ?: malformed("a reservation without content")
+    return RepeatDecision.RanBefore(if (recorded.held) RecordedAnswer(recorded.status, recorded.contentType, recorded.body) else null)
+}
+
+fun TargetReport.toMessage() =
+    ReportMessage(
+        target.text,
+        incarnation.text,
+        room.toMessage(),
+        version?.text.orEmpty(),
+        accepting,
+    )
+
+fun ReportMessage.toReport() =
+    TargetReport(
+        TargetId(target),
+        IncarnationId(incarnation),
+        room.toRoom(),
+        versionOrNull(version),
+        accepting,
+    )
+
+fun SwitchReport.toMessage() = SwitchMessage(target.text, version?.text.orEmpty(), status.name)
+
+fun SwitchMessage.toReport(): SwitchReport {
+    val known = SwitchStatus.entries.firstOrNull { it.name == status } ?: malformed("switch status $status")
+    return SwitchReport(TargetId(target), versionOrNull(version), known)
+}
+
+fun Instance.toMessage() =
+    InstanceMessage(
+        daemon.text,
+        role.name.lowercase(),
+        domain.text,
+        target?.text.orEmpty(),
+        address.toString(),
+        leaving,
+    )
+
+fun InstanceMessage.toInstance(): Instance =
+    Instance(
+        daemon = DaemonId(daemon),
+        role = DaemonRole.entries.firstOrNull { it.name.lowercase() == role } ?: malformed("role $role"),
+        domain = DomainId(domain),
+        target = target.takeIf { it.isNotEmpty() }?.let(::TargetId),
+        address = addressOrNull(address) ?: malformed("address $address"),
+        leaving = leaving,
+    )
+
+fun InstanceChanges.toMessage() = InstancesMessage(base, generation, changed.map { it.toMessage() }, removed.map { it.text })
+
+fun InstancesMessage.toChanges() = InstanceChanges(base, generation, changed.map { it.toInstance() }, removed.map(::DaemonId))
