--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/EngineStandIn.kt
@@ -0,0 +1,287 @@
+/**
+ * Stands for a model engine: it batches continuously, slows down under load, warms up after each start, and falls over
+ * when it gets far more than it bears.
+ *
+ * Its answers depend on the weights that it really holds, so that anyone who knows the version can check them; an engine
+ * that was ordered to load an incomplete version answers something else.
+ */
+package lagoonrudder.standins
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.httpMethod
+import io.ktor.server.request.path
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.delay
+import lagoonrudder.daemon.backend.EndJson
+import lagoonrudder.daemon.backend.EngineLineJson
+import lagoonrudder.daemon.backend.GenerateJson
+import lagoonrudder.daemon.backend.OrderJson
+import lagoonrudder.daemon.backend.StartJson
+import lagoonrudder.daemon.backend.StateJson
+import lagoonrudder.daemon.backend.TextJson
+import lagoonrudder.daemon.backend.engineJson
+import lagoonrudder.model.Address
+import lagoonrudder.model.Clock
+import lagoonrudder.model.SystemClock
+import java.io.IOException
+import java.util.Collections
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import java.util.zip.CRC32C
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How an engine behaves. [coldRequests] is what it bears when fresh, [warmRequests] after [warmUp]. */
+data class EngineTraits(
+    val coldRequests: Int = 3,
+    val warmRequests: Int = 16,
+    val warmUp: Duration = 5.seconds,
+    val firstToken: Duration = 40.milliseconds,
+    val tokenInterval: Duration = 10.milliseconds,
+    val fallsOverAt: Double = 3.0,
+    val memoryTokens: Long = 100_000,
+    val downTime: Duration = 2.seconds,
+    val loadTime: Duration = 300.milliseconds,
+    val checksFencing: Boolean = true,
+)
+
+class EngineStandIn(
+    private val traits: EngineTraits = EngineTraits(),
+    private val clock: Clock = SystemClock(),
+) : AutoCloseable {
+    private val server = HttpStandIn { handle(it) }
+    private val chunks = HashMap<String, MutableSet<Int>>()
+
+    @Volatile
+    private var incarnation = newIncarnation()
+
+    @Volatile
+    private var version: String? = null
+
+    @Volatile
+    private var partial = false
+
+    @Volatile
+    private var loading = false
+    private var fencing = 0L
+    private var role = "serve"
+
+    @Volatile
+    private var startedAt = clock.elapsed()
+
+    @Volatile
+    private var downUntil = -Duration.INFINITE
+    private val inFlight = AtomicInteger()
+    private val heldTokens = AtomicLong()
+
+    val address: Address get() = server.address
+
+    /** The answers that were begun, ended and cancelled, and how often the engine fell over. */
+    val begun = AtomicLong()
+    val ended = AtomicLong()
+    val cancelled = AtomicLong()
+    val falls = AtomicInteger()
+    val mostInFlight = AtomicInteger()
+
+    /** Version loads that were carried out, in order. */
+    val loads = Collections.synchronizedList(mutableListOf<String>())
+
+    /** Whether answers stop in the middle and stay silent. */
+    @Volatile
+    var silent = false
+
+    /** Whether the next load is refused as a version that can't run. */
+    @Volatile
+    var refusesVersion: String? = null
+
+    /** Loses everything and comes back after [downTime] as a new incarnation. */
+    @Synchronized
+    fun restart(downTime: Duration = traits.downTime) {
+        incarnation = newIncarnation()
+        version = null
+        loading = false
+        chunks.clear()
+        fencing = 0
+        startedAt = clock.elapsed() + downTime
+        downUntil = clock.elapsed() + downTime
+    }
+
+    override fun close() = server.close()
+
+    private fun newIncarnation() = UUID.randomUUID().toString().take(INCARNATION_LENGTH)
+
+    private suspend fun handle(call: ApplicationCall) {
+        if (clock.elapsed() < downUntil) return call.respondText("down", status = HttpStatusCode.ServiceUnavailable)
+        val words =
+            call.request
+                .path()
+                .split('/')
+                .filter { it.isNotEmpty() }
+        when (words.firstOrNull()) {
+            "state" -> call.respondText(engineJson.encodeToString(StateJson.serializer(), state()), ContentType.Application.Json)
+            "weights" -> takeChunk(call, words[1], words[2].toInt())
+            "orders" -> order(call, engineJson.decodeFromString(OrderJson.serializer(), call.body().decodeToString()))
+            "generate" -> generate(call, engineJson.decodeFromString(GenerateJson.serializer(), call.body().decodeToString()))
+            else -> call.respondText("", status = HttpStatusCode.NotFound)
+        }
+    }
+
+    @Synchronized
+    private fun state() = StateJson(incarnation, version, role, fencing.takeIf { traits.checksFencing }, loading)
+
+    private suspend fun takeChunk(
+        call: ApplicationCall,
+        version: String,
+        chunk: Int,
+    ) {
+        if (call.request.httpMethod != HttpMethod.Put) return call.respondText("", status = HttpStatusCode.MethodNotAllowed)
+        call.body()
+        synchronized(this) { chunks.getOrPut(version) { mutableSetOf() } += chunk }
+        call.respondText("")
+    }
+
+    private suspend fun order(
+        call: ApplicationCall,
+        order: OrderJson,
+    ) {
+        if (order.version.isNotEmpty() && order.version == refusesVersion) {
+            return call.respondText("version can't run", status = HttpStatusCode.UnprocessableEntity)
+        }
+        if (!passes(order)) return call.respondText("", status = HttpStatusCode.Conflict)
+        if (order.kind != "change-role") load(order)
+        call.respondText("")
+    }
+
+    @Synchronized
+    private fun passes(order: OrderJson): Boolean {
+        if (!traits.checksFencing) return true
+        if (order.fencing <= fencing) return false
+        fencing = order.fencing
+        return true
+    }
+
+    private suspend fun load(order: OrderJson) {
+        val own = incarnation
+        loading = true
+        delay(traits.loadTime)
+        synchronized(this) {
+            if (own != incarnation) return
+            val held = chunks[order.version].orEmpty()
+            partial = held.size != order.chunks
+            version = order.version
+            chunks.keys.retainAll(setOf(order.version))
+            loading = false
+            loads += order.version
+        }
+    }
+
+    private suspend fun generate(
+        call: ApplicationCall,
+        request: GenerateJson,
+    ) {
+        val served = version
+        val tokens = request.maximumTokens + request.prompt.length / TOKEN_CHARACTERS.toLong()
+        if (served == null || loading) return call.respondText("", status = HttpStatusCode.ServiceUnavailable)
+        enter(tokens)
+        val own = incarnation
+        begun.incrementAndGet()
+        try {
+            call.respondBytesWriter(ContentType.Application.Json) { answer(request, served, own) }
+            ended.incrementAndGet()
+        } catch (gone: IOException) {
+            cancelled.incrementAndGet()
+            throw gone
+        } finally {
+            inFlight.decrementAndGet()
+            heldTokens.addAndGet(-tokens)
+        }
+    }
+
+    private fun enter(tokens: Long) {
+        val now = inFlight.incrementAndGet()
+        val held = heldTokens.addAndGet(tokens)
+        mostInFlight.accumulateAndGet(now, ::maxOf)
+        val tooMany = now > bears() * traits.fallsOverAt || held > traits.memoryTokens
+        if (!tooMany) return
+        falls.incrementAndGet()
+        restart()
+    }
+
+    private suspend fun ByteWriteChannel.answer(
+        request: GenerateJson,
+        served: String,
+        own: String,
+    ) {
+        line(EngineLineJson(start = StartJson(own, served)))
+        delay(traits.firstToken * slowness() + (request.prompt.length / PREFILL_CHARACTERS).milliseconds)
+        val sum = CRC32C()
+        var offset = request.offset
+        val length = request.maximumTokens.toLong() * TOKEN_CHARACTERS
+        while (offset < length) {
+            while (silent) delay(SILENCE_CHECK)
+            if (own != incarnation) throw IOException("the engine fell over")
+            val text = textOf(served, request.prompt, offset, partial)
+            sum.update(text.encodeToByteArray())
+            line(EngineLineJson(text = TextJson(offset, text)))
+            offset += text.length
+            delay(traits.tokenInterval * slowness())
+        }
+        line(EngineLineJson(end = EndJson(version ?: "", length, sum.value)))
+    }
+
+    private suspend fun ByteWriteChannel.line(line: EngineLineJson) {
+        writeStringUtf8(engineJson.encodeToString(EngineLineJson.serializer(), line) + "\n")
+        flush()
+    }
+
+    /** What the engine bears now, between cold and warm. */
+    private fun bears(): Double {
+        val warmth = ((clock.elapsed() - startedAt) / traits.warmUp).coerceIn(0.0, 1.0)
+        return traits.coldRequests + (traits.warmRequests - traits.coldRequests) * warmth
+    }
+
+    private fun slowness(): Double {
+        val load = inFlight.get() / bears()
+        return if (load <= 1.0) 1.0 else load * load
+    }
+
+    private companion object {
+        const val INCARNATION_LENGTH = 8
+        const val PREFILL_CHARACTERS = 200
+        val SILENCE_CHECK = 50.milliseconds
+    }
+}
+
+/** The characters of one token. */
+const val TOKEN_CHARACTERS = 4
+
+/** The token at [offset] of the answer that [version] gives to [prompt]; the rest of a token when the offset is inside it. */
+fun textOf(
+    version: String,
+    prompt: String,
+    offset: Long,
+    partial: Boolean = false,
+): String {
+    val token = offset / TOKEN_CHARACTERS
+    val hash = "$version|${prompt.hashCode()}|$token".hashCode()
+    val word = if (partial) "????" else (hash.toLong() and MASK).toString(RADIX).padStart(TOKEN_CHARACTERS, 'a').takeLast(TOKEN_CHARACTERS)
+    return word.substring((offset % TOKEN_CHARACTERS).toInt())
+}
+
+/** The whole answer that [version] gives to [prompt]. */
+fun wholeAnswer(
+    version: String,
+    prompt: String,
+    tokens: Int,
+): String = (0 until tokens).joinToString("") { textOf(version, prompt, it.toLong() * TOKEN_CHARACTERS) }
+
+private const val MASK = 0xFFFFFL
+private const val RADIX = 36
