Hand keys over between owners when a failure domain leaves

Cause: 23 of 193 orders in bin/demo ended 'outcome unknown'. All were keys whose owner had moved with the failure domain that was taken out; the new owner could not know whether the old one had run them and waited out the spread time of a set (10 s). Change: the new owner asks the earlier ones to surrender the key; an owner that surrenders voids its permit and never runs the key while another owns it. Whoever can't be asked leaves the key uncertain. Before: orders=193 done=167 not-run=3 unknown=23.

--- a/control/src/main/kotlin/lagoonrudder/control/RepeatController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/RepeatController.kt
@@ -64,6 +64,24 @@
     data class Refused(
         val refusal: Refusal,
     ) : RepeatDecision()
+
+    /** The key lately belonged to [owners]: it may run here once each of them has surrendered it unseen. */
+    data class AskOwners(
+        val owners: List<TargetId>,
+    ) : RepeatDecision()
+}
+
+/** What an earlier owner says when it gives a key up. It will not run the key while another target owns it. */
+sealed class Surrender {
+    data object Unseen : Surrender()
+
+    data class RanBefore(
+        val answer: RecordedAnswer?,
+    ) : Surrender()
+
+    data class Uncertain(
+        val detail: String,
+    ) : Surrender()
 }
 
 sealed class RunDecision {
@@ -92,6 +110,9 @@
 
         data object Running : KeyState()
 
+        /** Another target has owned the key since and was told that it had not run here. */
+        data object Surrendered : KeyState()
+
         /** It was started and its end is not known. */
         data object Lost : KeyState()
 
@@ -131,23 +152,44 @@
         while (history.size > 1 && now - history[1].sinceElapsed > policy.memory + policy.spread) history.removeFirst()
     }
 
-    /** Decides on a request with [key] and [body]; nothing runs before [begin]. */
+    /**
+     * Decides on a request with [key] and [body]; nothing runs before [begin]. [cleared] are earlier owners that have
+     * surrendered the key unseen.
+     */
     fun reserve(
         key: RepeatKey,
         body: Digest,
         now: Duration,
         date: Instant,
+        cleared: Set<TargetId> = emptySet(),
     ): RepeatDecision {
         forgetOld(now)
-        val known = entries[key]
+        val known = entries[key]?.takeUnless { it.state is KeyState.Surrendered }
         if (known != null) return repeat(known, body, now)
         refusalForNew(key, date)?.let { return it }
         unsafeReason(key, now, date)?.let { return RepeatDecision.Uncertain(it) }
+        val owners = earlierOwners(key, now) - cleared
+        if (owners.isNotEmpty()) return RepeatDecision.AskOwners(owners)
         val entry = Entry(body, KeyState.Open, now)
         entries[key] = entry
         return permit(entry, now)
     }
 
+    /** Gives [key] up to its new owner. A permit that is still out becomes void; a run that began is told. */
+    fun surrender(
+        key: RepeatKey,
+        now: Duration,
+        date: Instant,
+    ): Surrender {
+        val entry = entries.getOrPut(key) { Entry(NO_BODY, KeyState.Open, now) }
+        return when (val state = entry.state) {
+            KeyState.Open, is KeyState.Permitted, KeyState.Surrendered -> giveUp(entry, key, now, date)
+            KeyState.Running -> Surrender.Uncertain("the request with this key is running at its earlier owner")
+            KeyState.Lost -> Surrender.Uncertain("the request with this key was started at its earlier owner and its end is not known")
+            is KeyState.Ended -> Surrender.RanBefore(state.answer)
+        }
+    }
+
     /** Starts the run of [key] if [permit] is the one given out last and still good. */
     fun begin(
         key: RepeatKey,
@@ -212,7 +254,7 @@
     ): RepeatDecision {
         if (known.body != body) return RepeatDecision.Refused(Refusal.Invalid("a key of its own: this key came with another body"))
         return when (val state = known.state) {
-            KeyState.Open, is KeyState.Permitted -> permit(known, now)
+            KeyState.Open, is KeyState.Permitted, KeyState.Surrendered -> permit(known, now)
             KeyState.Running -> RepeatDecision.Uncertain("the request with this key is running")
             KeyState.Lost -> RepeatDecision.Uncertain("the request with this key was started and its end is not known")
             is KeyState.Ended -> RepeatDecision.RanBefore(state.answer)
@@ -233,7 +275,7 @@
         key: RepeatKey,
         date: Instant,
     ): RepeatDecision? {
-        val owned = history.lastOrNull()?.let { owner(key, it.targets) } == self
+        val owned = history.lastOrNull()?.let { ownerOf(key, it.targets) } == self
         val issued = issueTime(key)
         val refusal =
             when {
@@ -245,7 +287,20 @@
         return refusal?.let { RepeatDecision.Refused(it) }
     }
 
-    /** Why a key that isn't in memory may have run all the same, or null when it can't have. */
+    private fun giveUp(
+        entry: Entry,
+        key: RepeatKey,
+        now: Duration,
+        date: Instant,
+    ): Surrender {
+        val owned = history.lastOrNull()?.let { ownerOf(key, it.targets) } == self
+        if (owned) return Surrender.Uncertain("the earlier owner still takes the key for its own")
+        entry.state = KeyState.Surrendered
+        entry.touched = now
+        return unsafeReason(key, now, date)?.let { Surrender.Uncertain(it) } ?: Surrender.Unseen
+    }
+
+    /** Why a key that isn't in memory may have run in an earlier life of this process, or null when it can't have. */
     private fun unsafeReason(
         key: RepeatKey,
         now: Duration,
@@ -253,17 +308,29 @@
     ): String? {
         val issued = issueTime(key)
         if (issued != null && issued < date - policy.memory + policy.clockSkew) return "the key is older than the memory of keys"
-        val bounds = listOf(start) + history.filterIndexed { index, it -> index > 0 && becameOwner(key, index, it) }
-        val spreads = bounds.map { if (it === start) Duration.ZERO else policy.spread }
-        val unsafe = bounds.zip(spreads).any { (bound, spread) -> !isYounger(issued, bound, spread, now) }
-        return if (unsafe) "the key may have run before this process could remember it" else null
+        val safe = isYounger(issued, start, Duration.ZERO, now)
+        return if (safe) null else "the key may have run before this process could remember it"
+    }
+
+    /** The targets that owned [key] while it may already have been sent, before it became this target's. */
+    private fun earlierOwners(
+        key: RepeatKey,
+        now: Duration,
+    ): List<TargetId> {
+        val issued = issueTime(key)
+        val moves =
+            history.indices.drop(1).filter {
+                becameOwner(key, it, history[it]) &&
+                    !isYounger(issued, history[it], policy.spread, now)
+            }
+        return moves.mapNotNull { ownerOf(key, history[it - 1].targets) }.distinct()
     }
 
     private fun becameOwner(
         key: RepeatKey,
         index: Int,
         ownership: Ownership,
-    ): Boolean = owner(key, ownership.targets) == self && owner(key, history[index - 1].targets) != self
+    ): Boolean = ownerOf(key, ownership.targets) == self && ownerOf(key, history[index - 1].targets) != self
 
     private fun isYounger(
         issued: Instant?,
@@ -277,11 +344,6 @@
             now - bound.sinceElapsed > policy.memory + spread
         }
 
-    private fun owner(
-        key: RepeatKey,
-        targets: List<TargetId>,
-    ): TargetId? = ownerOf(key, targets)
-
     private fun forgetOld(now: Duration) {
         val iterator = entries.entries.iterator()
         var looked = 0
@@ -297,6 +359,7 @@
 
     private companion object {
         const val FORGET_STEPS = 64
+        val NO_BODY = Digest("")
         val PERMIT_RETRY = 500.milliseconds
     }
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.flow.Flow
 import lagoonrudder.control.RepeatDecision
 import lagoonrudder.control.Room
+import lagoonrudder.control.Surrender
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.TargetReport
 import lagoonrudder.model.CustomerId
@@ -100,6 +101,12 @@
     val revision: Revision,
 )
 
+/** The new owner of a key asks an earlier one to give it up. */
+data class SurrenderRequest(
+    val key: RepeatKey,
+    val revision: Revision,
+)
+
 /** A connection to target daemons. Failures say whether anything may have left this process. */
 interface TargetLink {
     suspend fun reserve(
@@ -123,6 +130,12 @@
         limit: Duration,
     ): Either<Failure, SwitchReport>
 
+    suspend fun surrender(
+        target: Instance,
+        request: SurrenderRequest,
+        limit: Duration,
+    ): Either<Failure, Surrender>
+
     /** Drops the connection to [target]; the next use opens a new one. */
     fun reset(target: Instance)
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
@@ -232,6 +232,7 @@
             is RepeatDecision.Permitted -> attemptRun(instance, RunPermit(key, decision.permit))
             is RepeatDecision.Refused -> AttemptResult.TurnedAway(decision.refusal, peer, null)
             is RepeatDecision.Uncertain -> unknown(Failure.Declined(Step.GUARD_REPEATS, peer, decision.detail))
+            is RepeatDecision.AskOwners -> unknown(Failure.Damaged(Step.GUARD_REPEATS, peer, "an answer that is not for entry daemons"))
             is RepeatDecision.RanBefore -> repeatAnswer(decision.answer, peer)
         }
     }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
@@ -9,6 +9,7 @@
 import lagoonrudder.control.RecordedAnswer
 import lagoonrudder.control.RepeatDecision
 import lagoonrudder.control.Room
+import lagoonrudder.control.Surrender
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.SwitchStatus
 import lagoonrudder.control.TargetReport
@@ -31,6 +32,7 @@
 import lagoonrudder.traffic.RunEvent
 import lagoonrudder.traffic.RunPermit
 import lagoonrudder.traffic.RunRequest
+import lagoonrudder.traffic.SurrenderRequest
 import lagoonrudder.traffic.Work
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -141,6 +143,7 @@
         is RepeatDecision.Uncertain -> ReserveReply(uncertain = detail)
         is RepeatDecision.Refused -> ReserveReply(refused = refusal.toMessage())
         is RepeatDecision.RanBefore -> ReserveReply(ranBefore = recorded(answer))
+        is RepeatDecision.AskOwners -> ReserveReply(uncertain = "earlier owners were not asked")
     }
 
 private fun recorded(answer: RecordedAnswer?): RecordedMessage =
@@ -151,7 +154,27 @@
     uncertain?.let { return RepeatDecision.Uncertain(it) }
     refused?.let { return RepeatDecision.Refused(it.toRefusal()) }
     val recorded = ranBefore ?: malformed("a reservation without content")
-    return RepeatDecision.RanBefore(if (recorded.held) RecordedAnswer(recorded.status, recorded.contentType, recorded.body) else null)
+    return RepeatDecision.RanBefore(recorded.toAnswer())
+}
+
+private fun RecordedMessage.toAnswer(): RecordedAnswer? = if (held) RecordedAnswer(status, contentType, body) else null
+
+fun SurrenderRequest.toMessage() = SurrenderMessage(key.text, revision.number)
+
+fun SurrenderMessage.toRequest() = SurrenderRequest(RepeatKey(key), Revision(revision))
+
+fun Surrender.toMessage(): SurrenderReply =
+    when (this) {
+        Surrender.Unseen -> SurrenderReply(unseen = true)
+        is Surrender.RanBefore -> SurrenderReply(ranBefore = recorded(answer))
+        is Surrender.Uncertain -> SurrenderReply(uncertain = detail)
+    }
+
+fun SurrenderReply.toSurrender(): Surrender {
+    if (unseen) return Surrender.Unseen
+    uncertain?.let { return Surrender.Uncertain(it) }
+    val recorded = ranBefore ?: malformed("a surrender without content")
+    return Surrender.RanBefore(recorded.toAnswer())
 }
 
 fun TargetReport.toMessage() =
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/RunMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/RunMessages.kt
@@ -135,3 +135,17 @@
     @ProtoNumber(2) val version: String = "",
     @ProtoNumber(3) val status: String,
 )
+
+@Serializable
+class SurrenderMessage(
+    @ProtoNumber(1) val key: String,
+    @ProtoNumber(2) val revision: Long = 0,
+)
+
+/** Exactly one field is set. */
+@Serializable
+class SurrenderReply(
+    @ProtoNumber(1) val unseen: Boolean = false,
+    @ProtoNumber(2) val ranBefore: RecordedMessage? = null,
+    @ProtoNumber(3) val uncertain: String? = null,
+)
--- a/wire/src/main/kotlin/lagoonrudder/wire/rpc/Methods.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/rpc/Methods.kt
@@ -21,6 +21,8 @@
 import lagoonrudder.wire.messages.ReserveMessage
 import lagoonrudder.wire.messages.ReserveReply
 import lagoonrudder.wire.messages.RunMessage
+import lagoonrudder.wire.messages.SurrenderMessage
+import lagoonrudder.wire.messages.SurrenderReply
 import lagoonrudder.wire.messages.SwitchMessage
 import java.io.InputStream
 
@@ -32,6 +34,7 @@
     val reserve = unary<ReserveMessage, ReserveReply>(TARGET_SERVICE, "Reserve")
     val reports = streaming<EmptyMessage, ReportMessage>(TARGET_SERVICE, "Reports")
     val switch = unary<EmptyMessage, SwitchMessage>(TARGET_SERVICE, "Switch")
+    val surrender = unary<SurrenderMessage, SurrenderReply>(TARGET_SERVICE, "Surrender")
     val exchange = unary<ExchangeMessage, ExchangeReply>(PEER_SERVICE, "Exchange")
     val offer = unary<OfferMessage, OfferReply>(PEER_SERVICE, "Offer")
     val chunk = unary<ChunkMessage, ChunkReply>(PEER_SERVICE, "Chunk")
--- a/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcClient.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcClient.kt
@@ -20,6 +20,7 @@
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.map
 import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Surrender
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.TargetReport
 import lagoonrudder.model.Address
@@ -32,6 +33,7 @@
 import lagoonrudder.traffic.ReserveRequest
 import lagoonrudder.traffic.RunEvent
 import lagoonrudder.traffic.RunRequest
+import lagoonrudder.traffic.SurrenderRequest
 import lagoonrudder.traffic.TargetLink
 import lagoonrudder.wire.messages.ChunkMessage
 import lagoonrudder.wire.messages.ChunkReply
@@ -44,6 +46,7 @@
 import lagoonrudder.wire.messages.toEvent
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toReport
+import lagoonrudder.wire.messages.toSurrender
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -86,6 +89,15 @@
     ): Either<Failure, SwitchReport> =
         call(Methods.switch, target.address, Use.REQUESTS, EmptyMessage(), limit, Step.ORDER_ENGINE, PeerRole.TARGET) { it.toReport() }
 
+    override suspend fun surrender(
+        target: Instance,
+        request: SurrenderRequest,
+        limit: Duration,
+    ): Either<Failure, Surrender> =
+        call(Methods.surrender, target.address, Use.REQUESTS, request.toMessage(), limit, Step.GUARD_REPEATS, PeerRole.TARGET) {
+            it.toSurrender()
+        }
+
     override fun reset(target: Instance) {
         channels.remove(ChannelKey(target.address, Use.REQUESTS))?.shutdownNow()
     }
--- a/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcServer.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcServer.kt
@@ -11,12 +11,14 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.map
 import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Surrender
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.TargetReport
 import lagoonrudder.model.Address
 import lagoonrudder.traffic.ReserveRequest
 import lagoonrudder.traffic.RunEvent
 import lagoonrudder.traffic.RunRequest
+import lagoonrudder.traffic.SurrenderRequest
 import lagoonrudder.wire.messages.ChunkMessage
 import lagoonrudder.wire.messages.ChunkReply
 import lagoonrudder.wire.messages.ExchangeMessage
@@ -36,6 +38,8 @@
 
     suspend fun reserve(request: ReserveRequest): RepeatDecision
 
+    suspend fun surrender(request: SurrenderRequest): Surrender
+
     fun reports(): Flow<TargetReport>
 
     suspend fun switchReport(): SwitchReport
@@ -105,6 +109,10 @@
             ServerCalls.unaryServerMethodDefinition(context, Methods.reserve) { message ->
                 service.reserve(message.toRequest()).toMessage()
             },
+        ).addMethod(
+            ServerCalls.unaryServerMethodDefinition(context, Methods.surrender) { message ->
+                service.surrender(message.toRequest()).toMessage()
+            },
         ).addMethod(
             ServerCalls.serverStreamingServerMethodDefinition(context, Methods.reports) { service.reports().map { it.toMessage() } },
         ).addMethod(ServerCalls.unaryServerMethodDefinition(context, Methods.switch) { service.switchReport().toMessage() })
