--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/AdmissionControllerTest.kt
@@ -0,0 +1,91 @@
+package lagoonrudder.control
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import lagoonrudder.model.CustomerId
+import lagoonrudder.model.FleetId
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RequestId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val line = QueueLine(FleetId("workers"), null)
+
+private fun waiting(
+    number: Int,
+    customer: String,
+    weight: Int = 1,
+    priority: Int = 1,
+    deadline: Duration = 60.seconds,
+    bytes: Long = 10,
+) = Waiting(RequestId("$customer-$number"), line, CustomerId(customer), weight, priority, 100, bytes, deadline)
+
+private fun controller(
+    policy: QueuePolicy = QueuePolicy.WeightedFair,
+    bounds: QueueBounds = QueueBounds(),
+) = AdmissionController(policy, bounds, strictInvariants())
+
+private fun AdmissionController.takeAll(count: Int): List<Waiting> = (1..count).mapNotNull { head(line)?.also { remove(it) } }
+
+class AdmissionControllerTest :
+    FunSpec({
+        test("a burst of one customer does not make another wait behind it") {
+            val queue = controller()
+            repeat(100) { queue.enter(waiting(it, "large"), Duration.ZERO) }
+            queue.enter(waiting(0, "small"), Duration.ZERO)
+            queue.takeAll(3).count { it.customer == CustomerId("small") } shouldBe 1
+        }
+
+        test("the baseline lets it wait behind the whole burst") {
+            val queue = controller(QueuePolicy.ArrivalOrder)
+            repeat(100) { queue.enter(waiting(it, "large"), Duration.ZERO) }
+            queue.enter(waiting(0, "small"), Duration.ZERO)
+            queue.takeAll(100).none { it.customer == CustomerId("small") } shouldBe true
+        }
+
+        test("customers share by weight") {
+            val queue = controller()
+            repeat(100) {
+                queue.enter(waiting(it, "three", weight = 3), Duration.ZERO)
+                queue.enter(waiting(it, "one", weight = 1), Duration.ZERO)
+            }
+            queue.takeAll(40).count { it.customer == CustomerId("three") } shouldBeInRange 28..32
+        }
+
+        test("a higher priority goes first") {
+            val queue = controller()
+            queue.enter(waiting(1, "a"), Duration.ZERO)
+            queue.enter(waiting(2, "b", priority = 5), Duration.ZERO)
+            queue.head(line)?.customer shouldBe CustomerId("b")
+        }
+
+        test("the queue is bounded by count and by bytes") {
+            val byCount = controller(bounds = QueueBounds(requests = 1))
+            byCount.enter(waiting(1, "a"), Duration.ZERO).shouldBeInstanceOf<QueueDecision.Queued>()
+            byCount.enter(waiting(2, "a"), Duration.ZERO).shouldBeInstanceOf<QueueDecision.Refused>()
+            val byBytes = controller(bounds = QueueBounds(bytes = 15))
+            byBytes.enter(waiting(1, "a"), Duration.ZERO).shouldBeInstanceOf<QueueDecision.Queued>()
+            byBytes.enter(waiting(2, "a"), Duration.ZERO).shouldBeInstanceOf<QueueDecision.Refused>()
+        }
+
+        test("a request that can't end in time is refused early, with a time to come back") {
+            val queue = controller()
+            repeat(200) { queue.ended(line, 100.milliseconds * it) }
+            repeat(50) { queue.enter(waiting(it, "a"), 20.seconds) }
+            val refused = queue.enter(waiting(60, "a", deadline = 22.seconds), 20.seconds).shouldBeInstanceOf<QueueDecision.Refused>()
+            refused.refusal
+                .shouldBeInstanceOf<Refusal.TooLate>()
+                .retryAfter shouldBe 5.seconds
+            queue.enter(waiting(61, "b", deadline = 22.seconds), 20.seconds).shouldBeInstanceOf<QueueDecision.Queued>()
+        }
+
+        test("requests whose deadline passed leave the queue") {
+            val queue = controller()
+            queue.enter(waiting(1, "a", deadline = 1.seconds), Duration.ZERO)
+            queue.expire(2.seconds).size shouldBe 1
+            queue.head(line) shouldBe null
+        }
+    })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
@@ -37,8 +37,8 @@
 import lagoonrudder.wire.messages.ExchangeReply
 import lagoonrudder.wire.messages.OfferMessage
 import lagoonrudder.wire.messages.OfferReply
-import lagoonrudder.wire.messages.toChanges
 import lagoonrudder.wire.messages.toMessage
+import lagoonrudder.wire.rpc.ExchangeAnswer
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -377,21 +377,18 @@
     }
 
     private suspend fun takeReply(
-        reply: ExchangeReply,
+        reply: ExchangeAnswer,
         address: Address,
         own: SealedSet,
     ) {
-        reply.instances?.let { instances ->
-            val changes = instances.toChanges()
-            core.thread.decide { if (core.membership.apply(changes)) changed() }
-        }
+        reply.instances?.let { changes -> core.thread.decide { if (core.membership.apply(changes)) changed() } }
         val offer = reply.offer
         if (offer != null) {
             val wholeNeeded = take(offer).wholeNeeded
             if (wholeNeeded) core.rpc.exchange(address, ExchangeMessage(), OFFER_LIMIT).onRight { whole -> whole.offer?.let { take(it) } }
             return
         }
-        val peerBehind = isNewer(own, Revision(reply.revision), Digest(reply.digest))
+        val peerBehind = isNewer(own, reply.revision, reply.digest)
         if (peerBehind) core.rpc.offer(address, OfferMessage(core.settings.name.text, true, writeWhole(own)), OFFER_LIMIT)
     }
 
--- a/wire/src/main/kotlin/lagoonrudder/wire/rpc/Methods.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/rpc/Methods.kt
@@ -4,10 +4,8 @@
 package lagoonrudder.wire.rpc
 
 import io.grpc.MethodDescriptor
-import kotlinx.serialization.ExperimentalSerializationApi
+import io.grpc.Status
 import kotlinx.serialization.KSerializer
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.protobuf.ProtoBuf
 import kotlinx.serialization.serializer
 import lagoonrudder.wire.messages.ChunkMessage
 import lagoonrudder.wire.messages.ChunkReply
@@ -15,6 +13,7 @@
 import lagoonrudder.wire.messages.EventMessage
 import lagoonrudder.wire.messages.ExchangeMessage
 import lagoonrudder.wire.messages.ExchangeReply
+import lagoonrudder.wire.messages.MalformedMessage
 import lagoonrudder.wire.messages.OfferMessage
 import lagoonrudder.wire.messages.OfferReply
 import lagoonrudder.wire.messages.ReportMessage
@@ -24,6 +23,8 @@
 import lagoonrudder.wire.messages.SurrenderMessage
 import lagoonrudder.wire.messages.SurrenderReply
 import lagoonrudder.wire.messages.SwitchMessage
+import lagoonrudder.wire.messages.decodeMessage
+import lagoonrudder.wire.messages.encodeMessage
 import java.io.InputStream
 
 internal const val TARGET_SERVICE = "lagoonrudder.Target"
@@ -65,17 +66,16 @@
         .setResponseMarshaller(ProtocolBufferMarshaller(answer))
         .build()
 
-@OptIn(ExperimentalSerializationApi::class)
 private class ProtocolBufferMarshaller<T : Any>(
     private val serializer: KSerializer<T>,
 ) : MethodDescriptor.Marshaller<T> {
-    override fun stream(value: T): InputStream = ProtoBuf.encodeToByteArray(serializer, value).inputStream()
+    override fun stream(value: T): InputStream = encodeMessage(serializer, value).inputStream()
 
     override fun parse(stream: InputStream): T =
         try {
-            ProtoBuf.decodeFromByteArray(serializer, stream.readBytes())
-        } catch (malformed: SerializationException) {
-            throw io.grpc.Status.DATA_LOSS
+            decodeMessage(serializer, stream.readBytes())
+        } catch (malformed: MalformedMessage) {
+            throw Status.DATA_LOSS
                 .withDescription("malformed message")
                 .withCause(malformed)
                 .asRuntimeException()
--- a/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcClient.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/rpc/RpcClient.kt
@@ -19,16 +19,19 @@
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.catch
 import kotlinx.coroutines.flow.map
+import lagoonrudder.control.InstanceChanges
 import lagoonrudder.control.RepeatDecision
 import lagoonrudder.control.Surrender
 import lagoonrudder.control.SwitchReport
 import lagoonrudder.control.TargetReport
 import lagoonrudder.model.Address
 import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Instance
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Revision
 import lagoonrudder.model.Step
 import lagoonrudder.traffic.ReserveRequest
 import lagoonrudder.traffic.RunEvent
@@ -39,9 +42,9 @@
 import lagoonrudder.wire.messages.ChunkReply
 import lagoonrudder.wire.messages.EmptyMessage
 import lagoonrudder.wire.messages.ExchangeMessage
-import lagoonrudder.wire.messages.ExchangeReply
 import lagoonrudder.wire.messages.OfferMessage
 import lagoonrudder.wire.messages.OfferReply
+import lagoonrudder.wire.messages.toChanges
 import lagoonrudder.wire.messages.toDecision
 import lagoonrudder.wire.messages.toEvent
 import lagoonrudder.wire.messages.toMessage
@@ -51,6 +54,14 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
+/** What a peer has in force, and what is newer there. */
+class ExchangeAnswer(
+    val revision: Revision,
+    val digest: Digest,
+    val offer: OfferMessage?,
+    val instances: InstanceChanges?,
+)
+
 class RpcClient :
     TargetLink,
     AutoCloseable {
@@ -106,8 +117,10 @@
         address: Address,
         message: ExchangeMessage,
         limit: Duration,
-    ): Either<Failure, ExchangeReply> =
-        call(Methods.exchange, address, Use.BULK, message, limit, Step.EXCHANGE_CONFIGURATION, PeerRole.ENTRY) { it }
+    ): Either<Failure, ExchangeAnswer> =
+        call(Methods.exchange, address, Use.BULK, message, limit, Step.EXCHANGE_CONFIGURATION, PeerRole.ENTRY) {
+            ExchangeAnswer(Revision(it.revision), Digest(it.digest), it.offer, it.instances?.toChanges())
+        }
 
     suspend fun offer(
         address: Address,
