Give every entry daemon and customer its share under overload; check each piece of an answer

Cause: a corrupted piece was handed on before the checksum of the whole answer could tell, and the retry resumed behind it. Now each piece carries its checksum, and a wrong end breaks the answer visibly. Cause: requests waited until their deadline and ended after it. Now the forecast counts the service time. Causes, found by their refusals: priority let one customer shut out others (now worth a bounded advance), and an entry daemon without work at a full target never saw a free place (now each may knock for its share and a few requests wait at the target, first come first served).

--- a/control/src/main/kotlin/lagoonrudder/control/AdmissionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/AdmissionController.kt
@@ -1,10 +1,10 @@
 /**
  * Decides at an entry daemon who waits, who goes next and who is turned away.
  *
- * Requests wait in one line for each fleet, or for the owner of their key. A line is bounded by count and bytes. The
- * highest priority goes first; within a priority customers share by weight, so that a burst of one customer lengthens
- * only its own wait. A request that can't end before its deadline is refused early, with the time after which a repeat
- * may succeed.
+ * Requests wait in one line for each fleet, or for the owner of their key. What waits is bounded by count and bytes, and
+ * one customer may fill half of that. Within a customer the highest priority goes first; customers share by weight, so
+ * that a burst of one lengthens only its own wait. A request that can't end before its deadline is refused early, with
+ * the time after which a repeat may succeed.
  */
 package lagoonrudder.control
 
@@ -16,11 +16,9 @@
 import lagoonrudder.model.RequestId
 import lagoonrudder.model.Step
 import lagoonrudder.model.TargetId
-import kotlin.math.max
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlin.time.DurationUnit
 
 /** The order in which waiting requests go. */
 sealed class QueuePolicy {
@@ -67,27 +65,19 @@
     private val bounds: QueueBounds,
     private val invariants: Invariants,
 ) {
-    private class Tagged(
-        val waiting: Waiting,
-        val finish: Double,
-        val sequence: Long,
-    )
-
-    private class Line {
-        val waiting = mutableListOf<Tagged>()
-        val lastFinish = mutableMapOf<CustomerId, Double>()
-        var virtualTime = 0.0
-        var secondsForEach = 0.0
-        var lastEnd = Duration.ZERO
-    }
-
-    private val lines = mutableMapOf<QueueLine, Line>()
-    private var sequence = 0L
+    private val lines = mutableMapOf<QueueLine, WaitingLine>()
+    private val held = mutableMapOf<CustomerId, Held>()
     private var requests = 0
     private var bytes = 0L
     private var refused = 0L
     private var expired = 0L
 
+    /** What one customer has waiting in all lines. */
+    private class Held(
+        var requests: Int = 0,
+        var bytes: Long = 0,
+    )
+
     /** Lets [waiting] into its line or refuses it. */
     fun enter(
         waiting: Waiting,
@@ -97,56 +87,45 @@
             refused++
             return QueueDecision.Refused(it)
         }
-        insert(waiting)
+        add(waiting, again = false)
+        val withinBound = requests <= bounds.requests && bytes <= bounds.bytes
+        invariants.check(withinBound, Invariant.QUEUE_WITHIN_BOUND, Step.ADMIT) { "requests=$requests bytes=$bytes" }
         return QueueDecision.Queued
     }
 
     /** Puts a request that a target turned away back to the head of its line. */
-    fun reenter(waiting: Waiting) {
-        val line = lineOf(waiting.line)
-        add(line, Tagged(waiting, Double.NEGATIVE_INFINITY, sequence++))
-    }
+    fun reenter(waiting: Waiting) = add(waiting, again = true)
 
-    /** The request that goes next in [key], or null when none waits. It stays in the line until [remove]. */
-    fun head(key: QueueLine): Waiting? = lines[key]?.let(::first)?.waiting
+    /** The request that goes next in [key], or null when none waits. It stays in the line until it is taken or removed. */
+    fun head(key: QueueLine): Waiting? = lines[key]?.head(policy)
 
-    /** Takes [waiting] out of its line because it goes or because its caller has gone. */
-    fun remove(waiting: Waiting): Boolean {
-        val line = lines[waiting.line] ?: return false
-        val index = line.waiting.indexOfFirst { it.waiting.id == waiting.id }
-        if (index < 0) return false
-        val tagged = line.waiting.removeAt(index)
-        if (tagged.finish.isFinite()) line.virtualTime = max(line.virtualTime, tagged.finish - costShare(waiting))
-        requests--
-        bytes -= waiting.bytes
-        if (line.waiting.isEmpty()) line.lastFinish.clear()
-        return true
-    }
+    /** Takes [waiting] out of its line because it goes to a target; its customer is charged for it. */
+    fun take(waiting: Waiting): Boolean = release(waiting, lines[waiting.line]?.take(waiting))
 
-    /** Takes out the requests whose deadline has passed. */
+    /** Takes [waiting] out of its line because it does not go: it is late or its caller has gone. */
+    fun remove(waiting: Waiting): Boolean = release(waiting, lines[waiting.line]?.remove(waiting))
+
+    /** Takes out the requests that can't end before their deadline any more. */
     fun expire(now: Duration): List<Waiting> {
-        val late = lines.values.flatMap { line -> line.waiting.map { it.waiting }.filter { it.deadline <= now } }
+        if (requests == 0) return emptyList()
+        val late = lines.values.flatMap { it.late(policy, now) }
         late.forEach(::remove)
         expired += late.size
         return late
     }
 
-    /** Learns how fast requests of [key] end, for the forecast of waits. */
+    /** Learns from a request of [waiting]'s line that ended after [service] at its target, for the forecast of waits. */
     fun ended(
-        key: QueueLine,
+        waiting: Waiting,
+        service: Duration,
         now: Duration,
-    ) {
-        val line = lineOf(key)
-        val gap = (now - line.lastEnd).toDouble(DurationUnit.SECONDS).coerceAtMost(LONGEST_GAP_SECONDS)
-        line.secondsForEach = if (line.secondsForEach == 0.0) gap else line.secondsForEach * KEEP + gap * (1 - KEEP)
-        line.lastEnd = now
-    }
+    ) = lineOf(waiting.line).learn(waiting, service, now)
 
     /** The lines in which someone waits. */
-    fun waitingLines(): List<QueueLine> = lines.filterValues { it.waiting.isNotEmpty() }.keys.toList()
+    fun waitingLines(): List<QueueLine> = lines.filterValues { it.size > 0 }.keys.toList()
 
     /** The number of requests that wait in [key]. */
-    fun waitingIn(key: QueueLine): Int = lines[key]?.waiting?.size ?: 0
+    fun waitingIn(key: QueueLine): Int = lines[key]?.size ?: 0
 
     fun dump(): DumpSection =
         dumpSection("admission") {
@@ -155,12 +134,7 @@
             entry("waiting-bytes", bytes)
             entry("refused", refused)
             entry("expired", expired)
-            for ((key, line) in lines) {
-                entry(
-                    "line ${key.fleet.text} ${key.owner?.text ?: "any"}",
-                    "waiting=${line.waiting.size} seconds-each=${line.secondsForEach}",
-                )
-            }
+            for ((key, line) in lines) entry("line ${key.fleet.text} ${key.owner?.text ?: "any"}", line.describe())
         }
 
     private fun refusalFor(
@@ -168,67 +142,58 @@
         now: Duration,
     ): Refusal? {
         val line = lineOf(waiting.line)
-        val forecast = forecast(line, waiting)
-        val full = requests >= bounds.requests || bytes + waiting.bytes > bounds.bytes
+        val wait = line.forecast(waiting)
+        val end = now + wait + line.serviceTime(waiting)
         return when {
-            full -> Refusal.Overloaded(retryAfter(forecast))
-            policy is QueuePolicy.WeightedFair && now + forecast > waiting.deadline -> Refusal.TooLate(retryAfter(forecast))
+            isFull(waiting) -> Refusal.Overloaded(retryAfter(wait))
+            policy is QueuePolicy.WeightedFair && end > waiting.deadline -> Refusal.TooLate(retryAfter(wait))
             else -> null
         }
     }
 
-    /** The expected wait of a newcomer: what goes before it, at the rate at which requests end. */
-    private fun forecast(
-        line: Line,
-        newcomer: Waiting,
-    ): Duration {
-        if (line.secondsForEach == 0.0) return Duration.ZERO
-        val above = line.waiting.count { it.waiting.priority > newcomer.priority }
-        val same = line.waiting.filter { it.waiting.priority == newcomer.priority }
-        val own = same.count { it.waiting.customer == newcomer.customer }
-        val weights = same.associate { it.waiting.customer to it.waiting.weight } + (newcomer.customer to newcomer.weight)
-        val turns = (own + 1).toDouble() * weights.values.sum() / newcomer.weight
-        val before = above + turns.coerceAtMost(same.size + 1.0) - 1
-        return (before * line.secondsForEach).seconds
+    /** One customer may fill half of the bounds, so that it can't shut the others out. */
+    private fun isFull(waiting: Waiting): Boolean {
+        val own = held[waiting.customer] ?: Held()
+        val all = requests >= bounds.requests || bytes + waiting.bytes > bounds.bytes
+        val share = own.requests >= halfOf(bounds.requests) || own.bytes + waiting.bytes > halfOf(bounds.bytes)
+        return all || (policy is QueuePolicy.WeightedFair && share)
     }
 
-    private fun retryAfter(forecast: Duration): Duration = forecast.coerceIn(SHORTEST_RETRY, LONGEST_RETRY)
+    private fun halfOf(count: Int) = (count + 1) / 2
 
-    private fun insert(waiting: Waiting) {
-        val line = lineOf(waiting.line)
-        val start = max(line.virtualTime, line.lastFinish[waiting.customer] ?: 0.0)
-        val finish = start + costShare(waiting)
-        line.lastFinish[waiting.customer] = finish
-        add(line, Tagged(waiting, finish, sequence++))
-        val withinBound = requests <= bounds.requests && bytes <= bounds.bytes
-        invariants.check(withinBound, Invariant.QUEUE_WITHIN_BOUND, Step.ADMIT) { "requests=$requests bytes=$bytes" }
-    }
+    private fun halfOf(count: Long) = (count + 1) / 2
+
+    private fun retryAfter(wait: Duration): Duration = wait.coerceIn(SHORTEST_RETRY, LONGEST_RETRY)
 
     private fun add(
-        line: Line,
-        tagged: Tagged,
+        waiting: Waiting,
+        again: Boolean,
     ) {
-        line.waiting += tagged
+        lineOf(waiting.line).add(waiting, again)
         requests++
-        bytes += tagged.waiting.bytes
+        bytes += waiting.bytes
+        val own = held.getOrPut(waiting.customer) { Held() }
+        own.requests++
+        own.bytes += waiting.bytes
     }
 
-    private fun first(line: Line): Tagged? =
-        when (policy) {
-            QueuePolicy.ArrivalOrder -> line.waiting.minByOrNull { it.sequence }
-            QueuePolicy.WeightedFair ->
-                line.waiting.minWithOrNull(
-                    compareByDescending<Tagged> { it.waiting.priority }.thenBy { it.finish }.thenBy { it.sequence },
-                )
-        }
-
-    private fun lineOf(key: QueueLine): Line = lines.getOrPut(key) { Line() }
+    private fun release(
+        waiting: Waiting,
+        found: Boolean?,
+    ): Boolean {
+        if (found != true) return false
+        requests--
+        bytes -= waiting.bytes
+        val own = held.getValue(waiting.customer)
+        own.requests--
+        own.bytes -= waiting.bytes
+        if (own.requests == 0) held.remove(waiting.customer)
+        return true
+    }
 
-    private fun costShare(waiting: Waiting): Double = waiting.cost.toDouble() / waiting.weight
+    private fun lineOf(key: QueueLine): WaitingLine = lines.getOrPut(key) { WaitingLine() }
 
     private companion object {
-        const val KEEP = 0.9
-        const val LONGEST_GAP_SECONDS = 1.0
         val SHORTEST_RETRY = 200.milliseconds
         val LONGEST_RETRY = 30.seconds
     }
--- a/control/src/main/kotlin/lagoonrudder/control/DispatchController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/DispatchController.kt
@@ -37,6 +37,7 @@
         val since: Duration,
     )
 
+    private val sent = mutableMapOf<RequestId, Duration>()
     private val asked = mutableMapOf<RequestId, Asked>()
 
     /** Lets a new request into its line. */
@@ -74,7 +75,8 @@
         now: Duration,
     ) {
         routing.finished(target, failed, now)
-        if (!failed) admission.ended(waiting.line, now)
+        val since = sent.remove(waiting.id) ?: return
+        if (!failed) admission.ended(waiting, now - since, now)
     }
 
     /** Sends off everyone for whom there is room and refuses those who have waited in vain. */
@@ -102,7 +104,9 @@
         val request = asked[head.id] ?: return drop(head)
         return when (val choice = routing.choose(request.need, now)) {
             is Choice.Chosen -> {
-                drop(head)
+                asked.remove(head.id)
+                admission.take(head)
+                sent[head.id] = now
                 Dispatched.Go(head.id, choice.target, choice.domain)
             }
             Choice.NoRoom -> null
--- a/control/src/main/kotlin/lagoonrudder/control/LimitController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/LimitController.kt
@@ -3,7 +3,9 @@
  *
  * Only the target daemon sees all the work of its instance, so any number of entry daemons can't add up to overload. The
  * limit has two parts: requests at once, which start small after each start of the engine and rise with what the
- * instance proved, and tokens of memory, which are reserved for the prompt and the longest possible answer.
+ * instance proved, and tokens of memory, which are reserved for the prompt and the longest possible answer. A few
+ * requests may wait here for a free place, first come first served, so that an entry daemon without work at the instance
+ * gets its turn although others fill every place that falls free.
  */
 package lagoonrudder.control
 
@@ -43,6 +45,9 @@
 sealed class LimitDecision {
     data object Admitted : LimitDecision()
 
+    /** The request waits for its turn; see [LimitController.nextAdmitted]. */
+    data object Waits : LimitDecision()
+
     data class Refused(
         val refusal: Refusal,
     ) : LimitDecision()
@@ -61,7 +66,7 @@
     data object Cancelled : EngineResult()
 }
 
-/** The room of a target at one moment, as entry daemons are told. */
+/** The room of a target at one moment, as entry daemons are told; [inFlight] counts what waits at the target too. */
 data class Room(
     val limit: Int,
     val inFlight: Int,
@@ -79,6 +84,7 @@
     private var lastTrouble = -Duration.INFINITE
     private val held = mutableMapOf<RequestId, Long>()
     private var heldTokens = 0L
+    private val waiting = LinkedHashMap<RequestId, Long>()
     private var coldStarts = 0
 
     /** Takes over the published capacity. */
@@ -101,12 +107,25 @@
         request: RequestId,
         tokens: Long,
     ): LimitDecision {
-        val fits = held.size < limit.toInt() && heldTokens + tokens <= tokenBudget()
-        if (!fits) return LimitDecision.Refused(refusalFor(tokens))
-        held[request] = tokens
-        heldTokens += tokens
-        checkWithinLimit()
-        return LimitDecision.Admitted
+        if (waiting.isEmpty() && fits(tokens)) return hold(request, tokens)
+        val mayWait = policy is LimitPolicy.Adaptive && waiting.size < limit.toInt() && tokens <= tokenBudget()
+        if (!mayWait) return LimitDecision.Refused(refusalFor(tokens))
+        waiting[request] = tokens
+        return LimitDecision.Waits
+    }
+
+    /** The waiting request that has its turn now and is admitted with this call, or null when none has. */
+    fun nextAdmitted(): RequestId? {
+        val (request, tokens) = waiting.entries.firstOrNull() ?: return null
+        if (!fits(tokens)) return null
+        waiting.remove(request)
+        hold(request, tokens)
+        return request
+    }
+
+    /** The request does not wait any longer. */
+    fun leave(request: RequestId) {
+        waiting.remove(request)
     }
 
     /** Releases what [request] held and learns from its end. */
@@ -124,7 +143,7 @@
         }
     }
 
-    fun room(): Room = Room(limit.toInt(), held.size, (tokenBudget() - heldTokens).coerceAtLeast(0))
+    fun room(): Room = Room(limit.toInt(), held.size + waiting.size, (tokenBudget() - heldTokens).coerceAtLeast(0))
 
     fun inFlight(): Int = held.size
 
@@ -134,6 +153,7 @@
             entry("limit", limit.toInt())
             entry("published-requests", capacity.requests)
             entry("in-flight", held.size)
+            entry("waiting", waiting.size)
             entry("held-tokens", heldTokens)
             entry("token-budget", tokenBudget())
             entry("ramping", ramping)
@@ -141,6 +161,18 @@
             entry("cold-starts", coldStarts)
         }
 
+    private fun fits(tokens: Long): Boolean = held.size < limit.toInt() && heldTokens + tokens <= tokenBudget()
+
+    private fun hold(
+        request: RequestId,
+        tokens: Long,
+    ): LimitDecision {
+        held[request] = tokens
+        heldTokens += tokens
+        checkWithinLimit()
+        return LimitDecision.Admitted
+    }
+
     private fun reset() {
         ramping = true
         limit =
--- a/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
@@ -90,6 +90,7 @@
     private val spillBudgets = mutableMapOf<DomainId, TokenBucket>()
     private var objects = ObjectSet.EMPTY
     private var subsets: Map<FleetId, List<OperatorObject.Target>> = emptyMap()
+    private var sharing = 1
     private var turn = 0
     private var spills = 0L
 
@@ -99,6 +100,7 @@
         entries: Int,
     ) {
         objects = set
+        sharing = entries.coerceAtLeast(1)
         subsets = set.fleets.keys.associateWith { subsetOf(set.targetsOf[it].orEmpty()) }
         states.keys.retainAll(set.targets.keys)
         set.domains.keys
@@ -279,9 +281,16 @@
         if (ignoresRoom) return true
         if (!isFresh(state, now) || state.failures > 0) return state.ownInFlight == 0
         val report = state.report ?: return false
-        return freeSlots(state) > 0 && report.room.freeTokens >= tokens
+        val entitled = state.ownInFlight < ownShare(target, report.room)
+        return (freeSlots(state) > 0 && report.room.freeTokens >= tokens) || entitled
     }
 
+    /** What this process may have at a near target whatever others have there; the target lets it wait for its turn. */
+    private fun ownShare(
+        target: TargetId,
+        room: Room,
+    ): Int = if (objects.targets[target]?.domain == domain) (room.limit / sharing).coerceAtLeast(minOf(1, room.limit)) else 0
+
     private fun freeShare(
         target: TargetId,
         now: Duration,
--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -0,0 +1,35 @@
+/**
+ * The measurements of the project: bin/measure NAME [--seed N] [OPTION ...].
+ *
+ * Each ends with one line of key=value figures and a verdict, and exits with 0 when its targets hold and 1 otherwise.
+ */
+package lagoonrudder.standins.measure
+
+import kotlin.system.exitProcess
+
+private const val EXIT_WRONG_INPUT = 2
+
+private val measurements: Map<String, (MeasureOptions) -> Verdict> =
+    mapOf(
+        "traffic" to ::measureTraffic,
+        "once" to ::measureOnce,
+        "random" to ::measureRandom,
+    )
+
+fun main(arguments: Array<String>) {
+    val name = arguments.firstOrNull()
+    val measurement = measurements[name] ?: wrongInput("expected one of ${measurements.keys.joinToString(", ")}")
+    val verdict =
+        try {
+            measurement(MeasureOptions(arguments.drop(1)))
+        } catch (wrong: WrongOption) {
+            wrongInput(wrong.message.orEmpty())
+        }
+    println("measure=$name ${verdict.line} verdict=${if (verdict.holds) "holds" else "broken"}")
+    exitProcess(if (verdict.holds) 0 else 1)
+}
+
+private fun wrongInput(message: String): Nothing {
+    System.err.println("measure: $message")
+    exitProcess(EXIT_WRONG_INPUT)
+}
--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualSite.kt
@@ -0,0 +1,352 @@
+/**
+ * The controllers and filters of many entry daemons and target daemons in virtual time, with fakes at their interfaces.
+ *
+ * Nothing here decides: the fakes are the clock, the connections and the back ends. Configurations are handed to each
+ * process by the caller of this class, late or not at all.
+ */
+package lagoonrudder.standins.virtual
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import lagoonrudder.control.AdmissionController
+import lagoonrudder.control.CheckedSet
+import lagoonrudder.control.ChoicePolicy
+import lagoonrudder.control.ConfigurationController
+import lagoonrudder.control.ControlThread
+import lagoonrudder.control.Holder
+import lagoonrudder.control.LimitController
+import lagoonrudder.control.LimitPolicy
+import lagoonrudder.control.MembershipController
+import lagoonrudder.control.QueueBounds
+import lagoonrudder.control.QueuePolicy
+import lagoonrudder.control.ReaderMemoryController
+import lagoonrudder.control.ReaderMemoryPolicy
+import lagoonrudder.control.RepeatController
+import lagoonrudder.control.RepeatPolicy
+import lagoonrudder.control.RetryBudget
+import lagoonrudder.control.RoutingController
+import lagoonrudder.control.ServiceController
+import lagoonrudder.control.SourcePolicy
+import lagoonrudder.control.SwitchController
+import lagoonrudder.control.WeightBounds
+import lagoonrudder.control.WeightController
+import lagoonrudder.daemon.front.CompletionDecoder
+import lagoonrudder.model.Address
+import lagoonrudder.model.Clock
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.IncarnationId
+import lagoonrudder.model.Instance
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.OperatorObject
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.RequestId
+import lagoonrudder.model.Revision
+import lagoonrudder.model.SealedSet
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.VersionId
+import lagoonrudder.model.Violation
+import lagoonrudder.standins.EngineTraits
+import lagoonrudder.standins.LOOPBACK
+import lagoonrudder.traffic.FilterChain
+import lagoonrudder.traffic.TargetLink
+import lagoonrudder.traffic.entry.AccountFilter
+import lagoonrudder.traffic.entry.AdmitFilter
+import lagoonrudder.traffic.entry.AnswerSink
+import lagoonrudder.traffic.entry.CallerRequest
+import lagoonrudder.traffic.entry.EntryCall
+import lagoonrudder.traffic.entry.EntryControl
+import lagoonrudder.traffic.entry.IdentifyFilter
+import lagoonrudder.traffic.entry.RelayFilter
+import lagoonrudder.traffic.entry.SendFilter
+import lagoonrudder.traffic.entry.SendLimits
+import lagoonrudder.traffic.entry.entryFilters
+import lagoonrudder.traffic.target.EngineLimits
+import lagoonrudder.traffic.target.Reservations
+import lagoonrudder.traffic.target.TargetCall
+import lagoonrudder.traffic.target.TargetControl
+import lagoonrudder.traffic.target.targetFilters
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+
+/** Time as the test scheduler keeps it, shifted by what a paused process has slept or a wrong clock shows. */
+@OptIn(ExperimentalCoroutinesApi::class)
+class VirtualClock(
+    private val scheduler: TestCoroutineScheduler,
+) : Clock {
+    var skew: Duration = Duration.ZERO
+
+    override fun now(): Instant = EPOCH + elapsed() + skew
+
+    override fun elapsed(): Duration = scheduler.currentTime.milliseconds
+
+    companion object {
+        val EPOCH = Instant.fromEpochMilliseconds(1_800_000_000_000)
+    }
+}
+
+/** The policies of a virtual site. */
+class VirtualOptions {
+    var seed = 1
+    var choice: ChoicePolicy = ChoicePolicy.FreshRoom()
+    var limit: LimitPolicy = LimitPolicy.Adaptive()
+    var queue: QueuePolicy = QueuePolicy.WeightedFair
+    var readers: ReaderMemoryPolicy = ReaderMemoryPolicy.Windowed()
+    var repeats = RepeatPolicy()
+    var engine = EngineTraits()
+    var entriesEach = 2
+    var latency: Duration = 2.milliseconds
+    var faults: FaultSource = FaultSource { LinkFault.None }
+
+    /** Wraps the connections, for deliberate defects in tests. */
+    var link: (TargetLink) -> TargetLink = { it }
+}
+
+class VirtualEntry(
+    val name: DaemonId,
+    val domain: DomainId,
+    val control: EntryControl,
+    private val chain: FilterChain<EntryCall>,
+    private val clock: Clock,
+) {
+    /** Whether it hears of configurations and reports. */
+    var reachable = true
+
+    suspend fun call(
+        request: CallerRequest,
+        sink: AnswerSink,
+    ): Outcome = chain.run(EntryCall(request, sink, clock.elapsed()))
+}
+
+class VirtualTarget(
+    val id: TargetId,
+    val domain: DomainId,
+    val control: TargetControl,
+    val chain: FilterChain<TargetCall>,
+    val backEnd: VirtualBackEnd,
+    val reservations: Reservations,
+    private val clock: Clock,
+) {
+    var reachable = true
+
+    fun now(): Duration = clock.elapsed()
+}
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class VirtualSite(
+    val scheduler: TestCoroutineScheduler,
+    private val options: VirtualOptions,
+    private var objects: ObjectSet,
+) : AutoCloseable {
+    val clock = VirtualClock(scheduler)
+    val random = Random(options.seed)
+    val violations = mutableListOf<Violation>()
+    val invariants = Invariants { violations += it }
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private val job: Job = SupervisorJob()
+    val scope = CoroutineScope(job + dispatcher)
+    private val thread = ControlThread.virtual(dispatcher, clock, invariants)
+    private var generation = 0L
+    private var requests = 0
+    private var lives = 0
+    private val link = options.link(VirtualLink(scope, { targets[it] }, options.latency, options.faults))
+    val targets = linkedMapOf<TargetId, VirtualTarget>()
+    val entries = mutableListOf<VirtualEntry>()
+    var revision = Revision.NONE
+        private set
+
+    /** Builds every process with [objects] in force and starts their timers. */
+    fun start() {
+        revision = Revision(1)
+        objects.targets.values.forEach { startTarget(it) }
+        for (domain in objects.domains.keys) repeat(options.entriesEach) { entries += entry(domain, it) }
+        configureAll()
+        scope.launch { report() }
+        entries.forEach { scope.launch { tick(it) } }
+    }
+
+    /** Puts [next] in force in every process for which [hears] holds. */
+    fun publish(
+        next: ObjectSet,
+        hears: (String) -> Boolean = { true },
+    ) {
+        objects = next
+        revision = Revision(revision.number + 1)
+        configureAll(hears)
+    }
+
+    /** Hands the current set to everyone who has not got it. */
+    fun heal() = configureAll()
+
+    /** Replaces the daemon beside [target] by one with empty memory. */
+    fun replaceTarget(target: TargetId) {
+        val old = targets.getValue(target)
+        startTarget(objects.targets.getValue(target), old.backEnd)
+        configureAll()
+    }
+
+    fun objects(): ObjectSet = objects
+
+    override fun close() {
+        job.cancel()
+        scope.cancel()
+    }
+
+    private fun startTarget(
+        target: OperatorObject.Target,
+        kept: VirtualBackEnd? = null,
+    ) {
+        val version = objects.fleets.getValue(target.fleet).version
+        val backEnd = kept ?: VirtualBackEnd(options.engine, clock, version)
+        val control = targetControl(target, version)
+        control.switch.read(backEnd.engineState())
+        val chain = FilterChain(targetFilters(control, backEnd, clock, invariants, EngineLimits()))
+        targets[target.id] =
+            VirtualTarget(target.id, target.domain, control, chain, backEnd, Reservations(control, link, clock), clock)
+    }
+
+    private fun targetControl(
+        target: OperatorObject.Target,
+        version: VersionId?,
+    ): TargetControl {
+        val now = clock.elapsed()
+        val holder = Holder(DaemonId(target.id.text), target.domain, RegionId(target.domain.text))
+        val startedAt = if (lives++ < objects.targets.size) clock.now() - options.repeats.memory * 2 else clock.now()
+        return TargetControl(
+            thread = thread,
+            clock = clock,
+            invariants = invariants,
+            self = target.id,
+            incarnation = IncarnationId("daemon-$lives"),
+            configuration = ConfigurationController(invariants),
+            membership = MembershipController(DaemonId(target.id.text)),
+            limits = LimitController(options.limit, invariants),
+            repeats = RepeatController(target.id, options.repeats, invariants, startedAt, now),
+            switch = SwitchController(target.id, now),
+            weights = WeightController(holder, SourcePolicy.Striped, WeightBounds(), invariants),
+            service = ServiceController(target.domain, target.id),
+        ).also { check(version == null || objects.versions.containsKey(version)) }
+    }
+
+    private fun entry(
+        domain: DomainId,
+        number: Int,
+    ): VirtualEntry {
+        val name = DaemonId("${domain.text}-entry-$number")
+        val control =
+            EntryControl(
+                thread = thread,
+                clock = clock,
+                domain = domain,
+                configuration = ConfigurationController(invariants),
+                membership = MembershipController(name),
+                routing = RoutingController(name.text, domain, options.choice, random),
+                admission = AdmissionController(options.queue, QueueBounds(), invariants),
+                readers = ReaderMemoryController(options.readers, invariants),
+                service = ServiceController(domain, null),
+                retries = RetryBudget(),
+            )
+        val filters =
+            entryFilters(
+                account = AccountFilter(control, clock) { _, _, _ -> },
+                identify = IdentifyFilter(control, clock, CompletionDecoder) { RequestId("request-${requests++}") },
+                admit = AdmitFilter(control),
+                relay = RelayFilter(control, clock, invariants),
+                send = SendFilter(control, link, clock, SendLimits()),
+            )
+        return VirtualEntry(name, domain, control, FilterChain(filters), clock)
+    }
+
+    private fun configureAll(hears: (String) -> Boolean = { true }) {
+        generation++
+        val set = SealedSet(revision, objects)
+        val instances = instances()
+        for (target in targets.values) {
+            if (!hears(target.id.text)) continue
+            offer(target.control.configuration, set)
+            target.control.membership.replaceList(instances, generation)
+            target.control.configured()
+        }
+        for (entry in entries) {
+            if (!hears(entry.name.text) || !entry.reachable) continue
+            offer(entry.control.configuration, set)
+            entry.control.membership.replaceList(instances, generation)
+            entry.control.configured()
+        }
+    }
+
+    private fun offer(
+        configuration: ConfigurationController,
+        set: SealedSet,
+    ) {
+        CheckedSet.ofWhole(set, configuration.current, PEER).fold({ error(it.describe()) }, { configuration.offer(it) })
+        configuration.confirm()
+    }
+
+    private fun instances(): List<Instance> =
+        targets.values.map { Instance(DaemonId(it.id.text), DaemonRole.TARGET, it.domain, it.id, ADDRESS, false) } +
+            entries.map { Instance(it.name, DaemonRole.ENTRY, it.domain, null, ADDRESS, false) }
+
+    /** Reports of targets reach the entry daemons that follow them, as the heartbeats would. */
+    private suspend fun report() {
+        while (scope.isActive) {
+            for (target in targets.values) {
+                target.backEnd.state(Duration.ZERO).fold(
+                    { target.control.switch.engineLost() },
+                    {
+                        target.control.switch.read(it)
+                        target.control.limits.observe(it.incarnation)
+                    },
+                )
+                target.control.publish()
+            }
+            for (entry in entries) for (target in entry.control.routing.subset()) tell(entry, target.id)
+            delay(REPORT_INTERVAL)
+        }
+    }
+
+    private fun tell(
+        entry: VirtualEntry,
+        target: TargetId,
+    ) {
+        val found = targets[target]
+        if (found == null || !found.reachable || !entry.reachable) return entry.control.unlinked(target)
+        entry.control.reported(found.control.reported.value)
+    }
+
+    private suspend fun tick(entry: VirtualEntry) {
+        while (scope.isActive) {
+            entry.control.tick()
+            delay(TICK)
+        }
+    }
+
+    private companion object {
+        val PEER = Peer(PeerRole.PLATFORM, "virtual")
+        val ADDRESS = Address(LOOPBACK, 1)
+        val REPORT_INTERVAL = 200.milliseconds
+        val TICK = 100.milliseconds
+    }
+}
+
+/** Builds a site in virtual time; it is not started. */
+fun virtualSite(
+    scheduler: TestCoroutineScheduler,
+    objects: ObjectSet,
+    build: VirtualOptions.() -> Unit = {},
+): VirtualSite = VirtualSite(scheduler, VirtualOptions().apply(build), objects)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/AnswerCheck.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/AnswerCheck.kt
@@ -33,3 +33,6 @@
         checksum: Long,
     ): Boolean = length == this.length && checksum == this.checksum
 }
+
+/** The CRC-32C checksum of [data]. */
+fun checksumOf(data: ByteArray): Long = CRC32C().apply { update(data) }.value
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/Messages.kt
@@ -80,9 +80,11 @@
         val contentType: String,
     ) : RunEvent()
 
+    /** Bytes of the answer at [offset]; [checksum] is that of [data] alone. */
     class Bytes(
         val offset: Long,
         val data: ByteArray,
+        val checksum: Long,
     ) : RunEvent()
 
     /** The mark of a whole answer: its length from offset zero, and the checksum of the bytes of this attempt. */
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
@@ -45,6 +45,7 @@
 import lagoonrudder.traffic.RunRequest
 import lagoonrudder.traffic.TargetLink
 import lagoonrudder.traffic.Work
+import lagoonrudder.traffic.checksumOf
 import lagoonrudder.traffic.withProgressLimits
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -243,7 +244,7 @@
     ): AttemptResult {
         if (answer == null) return unknown(Failure.Declined(Step.GUARD_REPEATS, peer, "it ran before and its answer is no longer held"))
         relay.start(RunEvent.Head(identity.request, attempt, null, answer.status, answer.contentType), call.sink)
-        relay.take(RunEvent.Bytes(0, answer.body))
+        relay.take(RunEvent.Bytes(0, answer.body, checksumOf(answer.body)))
         return AttemptResult.Ended(Outcome.Completed(answer.body.size.toLong(), null))
     }
 
@@ -341,6 +342,11 @@
         permit: RunPermit?,
         peer: Peer,
     ): AttemptResult? {
+        if (checksumOf(bytes.data) !=
+            bytes.checksum
+        ) {
+            return damaged(permit, peer, "bytes at offset ${bytes.offset} don't match their checksum")
+        }
         val follows = check.follow(bytes.offset, bytes.data) && relay.take(bytes)
         return if (follows) null else damaged(permit, peer, "bytes out of order at offset ${bytes.offset}")
     }
@@ -351,10 +357,14 @@
         permit: RunPermit?,
         peer: Peer,
     ): AttemptResult {
-        if (!check.endsWith(end.length, end.checksum)) return damaged(permit, peer, "length or checksum of the answer differ")
+        if (!check.endsWith(end.length, end.checksum)) return wrongEnd(peer)
         return AttemptResult.Ended(Outcome.Completed(end.length, relay.version), end.room)
     }
 
+    /** What was handed on can't be taken back: the answer ends broken, it is not resumed. */
+    private fun wrongEnd(peer: Peer): AttemptResult =
+        AttemptResult.Ended(Outcome.Broken(Failure.Damaged(Step.RELAY, peer, "length or checksum of the answer differ")))
+
     private fun damaged(
         permit: RunPermit?,
         peer: Peer,
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
@@ -91,14 +91,14 @@
     when (this) {
         is RunEvent.NotRun -> EventMessage(notRun = refusal.toMessage(room))
         is RunEvent.Head -> EventMessage(head = HeadMessage(request.text, attempt, version?.text.orEmpty(), status, contentType))
-        is RunEvent.Bytes -> EventMessage(bytes = BytesMessage(offset, data))
+        is RunEvent.Bytes -> EventMessage(bytes = BytesMessage(offset, data, checksum))
         is RunEvent.End -> EventMessage(end = EndMessage(length, checksum, room?.toMessage()))
     }
 
 fun EventMessage.toEvent(): RunEvent {
     notRun?.let { return RunEvent.NotRun(it.toRefusal(), it.room?.toRoom()) }
     head?.let { return RunEvent.Head(RequestId(it.request), it.attempt, versionOrNull(it.version), it.status, it.contentType) }
-    bytes?.let { return RunEvent.Bytes(it.offset, it.data) }
+    bytes?.let { return RunEvent.Bytes(it.offset, it.data, it.checksum) }
     end?.let { return RunEvent.End(it.length, it.checksum, it.room?.toRoom()) }
     malformed("an event without content")
 }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/RunMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/RunMessages.kt
@@ -85,6 +85,7 @@
 class BytesMessage(
     @ProtoNumber(1) val offset: Long = 0,
     @ProtoNumber(2) val data: ByteArray = ByteArray(0),
+    @ProtoNumber(3) val checksum: Long = 0,
 )
 
 @Serializable
