--- a/control/src/main/kotlin/lagoonrudder/control/AdmissionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/AdmissionController.kt
@@ -142,8 +142,8 @@
         now: Duration,
     ): Refusal? {
         val line = lineOf(waiting.line)
-        val wait = line.forecast(waiting)
-        val end = now + wait + line.serviceTime(waiting)
+        val wait = line.forecast(waiting, now)
+        val end = now + wait + line.serviceTime(waiting, now)
         return when {
             isFull(waiting) -> Refusal.Overloaded(retryAfter(wait))
             policy is QueuePolicy.WeightedFair && end > waiting.deadline -> Refusal.TooLate(retryAfter(wait))
--- a/control/src/main/kotlin/lagoonrudder/control/DispatchController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/DispatchController.kt
@@ -67,16 +67,17 @@
         admission.remove(waiting)
     }
 
-    /** The request ended at [target]. */
+    /** The request ended at [target], [heldBack] by its caller for a part of the time. */
     fun ended(
         waiting: Waiting,
         target: TargetId,
         failed: Boolean,
+        heldBack: Duration,
         now: Duration,
     ) {
         routing.finished(target, failed, now)
         val since = sent.remove(waiting.id) ?: return
-        if (!failed) admission.ended(waiting, now - since, now)
+        if (!failed) admission.ended(waiting, (now - since - heldBack).coerceAtLeast(Duration.ZERO), now)
     }
 
     /** Sends off everyone for whom there is room and refuses those who have waited in vain. */
--- a/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/RoutingController.kt
@@ -2,7 +2,7 @@
  * Decides at an entry daemon which target gets a request.
  *
  * It keeps what each target last reported and what this process has sent since. Reports age: a target without a fresh
- * report gets one request at a time. Targets that fail are set aside for a time that grows, then tried with one request.
+ * report gets one request at a time. Targets that fail several times in a row are set aside for a time that grows, then tried with one request.
  * Other failure domains are used when the own one has no room, within a budget for the link and for their room.
  */
 package lagoonrudder.control
@@ -279,7 +279,7 @@
         if (isAside(state, now)) return false
         val ignoresRoom = policy !is ChoicePolicy.FreshRoom
         if (ignoresRoom) return true
-        if (!isFresh(state, now) || state.failures > 0) return state.ownInFlight == 0
+        if (!isFresh(state, now) || state.failures >= FAILURES_ALLOWED) return state.ownInFlight == 0
         val report = state.report ?: return false
         val entitled = state.ownInFlight < ownShare(target, report.room)
         return (freeSlots(state) > 0 && report.room.freeTokens >= tokens) || entitled
@@ -321,7 +321,8 @@
         now: Duration,
     ) {
         state.failures++
-        val doublings = (state.failures - 1).coerceAtMost(MOST_DOUBLINGS)
+        if (state.failures < FAILURES_ALLOWED) return
+        val doublings = (state.failures - FAILURES_ALLOWED).coerceAtMost(MOST_DOUBLINGS)
         state.asideUntil = now + FIRST_ASIDE * (1 shl doublings)
         state.report = null
     }
@@ -348,6 +349,9 @@
         val REPORT_LIFE = 3.seconds
         val FIRST_ASIDE = 250.milliseconds
         const val MOST_DOUBLINGS = 5
+
+        /** Failures in a row after which a target is set aside; fewer are the lot of single requests. */
+        const val FAILURES_ALLOWED = 3
         const val SPILL_SHARE = 0.4
         const val SPILL_BURST_SECONDS = 2.0
         const val UNLIMITED_BYTES = 1_000_000_000L
--- a/control/src/main/kotlin/lagoonrudder/control/WaitingLine.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/WaitingLine.kt
@@ -9,6 +9,7 @@
 
 import lagoonrudder.model.CustomerId
 import kotlin.math.max
+import kotlin.math.pow
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
@@ -91,7 +92,7 @@
     ): List<Waiting> =
         shares.values.flatMap { share ->
             share.waiting.map { it.waiting }.filter {
-                now + (if (policy is QueuePolicy.WeightedFair) serviceTime(it) else Duration.ZERO) >
+                now + (if (policy is QueuePolicy.WeightedFair) serviceTime(it, now) else Duration.ZERO) >
                     it.deadline
             }
         }
@@ -108,17 +109,26 @@
         lastEnd = now
     }
 
-    /** How long [waiting] will probably take at a target. */
-    fun serviceTime(waiting: Waiting): Duration = (secondsForCost * waiting.cost).seconds
+    /**
+     * How long [waiting] will probably take at a target. Without news the estimate fades, so that a line that refused
+     * everyone tries again.
+     */
+    fun serviceTime(
+        waiting: Waiting,
+        now: Duration,
+    ): Duration = (secondsForCost * waiting.cost * freshness(now)).seconds
 
     /** The expected wait of a newcomer: what goes before it, at the rate at which requests end. */
-    fun forecast(newcomer: Waiting): Duration {
+    fun forecast(
+        newcomer: Waiting,
+        now: Duration,
+    ): Duration {
         if (secondsForEach == 0.0 || size == 0) return Duration.ZERO
         val active = shares.filterValues { it.waiting.isNotEmpty() }
         val own = active[newcomer.customer]?.waiting.orEmpty().count { it.waiting.priority >= newcomer.priority }
         val weights = active.filterKeys { it != newcomer.customer }.values.sumOf { it.weight } + newcomer.weight
         val turns = (own + 1.0) * weights / newcomer.weight
-        return (turns.coerceAtMost(size + 1.0) * secondsForEach).seconds
+        return (turns.coerceAtMost(size + 1.0) * secondsForEach * freshness(now)).seconds
     }
 
     fun describe(): String = "waiting=$size customers=${shares.size} seconds-each=$secondsForEach seconds-for-cost=$secondsForCost"
@@ -129,6 +139,11 @@
         waiting: Waiting,
     ): Double = share.charged - PRIORITY_ADVANCE * waiting.priority
 
+    private fun freshness(now: Duration): Double {
+        val silence = now - lastEnd - SILENCE_ALLOWED
+        return if (silence.isPositive()) HALF.pow(silence / HALF_LIFE) else 1.0
+    }
+
     private fun blend(
         known: Double,
         seen: Double,
@@ -139,6 +154,9 @@
     private companion object {
         const val KEEP = 0.9
         const val LONGEST_GAP_SECONDS = 1.0
+        const val HALF = 0.5
+        val SILENCE_ALLOWED = 1.seconds
+        val HALF_LIFE = 1.seconds
 
         /** The advance of one level of priority over other customers, in cost. */
         const val PRIORITY_ADVANCE = 500.0
--- a/control/src/test/kotlin/lagoonrudder/control/AdmissionControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/AdmissionControllerTest.kt
@@ -91,6 +91,13 @@
             queue.expire(20.2.seconds).size shouldBe 1
         }
 
+        test("a line whose requests once took too long tries again after a while") {
+            val queue = controller()
+            repeat(50) { queue.ended(waiting(it, "a"), 30.seconds, 1.seconds * it) }
+            queue.enter(waiting(1, "a", deadline = 60.seconds), 50.seconds).shouldBeInstanceOf<QueueDecision.Refused>()
+            queue.enter(waiting(2, "a", deadline = 70.seconds), 60.seconds).shouldBeInstanceOf<QueueDecision.Queued>()
+        }
+
         test("one customer's high priority does not shut another customer out") {
             val queue = controller()
             repeat(100) { queue.enter(waiting(it, "large", priority = 9), Duration.ZERO) }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/AnswerRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/AnswerRelay.kt
@@ -18,6 +18,7 @@
 import lagoonrudder.traffic.AnswerCheck
 import lagoonrudder.traffic.RunEvent
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class AnswerRelay(
@@ -45,6 +46,10 @@
     var started = false
         private set
 
+    /** The time for which the caller has held the answer back. */
+    var heldBack: Duration = Duration.ZERO
+        private set
+
     /** The number of bytes taken in so far, which is where a resumed attempt must start. */
     val offset: Long get() = whole.length
 
@@ -71,7 +76,9 @@
     }
 
     private suspend fun buffer(piece: ByteArray) {
+        val asked = clock.elapsed()
         awaitRoom(piece.size.toLong())
+        heldBack += clock.elapsed() - asked
         held.addAndGet(piece.size.toLong())
         buffered.send(piece)
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryControl.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/EntryControl.kt
@@ -78,8 +78,9 @@
         ticket: Ticket,
         target: TargetId,
         failed: Boolean,
+        heldBack: Duration = Duration.ZERO,
     ) {
-        dispatch.ended(ticket.waiting, target, failed, clock.elapsed())
+        dispatch.ended(ticket.waiting, target, failed, heldBack, clock.elapsed())
         pump()
     }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
@@ -139,7 +139,7 @@
             is AttemptResult.Lost -> control.ended(ticket, target, failed = true)
             is AttemptResult.Ended -> {
                 result.room?.let { control.roomSeen(target, it) }
-                control.ended(ticket, target, failed = result.outcome is Outcome.Unknown)
+                control.ended(ticket, target, failed = result.outcome is Outcome.Unknown, heldBack = relay.heldBack)
             }
             AttemptResult.Parked, null -> control.ended(ticket, target, failed = false)
         }
