--- a/control/src/main/kotlin/lagoonrudder/control/TokenBucket.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/TokenBucket.kt
@@ -37,6 +37,11 @@
         return true
     }
 
+    /** Gives back what was taken for something that did not happen. */
+    fun giveBack(amount: Double) {
+        level = min(burst, level + amount)
+    }
+
     /** How long until [take] of [amount] can pass. */
     fun wait(
         amount: Double,
--- a/control/src/main/kotlin/lagoonrudder/control/WeightController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/WeightController.kt
@@ -25,8 +25,8 @@
  * bytes of chunks held for peers and the engine.
  */
 data class WeightBounds(
-    val parallel: Int = 4,
-    val following: Int = 8,
+    val parallel: Int = 12,
+    val following: Int = 12,
     val memory: Long = 512_000_000,
     val drawLimit: Duration = 10.seconds,
 )
@@ -144,7 +144,9 @@
         drop()
         val plan = planFor(version, holders)
         val started = Draft(version, digests, plan)
-        orderOf(version).map { Pending(it) }.forEach { started.queueOf(it).addLast(it) }
+        val chunks = orderOf(version)
+        chunks.filterNot(plan::leads).forEach { started.followed.addLast(Pending(it)) }
+        chunks.filter(plan::leads).sortedBy { it.number }.forEach { started.led.addLast(Pending(it)) }
         draft = started
         configureLinks(plan)
     }
@@ -183,6 +185,7 @@
     ): ChunkDecision {
         val current = draft?.takeIf { it.version.id == version } ?: return ChunkDecision.Discard
         val pending = current.drawing.remove(chunk) ?: return ChunkDecision.Discard
+        if (result !is DrawResult.Arrived) bucketOf(source)?.giveBack(current.version.chunkBytes.toDouble())
         return when (result) {
             DrawResult.NotYet -> again(current, pending, source, now)
             DrawResult.Failed -> setAside(current, pending, source, FAILED_ASIDE, now)
@@ -249,7 +252,10 @@
         configureLinks(current.plan)
     }
 
-    /** An order of this holder's own, so that not everyone asks for the same chunk first. */
+    /**
+     * An order of this holder's own, so that not everyone asks for the same chunk first. Led chunks go by their numbers
+     * everywhere, so that what one lead draws first is what the next waits for first.
+     */
     private fun orderOf(version: OperatorObject.Version): List<ChunkIndex> =
         (0 until version.chunkCount)
             .map { ChunkIndex(it) }
