--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -16,6 +16,7 @@
         "random" to ::measureRandom,
         "weights" to ::measureWeights,
         "control" to ::measureControl,
+        "configuration" to ::measureConfiguration,
     )
 
 fun main(arguments: Array<String>) {
