Let many daemons live in one process for measurements

Cause: each HTTP server of a process waits on an I/O thread of its own, and the shared pool ends at 64, so a run with 40 daemons or more hung. Before: no result at 40 and 100 daemons.

--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/Demo.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/Demo.kt
@@ -28,6 +28,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 fun main(arguments: Array<String>) {
+    allowManyServers()
     val names = if (arguments.firstOrNull() == "tadla") tadla else festival
     val verdict = runBlocking { Demo(names, site { build = { repeats = RepeatPolicy(clockSkew = 200.milliseconds) } }).run() }
     exitProcess(if (verdict) 0 else 1)
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/Site.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/Site.kt
@@ -194,5 +194,16 @@
     }
 }
 
+private const val IO_PARALLELISM = "kotlinx.coroutines.io.parallelism"
+private const val MANY_THREADS = "2000"
+
+/**
+ * Lets many daemons live in one process: each HTTP server waits on a thread of its own for connections. Call it before
+ * anything else uses coroutines.
+ */
+fun allowManyServers() {
+    System.setProperty(IO_PARALLELISM, MANY_THREADS)
+}
+
 /** Builds a site; it is not started. */
 fun site(build: SiteOptions.() -> Unit = {}): Site = Site(SiteOptions().apply(build))
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -5,6 +5,7 @@
  */
 package lagoonrudder.standins.measure
 
+import lagoonrudder.standins.allowManyServers
 import kotlin.system.exitProcess
 
 private const val EXIT_WRONG_INPUT = 2
@@ -20,6 +21,7 @@
     )
 
 fun main(arguments: Array<String>) {
+    allowManyServers()
     val name = arguments.firstOrNull()
     val measurement = measurements[name] ?: wrongInput("expected one of ${measurements.keys.joinToString(", ")}")
     val verdict =
