--- a/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
@@ -39,6 +39,7 @@
 import lagoonrudder.wire.messages.OfferReply
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.rpc.ExchangeAnswer
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -53,6 +54,9 @@
     private var listGeneration = 0L
     private var exchanges = 0
 
+    /** Failures of each watch since its last success; the pause between tries doubles with them. */
+    private val failuresInRow = ConcurrentHashMap<String, Int>()
+
     /** Starts to confirm, watch and exchange; returns at once. */
     fun start() {
         core.scope.launch {
@@ -145,8 +149,11 @@
             }
             val found = core.platform.watchHead(headGeneration, WATCH_TIME)
             when (found) {
-                is Either.Left -> failed("configuration-watch-failed", found.value)
-                is Either.Right -> headGeneration = found.value?.let { if (takeHead(it.value)) it.generation else headGeneration } ?: 0
+                is Either.Left -> failed(HEAD_FAILED, found.value)
+                is Either.Right -> {
+                    failuresInRow.remove(HEAD_FAILED)
+                    headGeneration = found.value?.let { if (takeHead(it.value)) it.generation else headGeneration } ?: 0
+                }
             }
         }
     }
@@ -159,8 +166,9 @@
             }
             val found = core.platform.watchInstances(listGeneration, WATCH_TIME)
             when (found) {
-                is Either.Left -> failed("instances-watch-failed", found.value)
+                is Either.Left -> failed(LIST_FAILED, found.value)
                 is Either.Right -> {
+                    failuresInRow.remove(LIST_FAILED)
                     found.value?.let { takeList(it.value, it.generation) }
                     listGeneration = found.value?.generation ?: 0
                 }
@@ -174,7 +182,8 @@
     ) {
         core.metrics.count("platform.failures", event)
         core.log.failure(event, failure)
-        delay(FAILURE_PAUSE)
+        val times = failuresInRow.merge(event, 1, Int::plus) ?: 1
+        delay(FAILURE_PAUSE * (1 shl (times - 1).coerceAtMost(MOST_DOUBLINGS)))
     }
 
     private suspend fun isWatcher(): Boolean =
@@ -402,6 +411,9 @@
         val EXCHANGE_INTERVAL = 1.seconds
         val EXCHANGE_LIMIT = 1.seconds
         const val ABROAD_EVERY = 5
+        const val MOST_DOUBLINGS = 4
+        const val HEAD_FAILED = "configuration-watch-failed"
+        const val LIST_FAILED = "instances-watch-failed"
         const val CONFIRMATION_PEERS = 5
     }
 }
