--- a/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/configuration/ConfigurationLoop.kt
@@ -61,8 +61,8 @@
     fun start() {
         core.scope.launch {
             confirm(START_LIMIT)
-            launch { watchHeads() }
-            launch { watchLists() }
+            launch { watching(HEAD_FAILED) { watchHead() } }
+            launch { watching(LIST_FAILED) { watchList() } }
             launch { exchangeAll() }
         }
     }
@@ -141,40 +141,31 @@
         return if (changes == null) OfferMessage(sender, true, writeWhole(current)) else OfferMessage(sender, false, writeChanges(changes))
     }
 
-    private suspend fun watchHeads() {
+    /** Runs [watch] over and over while this daemon is a watcher, with pauses that grow while it fails. */
+    private suspend fun watching(
+        event: String,
+        watch: suspend () -> Either<Failure, Unit>,
+    ) {
         while (core.scope.isActive) {
             if (!isWatcher()) {
                 delay(WATCHER_INTERVAL)
                 continue
             }
-            val found = core.platform.watchHead(headGeneration, WATCH_TIME)
-            when (found) {
-                is Either.Left -> failed(HEAD_FAILED, found.value)
-                is Either.Right -> {
-                    failuresInRow.remove(HEAD_FAILED)
-                    headGeneration = found.value?.let { if (takeHead(it.value)) it.generation else headGeneration } ?: 0
-                }
-            }
+            watch().fold({ failed(event, it) }, { failuresInRow.remove(event) })
         }
     }
 
-    private suspend fun watchLists() {
-        while (core.scope.isActive) {
-            if (!isWatcher()) {
-                delay(WATCHER_INTERVAL)
-                continue
-            }
-            val found = core.platform.watchInstances(listGeneration, WATCH_TIME)
-            when (found) {
-                is Either.Left -> failed(LIST_FAILED, found.value)
-                is Either.Right -> {
-                    failuresInRow.remove(LIST_FAILED)
-                    found.value?.let { takeList(it.value, it.generation) }
-                    listGeneration = found.value?.generation ?: 0
-                }
-            }
+    /** A watch that brought nothing starts from the beginning, in case the platform counts anew. */
+    private suspend fun watchHead(): Either<Failure, Unit> =
+        core.platform.watchHead(headGeneration, WATCH_TIME).map { found ->
+            headGeneration = found?.let { if (takeHead(it.value)) it.generation else headGeneration } ?: 0
+        }
+
+    private suspend fun watchList(): Either<Failure, Unit> =
+        core.platform.watchInstances(listGeneration, WATCH_TIME).map { found ->
+            found?.let { takeList(it.value, it.generation) }
+            listGeneration = found?.generation ?: 0
         }
-    }
 
     private suspend fun failed(
         event: String,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/front/CallerFront.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/front/CallerFront.kt
@@ -33,6 +33,7 @@
 import kotlinx.io.readByteArray
 import lagoonrudder.control.UploadController
 import lagoonrudder.daemon.DaemonCore
+import lagoonrudder.daemon.startOn
 import lagoonrudder.model.Address
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
@@ -68,15 +69,7 @@
     }
 
     /** Starts the server and returns the address it got. */
-    suspend fun start(): Address {
-        server.startSuspend(wait = false)
-        val port =
-            server.engine
-                .resolvedConnectors()
-                .first()
-                .port
-        return Address(address.host, port)
-    }
+    suspend fun start(): Address = server.startOn(address)
 
     override fun close() {
         server.stop(GRACE_MILLISECONDS, GRACE_MILLISECONDS)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/operators/OperatorServer.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/operators/OperatorServer.kt
@@ -15,6 +15,7 @@
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.renderDump
 import lagoonrudder.daemon.DaemonCore
+import lagoonrudder.daemon.startOn
 import lagoonrudder.model.Address
 
 /** What the daemon shows of itself; every function runs on the control thread. */
@@ -36,15 +37,7 @@
     private val server = embeddedServer(CIO, port = address.port, host = address.host) { routing { routes() } }
 
     /** Starts the server and returns the address it got. */
-    suspend fun start(): Address {
-        server.startSuspend(wait = false)
-        val port =
-            server.engine
-                .resolvedConnectors()
-                .first()
-                .port
-        return Address(address.host, port)
-    }
+    suspend fun start(): Address = server.startOn(address)
 
     override fun close() {
         server.stop(GRACE_MILLISECONDS, GRACE_MILLISECONDS)
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/target/TargetEnd.kt
@@ -0,0 +1,85 @@
+/**
+ * What a target daemon answers to entry daemons and to other targets.
+ */
+package lagoonrudder.daemon.target
+
+import io.grpc.Status
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.buffer
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Surrender
+import lagoonrudder.control.SwitchReport
+import lagoonrudder.control.TargetReport
+import lagoonrudder.model.Clock
+import lagoonrudder.model.Outcome
+import lagoonrudder.traffic.FilterChain
+import lagoonrudder.traffic.ReserveRequest
+import lagoonrudder.traffic.RunEvent
+import lagoonrudder.traffic.RunRequest
+import lagoonrudder.traffic.SurrenderRequest
+import lagoonrudder.traffic.target.Reservations
+import lagoonrudder.traffic.target.TargetCall
+import lagoonrudder.traffic.target.TargetControl
+import lagoonrudder.wire.rpc.TargetService
+import kotlin.math.abs
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class TargetEnd(
+    private val control: TargetControl,
+    private val chain: FilterChain<TargetCall>,
+    private val reservations: Reservations,
+    private val clock: Clock,
+) : TargetService {
+    override fun run(request: RunRequest): Flow<RunEvent> =
+        channelFlow {
+            val call = TargetCall(request, clock.elapsed()) { send(it) }
+            when (val outcome = chain.run(call)) {
+                is Outcome.Completed -> Unit
+                is Outcome.Refused -> send(RunEvent.NotRun(outcome.refusal, control.thread.decide { control.limits.room() }))
+                is Outcome.Unknown -> throw Status.ABORTED.withDescription(outcome.failure.describe()).asException()
+                is Outcome.Broken -> throw Status.ABORTED.withDescription(outcome.failure.describe()).asException()
+            }
+        }.buffer(Channel.RENDEZVOUS)
+
+    override suspend fun reserve(request: ReserveRequest): RepeatDecision = reservations.reserve(request)
+
+    override suspend fun surrender(request: SurrenderRequest): Surrender = reservations.surrender(request)
+
+    override fun reports(): Flow<TargetReport> =
+        flow {
+            while (true) {
+                val sent = control.reported.value
+                emit(sent)
+                delay(SHORTEST_INTERVAL)
+                withTimeoutOrNull(HEARTBEAT - SHORTEST_INTERVAL) { control.reported.first { differs(it, sent) } }
+            }
+        }
+
+    override suspend fun switchReport(): SwitchReport = control.thread.decide { control.switch.report() }
+
+    /** Whether entry daemons should hear of [now] before the next heartbeat. */
+    private fun differs(
+        now: TargetReport,
+        sent: TargetReport,
+    ): Boolean {
+        val state = now.accepting != sent.accepting || now.version != sent.version
+        val opened = isFull(sent) != isFull(now)
+        val limit = abs(now.room.limit - sent.room.limit) * LIMIT_CHANGE > sent.room.limit
+        return state || opened || limit
+    }
+
+    private fun isFull(report: TargetReport) = report.room.inFlight >= report.room.limit
+
+    private companion object {
+        val HEARTBEAT = 1.seconds
+        val SHORTEST_INTERVAL = 50.milliseconds
+        const val LIMIT_CHANGE = 4
+    }
+}
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -16,6 +16,7 @@
         "once" to ::measureOnce,
         "random" to ::measureRandom,
         "weights" to ::measureWeights,
+        "readers" to ::measureReaders,
         "control" to ::measureControl,
         "configuration" to ::measureConfiguration,
     )
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/entry/SendFilter.kt
@@ -51,12 +51,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** [firstEvent] and [nextEvent] bound the silence of a target, [attempts] the tries of one request. */
+/**
+ * [firstEvent] and [nextEvent] bound the silence of a target, [attempts] the tries of one request, [resume] the wait of an
+ * answer that has begun for a target to go on at.
+ */
 data class SendLimits(
     val firstEvent: Duration = 3.seconds,
     val nextEvent: Duration = 2.seconds,
     val reserve: Duration = 1.seconds,
     val attempts: Int = 12,
+    val resume: Duration = 10.seconds,
 )
 
 class SendFilter(
@@ -183,6 +187,7 @@
 
     /** Waits for another target; an outcome means that there is none. */
     private suspend fun awaitTarget(): Outcome? {
+        if (relay.started) ticket = ticket.copy(waiting = ticket.waiting.copy(deadline = clock.elapsed() + limits.resume))
         val turn = awaitTurn(control, ticket) { reenter(it) }
         return when (turn) {
             is Dispatched.Refused -> endWithout(turn.refusal, Peer.SELF)
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/target/Reservations.kt
@@ -0,0 +1,71 @@
+/**
+ * Reserves keys of requests that may run at most once, and hands keys over between owners.
+ *
+ * When a key moved to this target lately, its earlier owners are asked first. A key that an earlier owner can't speak for
+ * is answered as uncertain.
+ */
+package lagoonrudder.traffic.target
+
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.RepeatDecision
+import lagoonrudder.control.Surrender
+import lagoonrudder.model.Clock
+import lagoonrudder.model.TargetId
+import lagoonrudder.traffic.ReserveRequest
+import lagoonrudder.traffic.SurrenderRequest
+import lagoonrudder.traffic.TargetLink
+import kotlin.time.Duration.Companion.milliseconds
+
+class Reservations(
+    private val control: TargetControl,
+    private val link: TargetLink,
+    private val clock: Clock,
+) {
+    suspend fun reserve(request: ReserveRequest): RepeatDecision {
+        awaitRevision(request.revision.number)
+        val decision = control.thread.decide { decide(request, emptySet()) }
+        if (decision !is RepeatDecision.AskOwners) return decision
+        for (owner in decision.owners) askOwner(owner, request)?.let { return it }
+        return control.thread.decide { decide(request, decision.owners.toSet()) }
+    }
+
+    suspend fun surrender(request: SurrenderRequest): Surrender {
+        awaitRevision(request.revision.number)
+        return control.thread.decide { control.repeats.surrender(request.key, clock.elapsed(), clock.now()) }
+    }
+
+    private fun decide(
+        request: ReserveRequest,
+        cleared: Set<TargetId>,
+    ): RepeatDecision {
+        val closed = control.closed() ?: control.switch.refusal()
+        if (closed != null) return RepeatDecision.Refused(closed)
+        return control.repeats.reserve(request.key, request.body, clock.elapsed(), clock.now(), cleared)
+    }
+
+    /** Null when [owner] surrendered the key unseen. */
+    private suspend fun askOwner(
+        owner: TargetId,
+        request: ReserveRequest,
+    ): RepeatDecision? {
+        val instance = control.thread.decide { control.membership.daemonOf(owner) }
+        val revision = control.thread.decide { control.configuration.current.revision }
+        val answer = instance?.let { link.surrender(it, SurrenderRequest(request.key, revision), ASK_LIMIT).getOrNull() }
+        return when (answer) {
+            null -> RepeatDecision.Uncertain("the earlier owner ${owner.text} of the key can't be asked")
+            Surrender.Unseen -> null
+            is Surrender.RanBefore -> RepeatDecision.RanBefore(answer.answer)
+            is Surrender.Uncertain -> RepeatDecision.Uncertain(answer.detail)
+        }
+    }
+
+    private suspend fun awaitRevision(wanted: Long) {
+        if (control.revision.value >= wanted) return
+        withTimeoutOrNull(TargetControl.CATCH_UP_LIMIT) { control.revision.first { it >= wanted } }
+    }
+
+    private companion object {
+        val ASK_LIMIT = 700.milliseconds
+    }
+}
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/target/TargetControl.kt
@@ -0,0 +1,229 @@
+/**
+ * The controllers of a target daemon. Everything here runs on the control thread.
+ */
+package lagoonrudder.traffic.target
+
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import lagoonrudder.control.ConfigurationController
+import lagoonrudder.control.ControlThread
+import lagoonrudder.control.DumpSection
+import lagoonrudder.control.EngineResult
+import lagoonrudder.control.Holder
+import lagoonrudder.control.LimitController
+import lagoonrudder.control.LimitDecision
+import lagoonrudder.control.MembershipController
+import lagoonrudder.control.RepeatController
+import lagoonrudder.control.ServiceController
+import lagoonrudder.control.ServiceState
+import lagoonrudder.control.SwitchController
+import lagoonrudder.control.TargetCapacity
+import lagoonrudder.control.TargetReport
+import lagoonrudder.control.WeightController
+import lagoonrudder.control.keyOwners
+import lagoonrudder.control.refusal
+import lagoonrudder.model.Clock
+import lagoonrudder.model.FleetKind
+import lagoonrudder.model.IncarnationId
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.ObjectSet
+import lagoonrudder.model.OperatorObject
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RequestId
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.VersionId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class TargetControl(
+    val thread: ControlThread,
+    private val clock: Clock,
+    private val invariants: Invariants,
+    val self: TargetId,
+    private val incarnation: IncarnationId,
+    val configuration: ConfigurationController,
+    val membership: MembershipController,
+    val limits: LimitController,
+    val repeats: RepeatController,
+    val switch: SwitchController,
+    val weights: WeightController,
+    val service: ServiceController,
+) {
+    private class Turn(
+        val version: VersionId?,
+        val result: CompletableDeferred<Refusal?>,
+    )
+
+    private val turns = mutableMapOf<RequestId, Turn>()
+    private val revisions = MutableStateFlow(0L)
+    private val reports = MutableStateFlow(report())
+
+    /** The revision in force, for filters that wait for a newer one. */
+    val revision: StateFlow<Long> = revisions
+
+    /** What entry daemons are told. */
+    val reported: StateFlow<TargetReport> = reports
+
+    /** A new set is in force, or the list of instances changed. */
+    fun configured() {
+        val objects = configuration.current.objects
+        weights.configure(objects)
+        val target = objects.targets[self]
+        val fleet = target?.let { objects.fleets[it.fleet] }
+        if (target != null && fleet != null) configure(objects, target, fleet)
+        revisions.value = configuration.current.revision.number
+        publish()
+    }
+
+    /** Whether new work may come in now, apart from weights and limits. */
+    fun closed(): Refusal? {
+        val now = clock.elapsed()
+        val confirmed = configuration.mayServe(now) && !service.wasPaused(now)
+        return when (val state = service.state(configuration.current.objects, confirmed)) {
+            ServiceState.Serving -> null
+            is ServiceState.Closed -> state.refusal()
+        }
+    }
+
+    /** Notes the regular tick; returns whether the process was paused, in which case its configuration must be confirmed. */
+    fun wasPaused(limit: Duration): Boolean {
+        val now = clock.elapsed()
+        val paused = service.tick(now)
+        if (paused) configuration.suspectStale(now, limit)
+        return paused
+    }
+
+    /** Whether an attempt that wants [version] may come in now, apart from the limits. */
+    fun refusal(version: VersionId?): Refusal? {
+        closed()?.let { return it }
+        if (version != switch.serving()) return Refusal.NotServing(RETRY, "switching")
+        return switch.refusal()
+    }
+
+    /** Admits a request, lets it wait for its turn, or refuses it. */
+    fun admit(
+        request: RequestId,
+        version: VersionId?,
+        tokens: Long,
+    ): Deferred<Refusal?> {
+        val turn = CompletableDeferred<Refusal?>()
+        val refusal = refusal(version)
+        if (refusal != null) return turn.also { it.complete(refusal) }
+        when (val decision = limits.admit(request, tokens)) {
+            LimitDecision.Admitted -> admitted(request, turn)
+            LimitDecision.Waits -> turns[request] = Turn(version, turn)
+            is LimitDecision.Refused -> turn.complete(decision.refusal)
+        }
+        publish()
+        return turn
+    }
+
+    /** The request gives up waiting; null when it was admitted meanwhile. */
+    fun giveUp(request: RequestId): Refusal? {
+        if (turns.remove(request) == null) return null
+        limits.leave(request)
+        publish()
+        return Refusal.Overloaded(RETRY)
+    }
+
+    fun finished(
+        request: RequestId,
+        result: EngineResult,
+    ) {
+        service.ended()
+        limits.finished(request, result, clock.elapsed())
+        admitWaiting()
+        publish()
+    }
+
+    /** Gives free places to those that wait, and refuses them when the target closed meanwhile. */
+    private fun admitWaiting() {
+        while (true) {
+            val request = limits.nextAdmitted() ?: return
+            val turn = turns.remove(request)
+            val refusal = if (turn == null) Refusal.Overloaded(RETRY) else refusal(turn.version)
+            if (turn != null && refusal == null) {
+                admitted(request, turn.result)
+            } else {
+                limits.finished(request, EngineResult.Cancelled, clock.elapsed())
+                turn?.result?.complete(refusal)
+            }
+        }
+    }
+
+    private fun admitted(
+        request: RequestId,
+        turn: CompletableDeferred<Refusal?>,
+    ) {
+        val target = configuration.current.objects.targets[self]
+        val inService = target != null && configuration.current.objects.inService(target)
+        invariants.check(inService, Invariant.NO_NEW_WORK_WHEN_OUT, Step.ADMIT) { "request=${request.text}" }
+        service.began()
+        turn.complete(null)
+    }
+
+    /** Makes the current state known to entry daemons. */
+    fun publish() {
+        reports.value = report()
+    }
+
+    /** The daemons that should hold the version of this target's fleet. */
+    fun holders(): List<Holder> {
+        val objects = configuration.current.objects
+        val fleet = objects.targets[self]?.fleet ?: return emptyList()
+        val daemons = membership.targetDaemons()
+        return objects.targetsOf[fleet].orEmpty().mapNotNull { target ->
+            val instance = daemons[target.id]?.takeUnless { it.leaving } ?: return@mapNotNull null
+            val region = objects.regionOf(target.domain) ?: return@mapNotNull null
+            Holder(instance.daemon, target.domain, region)
+        }
+    }
+
+    /** The version that this target should serve, null for a plain service. */
+    fun wantedVersion(): OperatorObject.Version? {
+        val objects = configuration.current.objects
+        val fleet = objects.targets[self]?.let { objects.fleets[it.fleet] }
+        return fleet?.version?.let { objects.versions[it] }
+    }
+
+    fun dump(): List<DumpSection> =
+        listOf(
+            service.dump(),
+            configuration.dump(),
+            membership.dump(clock.elapsed()),
+            limits.dump(),
+            repeats.dump(),
+            switch.dump(),
+            weights.dump(),
+        )
+
+    private fun configure(
+        objects: ObjectSet,
+        target: OperatorObject.Target,
+        fleet: OperatorObject.Fleet,
+    ) {
+        limits.configure(TargetCapacity(target.requests, target.memoryTokens))
+        val inService =
+            objects.targetsOf[fleet.id]
+                .orEmpty()
+                .filter(objects::inService)
+                .map { it.id }
+        switch.configure(fleet, fleet.version?.let { objects.versions[it] }, inService)
+        if (fleet.kind == FleetKind.PLAIN) repeats.configure(keyOwners(objects, fleet), clock.elapsed(), clock.now())
+    }
+
+    private fun report(): TargetReport {
+        val accepting = closed() == null && switch.refusal() == null
+        return TargetReport(self, incarnation, limits.room(), switch.serving(), accepting)
+    }
+
+    companion object {
+        /** How long a filter waits for a set that the entry daemon has and this process lacks. */
+        val CATCH_UP_LIMIT: Duration = 300.milliseconds
+        private val RETRY = 100.milliseconds
+    }
+}
