Keep a part of the reader budget for answers that begin

Cause, seen in bin/measure readers with 1,000 slow readers: every fast call was refused, since windows of slow answers had filled the budget; the check took the empty p95 of 0 ms for good.

--- a/control/src/main/kotlin/lagoonrudder/control/ReaderMemoryController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/ReaderMemoryController.kt
@@ -58,21 +58,29 @@
         now: Duration,
     ): HoldDecision {
         readers[request] = Reader(lastRead = now)
-        val decision = hold(request, base)
+        val decision = hold(request, base, PERCENT)
         if (decision is HoldDecision.Wait) readers.remove(request)
         return decision
     }
 
-    /** Asks to hold [bytes] more for [request]. */
+    /** Asks to hold [bytes] more for [request]; the last part of the budget is kept for answers that begin. */
     fun hold(
         request: RequestId,
         bytes: Long,
+    ): HoldDecision = hold(request, bytes, GROWTH_PERCENT)
+
+    private fun hold(
+        request: RequestId,
+        bytes: Long,
+        percentOfBudget: Int,
     ): HoldDecision {
         val reader = readers[request] ?: return HoldDecision.Wait
         val allowed =
             when (policy) {
                 ReaderMemoryPolicy.Unbounded -> true
-                is ReaderMemoryPolicy.Windowed -> reader.held + bytes <= policy.window && total + bytes <= policy.budget
+                is ReaderMemoryPolicy.Windowed ->
+                    reader.held + bytes <= policy.window &&
+                        total + bytes <= policy.budget * percentOfBudget / PERCENT
             }
         if (!allowed) return HoldDecision.Wait
         reader.held += bytes
@@ -158,7 +166,8 @@
     }
 
     private companion object {
-        const val PRESSURE_PERCENT = 90
+        const val PRESSURE_PERCENT = 70
+        const val GROWTH_PERCENT = 75
         const val PERCENT = 100
     }
 }
