--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -0,0 +1,299 @@
+/**
+ * Decides which back end gets a request, and which requests wait or are refused while all are full.
+ *
+ * A back end's load is what this process has in flight there and what the other entry daemons say they have. A request goes
+ * to the back end with the smallest share of its places taken, the own failure domain first where that costs nothing.
+ * Failures set a back end aside for doubling times. Each process keeps to its part of the rate that a cold back end bears,
+ * at all times, because a back end may turn cold without notice.
+ */
+package lagoonrudder.control.direct
+
+import kotlinx.coroutines.CompletableDeferred
+import lagoonrudder.control.DumpSection
+import lagoonrudder.control.dumpSection
+import lagoonrudder.control.entry
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CustomerId
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Where the daemons and back ends are. */
+data class Places(
+    val domain: DomainId,
+    val regions: Map<DomainId, RegionId>,
+)
+
+/** What the rules of the deployment allow: times of switching, and how far a cold back end's rate may be passed. */
+data class PlacementBounds(
+    val versionLimit: Duration,
+    val coldRatio: Double,
+    val coldAllowance: Double,
+)
+
+/** What a request needs of a back end. [passedOver] are back ends that it must not go to again. */
+data class PlacementNeed(
+    val service: ServiceId,
+    val customer: CustomerId?,
+    val priority: Int,
+    val homes: List<Set<RegionId>>,
+    val passedOver: Set<TargetId>,
+    val number: WeightNumber?,
+)
+
+sealed class Placement {
+    /** [number] is the version that the back end must hold, where a request may no longer run on an older one. */
+    data class Placed(
+        val backEnd: BackEnd,
+        val number: WeightNumber?,
+    ) : Placement()
+
+    data class Refused(
+        val refusal: Refusal,
+        val reason: String,
+    ) : Placement()
+}
+
+/** How an attempt at a back end ended. */
+enum class AttemptEnd { ANSWERED, NOT_RUN, FAILED, SILENT, UNREACHABLE, ABANDONED }
+
+class PlacementController(
+    private val places: Places,
+    private val bounds: PlacementBounds,
+    private val publication: PublicationController,
+    private val peers: PeerController,
+    private val slots: SlotController,
+    private val random: Random,
+) {
+    private class Use {
+        var inFlight = 0
+        var failures = 0
+        var refusals = 0
+        var asideUntil = Duration.ZERO
+        val sent = ArrayDeque<Duration>()
+
+        fun answered() {
+            failures = 0
+            refusals = 0
+        }
+    }
+
+    private class Waiting(
+        val need: PlacementNeed,
+        val since: Duration,
+        val until: Duration,
+    ) {
+        val decided = CompletableDeferred<Placement>()
+    }
+
+    private val uses = mutableMapOf<TargetId, Use>()
+    private val line = mutableListOf<Waiting>()
+    private val inFlightOf = mutableMapOf<CustomerId, Int>()
+
+    /** Places a request now, or puts it in line for at most [patience]; the result is complete in either case or becomes so. */
+    fun place(
+        need: PlacementNeed,
+        patience: Duration,
+        now: Duration,
+    ): CompletableDeferred<Placement> {
+        val placement = attempt(need, now)
+        val waits = placement is Placement.Refused && placement.refusal is Refusal.Overloaded && line.size < LONGEST_LINE
+        if (!waits || patience <= Duration.ZERO) return CompletableDeferred(placement)
+        return Waiting(need, now, now + patience).also { line += it }.decided
+    }
+
+    /** The caller of a request in line is gone. */
+    fun withdraw(decision: CompletableDeferred<Placement>) {
+        line.removeAll { it.decided === decision }
+    }
+
+    /** An attempt has ended; its place is free for the next in line. */
+    fun ended(
+        target: TargetId,
+        customer: CustomerId?,
+        end: AttemptEnd,
+        now: Duration,
+    ) {
+        val use = uses.getOrPut(target) { Use() }
+        use.inFlight--
+        if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
+        when (end) {
+            AttemptEnd.ANSWERED -> use.answered()
+            AttemptEnd.NOT_RUN -> turnedAway(use, now)
+            AttemptEnd.FAILED, AttemptEnd.SILENT, AttemptEnd.UNREACHABLE -> failed(use, end, now)
+            AttemptEnd.ABANDONED -> Unit
+        }
+        serveLine(now)
+    }
+
+    /** Serves and ends what is in line; called when something changed and now and then. */
+    fun serveLine(now: Duration) {
+        if (line.isEmpty()) return
+        line.sortWith(compareBy({ it.need.priority }, { inFlightOf[it.need.customer] ?: 0 }, { it.since }))
+        val entries = line.iterator()
+        while (entries.hasNext()) {
+            val waiting = entries.next()
+            val placement = attempt(waiting.need, now)
+            val stays = placement is Placement.Refused && placement.refusal is Refusal.Overloaded && now < waiting.until
+            if (stays) continue
+            entries.remove()
+            waiting.decided.complete(placement)
+        }
+    }
+
+    /** Forgets back ends that are gone. */
+    fun published() {
+        uses.keys.removeIf { publication.backEnd(it) == null && (uses[it]?.inFlight ?: 0) == 0 }
+    }
+
+    /** What this process has in flight at each back end. */
+    fun inFlight(): Map<TargetId, Int> = uses.filterValues { it.inFlight > 0 }.mapValues { it.value.inFlight }
+
+    fun waiting(): Int = line.size
+
+    fun dump(now: Duration): DumpSection =
+        dumpSection("placement") {
+            entry("waiting", line.size)
+            for ((id, use) in uses) {
+                entry(id.text, "in-flight=${use.inFlight} elsewhere=${peers.inFlightElsewhere(id, now)} failures=${use.failures} aside=${use.asideUntil - now}")
+            }
+        }
+
+    private fun attempt(
+        need: PlacementNeed,
+        now: Duration,
+    ): Placement {
+        val usable = publication.backEnds.filter { it.service == need.service && isUsable(it, need, now) }
+        if (usable.isEmpty()) return Placement.Refused(Refusal.NoTarget(NO_TARGET_RETRY), reasonOf(need, now))
+        val rested = usable.filter { useOf(it).asideUntil <= now }.ifEmpty { listOf(usable.minBy { useOf(it).asideUntil }) }
+        val free = rested.filter { load(it, now) < mostInFlight(it) && bearsOneMore(it, now) }
+        if (free.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${rested.size}")
+        val chosen = free.minBy { score(it, now) }
+        val use = useOf(chosen)
+        use.inFlight++
+        use.sent.addLast(now)
+        if (need.customer != null) inFlightOf.merge(need.customer, 1, Int::plus)
+        return Placement.Placed(chosen, requiredNumber(slots.held(chosen, now), need, now))
+    }
+
+    private fun isUsable(
+        backEnd: BackEnd,
+        need: PlacementNeed,
+        now: Duration,
+    ): Boolean {
+        val region = places.regions[backEnd.domain]
+        val inHomes = need.homes.all { it.isEmpty() || region in it }
+        val isOpen = !backEnd.leaving && backEnd.domain !in publication.evacuated && !slots.closed(backEnd, now) && backEnd.id !in need.passedOver
+        return isOpen && inHomes && holdsWeights(backEnd, need, now)
+    }
+
+    private fun holdsWeights(
+        backEnd: BackEnd,
+        need: PlacementNeed,
+        now: Duration,
+    ): Boolean {
+        val layout = publication.serving?.service(backEnd.service)?.weights ?: return true
+        val held = slots.held(backEnd, now) ?: return false
+        if (held.layers < layout.layers) return false
+        val required = requiredNumber(held, need, now) ?: return true
+        return held.number >= required
+    }
+
+    /** The version that a request must begin on: the declared one once its time to spread is nearly over. */
+    private fun requiredNumber(
+        held: HeldWeights?,
+        need: PlacementNeed,
+        now: Duration,
+    ): WeightNumber? {
+        val declared = held?.let { publication.declared(it.model) } ?: return need.number
+        val binds = now - declared.since > bounds.versionLimit - SWITCH_MARGIN
+        return if (binds) declared.number else need.number
+    }
+
+    private fun reasonOf(
+        need: PlacementNeed,
+        now: Duration,
+    ): String {
+        val all = publication.backEnds.filter { it.service == need.service }
+        val without = all.count { !holdsWeights(it, need, now) }
+        return "no back end listed=${all.size} leaving=${all.count { it.leaving }} without-weights=$without passed-over=${need.passedOver.size}"
+    }
+
+    private fun load(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Int = useOf(backEnd).inFlight + peers.inFlightElsewhere(backEnd.id, now)
+
+    private fun mostInFlight(backEnd: BackEnd): Int = backEnd.slots + QUEUED_AT_BACK_END
+
+    private fun bearsOneMore(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean {
+        val rate = publication.serving?.service(backEnd.service)?.coldRequestsPerSecond ?: return true
+        val use = useOf(backEnd)
+        while (use.sent.isNotEmpty() && now - use.sent.first() > COLD_WINDOW) use.sent.removeFirst()
+        val most = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_SAFE_PART / peers.entryCount()
+        return use.sent.size + 1 <= most.coerceAtLeast(1.0)
+    }
+
+    private fun score(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Double {
+        val places = backEnd.slots.coerceAtLeast(1)
+        val distance = if (backEnd.domain == this.places.domain) 0.0 else DISTANCE_PENALTY
+        return (load(backEnd, now) + random.nextDouble() + distance) / places
+    }
+
+    /** A back end that turns requests away, for example while it loads, is asked again after doubling times. */
+    private fun turnedAway(
+        use: Use,
+        now: Duration,
+    ) {
+        val doublings = use.refusals.coerceAtMost(MOST_DOUBLINGS)
+        use.refusals++
+        use.asideUntil = maxOf(use.asideUntil, now + AFTER_NOT_RUN * (1 shl doublings))
+    }
+
+    private fun failed(
+        use: Use,
+        end: AttemptEnd,
+        now: Duration,
+    ) {
+        use.failures++
+        if (use.failures < FAILURES_BEFORE_ASIDE && end != AttemptEnd.SILENT && end != AttemptEnd.UNREACHABLE) return
+        val doublings = (use.failures - 1).coerceIn(0, MOST_DOUBLINGS)
+        use.asideUntil = now + FIRST_ASIDE * (1 shl doublings)
+    }
+
+    private fun useOf(backEnd: BackEnd) = uses.getOrPut(backEnd.id) { Use() }
+
+    private companion object {
+        /** What may wait in a back end's own queue: about a quarter of a second at its usual rate. */
+        const val QUEUED_AT_BACK_END = 3
+        const val LONGEST_LINE = 200
+        const val DISTANCE_PENALTY = 1.0
+        const val FAILURES_BEFORE_ASIDE = 3
+        const val MOST_DOUBLINGS = 3
+        val FIRST_ASIDE = 700.milliseconds
+        val AFTER_NOT_RUN = 150.milliseconds
+        val NO_TARGET_RETRY = 1_000.milliseconds
+        val FULL_RETRY = 1_000.milliseconds
+
+        /** Requests sent within the margin may still wait in a back end's queue when the time to switch is over. */
+        val SWITCH_MARGIN = 1_200.milliseconds
+        val COLD_WINDOW = 1.seconds + 100.milliseconds
+
+        /** The rest is left for entry daemons that this one hasn't heard of and for requests that arrive late together. */
+        const val COLD_SAFE_PART = 0.9
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -0,0 +1,242 @@
+/**
+ * Decides what is in force of what operators and back ends publish in the platform's store.
+ *
+ * Every item carries the revision of its last change, and an item never gives way to an older one, whoever offers it: the
+ * store, a stale read, or a peer. Removed items leave a tombstone, so that a peer can be told of the removal.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.control.DumpSection
+import lagoonrudder.control.dumpSection
+import lagoonrudder.control.entry
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.Invariant
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.Published
+import lagoonrudder.model.ServingSet
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** An item as the store holds it; [value] is null once it was removed. */
+class StoreItem(
+    val key: String,
+    val revision: Long,
+    val value: ByteArray?,
+)
+
+/** An item together with what it says; [published] is null for a removed item. */
+class ReadItem(
+    val item: StoreItem,
+    val published: Published?,
+)
+
+/** The version of a model that back ends are to hold, and when this process learned of it. */
+data class DeclaredWeights(
+    val model: ModelId,
+    val number: WeightNumber,
+    val since: Duration,
+)
+
+/** What a batch of items changed. */
+data class PublicationChange(
+    val serving: ServingSet?,
+    val joined: List<BackEnd>,
+    val changed: List<BackEnd>,
+    val gone: List<TargetId>,
+    val declared: List<DeclaredWeights>,
+    val evacuated: Set<DomainId>?,
+    val unusable: List<String>,
+) {
+    val isEmpty: Boolean
+        get() =
+            serving == null && joined.isEmpty() && changed.isEmpty() && gone.isEmpty() && declared.isEmpty() && evacuated == null &&
+                unusable.isEmpty()
+}
+
+class PublicationController(
+    private val invariants: Invariants,
+) {
+    private val items = mutableMapOf<String, ReadItem>()
+    private val lapsing = mutableMapOf<TargetId, Duration>()
+    private val backEndsById = mutableMapOf<TargetId, BackEnd>()
+    private val declaredByModel = mutableMapOf<ModelId, DeclaredWeights>()
+    private var confirmedAt: Duration? = null
+    private var disturbedUntil = Duration.ZERO
+
+    /** The store's revision up to which this process knows every change. */
+    var at = 0L
+        private set
+
+    var serving: ServingSet? = null
+        private set
+
+    var evacuated: Set<DomainId> = emptySet()
+        private set
+
+    val backEnds: Collection<BackEnd> get() = backEndsById.values
+
+    fun backEnd(id: TargetId): BackEnd? = backEndsById[id]
+
+    fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]
+
+    val declaredModels: Collection<DeclaredWeights> get() = declaredByModel.values
+
+    /** Takes changes up to the revision [upTo] from the store or a peer. */
+    fun take(
+        changes: List<ReadItem>,
+        upTo: Long,
+        now: Duration,
+    ): PublicationChange {
+        val first = confirmedAt == null
+        val applied = changes.filter { replace(it) }
+        at = maxOf(at, upTo)
+        confirmedAt = now
+        return publish(applied, now, first)
+    }
+
+    /** Takes all items that the store held at the revision [upTo]; an answer older than what is known is passed over. */
+    fun takeWhole(
+        all: List<ReadItem>,
+        upTo: Long,
+        now: Duration,
+    ): PublicationChange {
+        if (upTo < at) return take(emptyList(), at, now)
+        val present = all.mapTo(mutableSetOf()) { it.item.key }
+        val removed =
+            items.values
+                .filter { it.item.value != null && it.item.key !in present && it.item.revision <= upTo }
+                .map { ReadItem(StoreItem(it.item.key, upTo, null), null) }
+        return take(all + removed, upTo, now)
+    }
+
+    /** What changed after the revision [after], for a peer. */
+    fun changesSince(after: Long): List<StoreItem> = items.values.map { it.item }.filter { it.revision > after }
+
+    /** The store was away until [now]: entries that lapsed meanwhile may come back. */
+    fun disturbed(now: Duration) {
+        disturbedUntil = now + LAPSE_GRACE
+    }
+
+    /** Ends the grace of back ends that did not come back. */
+    fun expire(now: Duration): List<TargetId> {
+        val over = lapsing.filterValues { it <= now }.keys.toList()
+        for (id in over) {
+            lapsing -= id
+            backEndsById -= id
+        }
+        return over
+    }
+
+    /** Beliefs may be old: the process was paused. */
+    fun doubt() {
+        confirmedAt = null
+    }
+
+    /** Whether the store or a peer has confirmed what is in force since the start and since the last pause. */
+    val confirmed: Boolean get() = confirmedAt != null && serving != null
+
+    fun dump(): DumpSection =
+        dumpSection("publication") {
+            entry("at", at)
+            entry("revision", serving?.revision?.number)
+            entry("confirmed", confirmed)
+            entry("evacuated", evacuated.map { it.text })
+            entry("declared", declaredByModel.values.map { "${it.model.text}:${it.number.number}" })
+            entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
+        }
+
+    private fun replace(change: ReadItem): Boolean {
+        val known = items[change.item.key]
+        if (known != null && known.item.revision >= change.item.revision) return false
+        items[change.item.key] = change
+        return true
+    }
+
+    private fun publish(
+        applied: List<ReadItem>,
+        now: Duration,
+        first: Boolean,
+    ): PublicationChange {
+        val joined = mutableListOf<BackEnd>()
+        val changed = mutableListOf<BackEnd>()
+        val declared = mutableListOf<DeclaredWeights>()
+        val unusable = mutableListOf<String>()
+        var next: ServingSet? = null
+        for (change in applied) {
+            when (val published = change.published) {
+                is Published.Serving -> next = newer(published.set, next)
+                is Published.Registered -> if (register(published.backEnd)) joined += published.backEnd else changed += published.backEnd
+                is Published.Declared -> declare(published, now, first)?.let { declared += it }
+                is Published.Unusable -> unusable += "${change.item.key}: ${published.detail}"
+                is Published.Evacuated, null -> Unit
+            }
+        }
+        next?.let { serving = it }
+        val gone = applied.mapNotNull { removal(it, now) }
+        return PublicationChange(next, joined, changed, gone, declared, changedEvacuation(), unusable)
+    }
+
+    private fun newer(
+        offered: ServingSet,
+        before: ServingSet?,
+    ): ServingSet? {
+        val current = before ?: serving
+        val rises = current == null || offered.revision > current.revision
+        invariants.check(rises, Invariant.CONFIGURATION_NEVER_REVERTS, Step.ACCEPT_CONFIGURATION) {
+            "offered=${offered.revision.number} current=${current?.revision?.number}"
+        }
+        return if (rises) offered else before
+    }
+
+    private fun register(backEnd: BackEnd): Boolean {
+        lapsing -= backEnd.id
+        return backEndsById.put(backEnd.id, backEnd) == null
+    }
+
+    /** Returns the back end that [change] takes away at once; one that may come back stays until its grace ends. */
+    private fun removal(
+        change: ReadItem,
+        now: Duration,
+    ): TargetId? {
+        if (change.published is Published.Registered) return null
+        val id = backEndsById.keys.firstOrNull { change.item.key.endsWith("/${it.text}") } ?: return null
+        if (now < disturbedUntil && change.item.value == null) {
+            lapsing[id] = disturbedUntil
+            return null
+        }
+        backEndsById -= id
+        return id
+    }
+
+    private fun declare(
+        offered: Published.Declared,
+        now: Duration,
+        first: Boolean,
+    ): DeclaredWeights? {
+        val known = declaredByModel[offered.model]
+        if (known != null && known.number >= offered.number) return null
+        val since = if (first) now - DECLARED_EARLIER else now
+        return DeclaredWeights(offered.model, offered.number, since).also { declaredByModel[offered.model] = it }
+    }
+
+    private fun changedEvacuation(): Set<DomainId>? {
+        val next = items.values.mapNotNullTo(mutableSetOf()) { (it.published as? Published.Evacuated)?.domain }
+        if (next == evacuated) return null
+        evacuated = next
+        return next
+    }
+
+    private companion object {
+        /** A live back end's entry is back two seconds after the store; half a second more covers its way here. */
+        val LAPSE_GRACE = 2_500.milliseconds
+
+        /** The age given to a version that was declared before this process started, in place of the unknown one. */
+        val DECLARED_EARLIER = 5.seconds
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SlotController.kt
@@ -0,0 +1,69 @@
+/**
+ * Decides what a back end holds and whether it takes work, from the word of the target daemon beside it.
+ *
+ * A registration in the store lags by a beat or more; the target daemon's word comes when something changes. It counts for
+ * the incarnation of the back end that it names, and for a limited time.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.control.DumpSection
+import lagoonrudder.control.dumpSection
+import lagoonrudder.control.entry
+import lagoonrudder.model.Address
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.HeldWeights
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** What a target daemon says of the back end at [backEnd]. [closed] while it loads and takes nothing new. */
+data class SlotWord(
+    val backEnd: Address,
+    val born: Long,
+    val held: HeldWeights?,
+    val closed: Boolean,
+)
+
+class SlotController {
+    private class Heard(
+        val word: SlotWord,
+        val at: Duration,
+    )
+
+    private val heard = mutableMapOf<Address, Heard>()
+
+    /** Takes a word; returns whether it says something new. */
+    fun heard(
+        word: SlotWord,
+        now: Duration,
+    ): Boolean {
+        val before = heard.put(word.backEnd, Heard(word, now))
+        return before?.word != word
+    }
+
+    /** What [backEnd] holds, by the later of its daemon's word and its registration. */
+    fun held(
+        backEnd: BackEnd,
+        now: Duration,
+    ): HeldWeights? {
+        val word = wordOf(backEnd, now) ?: return backEnd.weights
+        return word.held
+    }
+
+    fun closed(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean = wordOf(backEnd, now)?.closed ?: false
+
+    fun dump(now: Duration): DumpSection =
+        dumpSection("slots") { for (each in heard.values) entry(each.word.backEnd.toString(), "${each.word} age=${now - each.at}") }
+
+    private fun wordOf(
+        backEnd: BackEnd,
+        now: Duration,
+    ): SlotWord? = heard[backEnd.address]?.takeIf { now - it.at < WORD_LIFE && it.word.born == backEnd.born }?.word
+
+    private companion object {
+        /** By then the registration has caught up: two beats and the store's lag. */
+        val WORD_LIFE = 5.seconds
+    }
+}
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -0,0 +1,149 @@
+/**
+ * Decides at a target daemon which weights its back end is to load, from where each piece comes, and when to switch.
+ *
+ * Entry daemons have wide links and draw each piece from the origin about once for all; a target daemon asks the entry
+ * daemon of its region that leads a piece, then others, and the origin last. Back ends switch one after the other over a
+ * few seconds, so that most of them take work at any time. Nothing is agreed: every process works out the same order.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Digest
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.WeightNumber
+import lagoonrudder.model.rendezvousOrder
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What a back end reports. [born] is its start; [orders] counts the orders that it accepted since then. */
+data class BackEndReport(
+    val born: Long,
+    val held: HeldWeights?,
+    val loading: Boolean,
+    val orders: Long,
+    val running: Int,
+    val waiting: Int,
+)
+
+/** The digest of each piece of one version. */
+data class WeightManifest(
+    val model: ModelId,
+    val number: WeightNumber,
+    val digests: List<Digest>,
+)
+
+sealed class OrderAnswer {
+    data object Begun : OrderAnswer()
+
+    /** The order was carried out before. */
+    data object InEffect : OrderAnswer()
+
+    data class Declined(
+        val status: Int,
+        val detail: String,
+    ) : OrderAnswer()
+}
+
+/** The weights to load; a [number] of null is the newest that the origin names. */
+data class WantedWeights(
+    val model: ModelId,
+    val number: WeightNumber?,
+    val origin: Address?,
+)
+
+/** Where a piece or a manifest can be drawn. */
+sealed class PieceSource {
+    data class Entry(
+        val address: Address,
+    ) : PieceSource()
+
+    data class Origin(
+        val address: Address,
+    ) : PieceSource()
+}
+
+class StagingController(
+    private val peers: PeerController,
+    private val publication: PublicationController,
+    private val regions: Map<DomainId, RegionId>,
+) {
+    /** What the back end of [service] with [report] lacks; null when it has what it should. */
+    fun wanted(
+        service: ServiceId,
+        report: BackEndReport,
+    ): WantedWeights? {
+        val layout = publication.serving?.service(service)?.weights ?: return null
+        val model = layout.models.firstOrNull() ?: return null
+        val declared = publication.declared(model)
+        val held = report.held?.takeIf { it.model == model && it.layers >= layout.layers }
+        val satisfied = held != null && (declared == null || held.number >= declared.number)
+        return if (satisfied) null else WantedWeights(model, declared?.number, origin())
+    }
+
+    /** Where a target daemon draws piece [index], best first. */
+    fun sources(
+        model: ModelId,
+        number: WeightNumber?,
+        index: Int,
+        now: Duration,
+    ): List<PieceSource> {
+        val (near, far) = peers.liveEntries(now).filter { it.address != null }.partition { it.region == peers.self.region }
+        val entries = ordered(near, model, number, index).take(NEAR_SOURCES) + ordered(far, model, number, index).take(FAR_SOURCES)
+        return entries.mapNotNull { it.address }.map { PieceSource.Entry(it) } + listOfNotNull(origin()).map { PieceSource.Origin(it) }
+    }
+
+    /** Where an entry daemon draws piece [index]: the entry daemon that leads it in the origin's region, else the origin. */
+    fun sourcesAbove(
+        model: ModelId,
+        number: WeightNumber?,
+        index: Int,
+        now: Duration,
+    ): List<PieceSource> {
+        val entries = peers.liveEntries(now).filter { it.role == DaemonRole.ENTRY }
+        val nearOrigin = entries.filter { it.region == originRegion() }.ifEmpty { entries }
+        val lead = ordered(nearOrigin, model, number, index).firstOrNull()
+        val fromLead = lead?.takeIf { it.daemon != peers.self.daemon }?.address?.let { PieceSource.Entry(it) }
+        return listOfNotNull(fromLead, origin()?.let { PieceSource.Origin(it) })
+    }
+
+    /** When, after a version was declared, the back end at [backEnd] is to switch; null when it serves nothing and needn't wait. */
+    fun turn(
+        service: ServiceId,
+        backEnd: Address,
+        model: ModelId,
+        report: BackEndReport,
+    ): Duration? {
+        val declared = publication.declared(model) ?: return null
+        if (report.held == null) return null
+        val order = rendezvousOrder("${model.text} ${declared.number}", publication.backEnds.filter { it.service == service }) { it.id.text }
+        val place = order.indexOfFirst { it.address == backEnd }.coerceAtLeast(0)
+        return declared.since + FIRST_TURN + TURNS_SPREAD * (place.toDouble() / order.size.coerceAtLeast(1))
+    }
+
+    private fun origin(): Address? = publication.serving?.services?.firstNotNullOfOrNull { it.origin }
+
+    private fun originRegion(): RegionId? = publication.serving?.services?.firstOrNull { it.origin != null }?.originDomain?.let { regions[it] }
+
+    private fun ordered(
+        candidates: List<PeerDaemon>,
+        model: ModelId,
+        number: WeightNumber?,
+        index: Int,
+    ) = rendezvousOrder("${model.text} ${number?.number} $index", candidates) { it.daemon.text }
+
+    private companion object {
+        const val NEAR_SOURCES = 2
+        const val FAR_SOURCES = 1
+
+        /** A copy takes three seconds over a target's link, less when it overlaps the origin's sending. */
+        val FIRST_TURN = 3_000.milliseconds
+
+        /** The last switch must end within the bound of eight seconds, running work included. */
+        val TURNS_SPREAD = 2_300.milliseconds
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -0,0 +1,92 @@
+/**
+ * What a daemon of either role has on the direct way: the control thread with its controllers, the loop that carries all
+ * connections, the clients of the store and of peers, and the log.
+ */
+package lagoonrudder.daemon.direct
+
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import lagoonrudder.control.ControlThread
+import lagoonrudder.control.direct.PeerController
+import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.PublicationChange
+import lagoonrudder.control.direct.PublicationController
+import lagoonrudder.control.direct.SlotController
+import lagoonrudder.control.direct.StagingController
+import lagoonrudder.daemon.observe.EventLog
+import lagoonrudder.http.HttpClient
+import lagoonrudder.http.HttpLoop
+import lagoonrudder.model.Clock
+import lagoonrudder.model.Invariants
+
+class DirectCore(
+    val settings: DirectSettings,
+    val clock: Clock,
+) : AutoCloseable {
+    val log = EventLog(settings.name.text)
+    val invariants =
+        Invariants { violation ->
+            log.error(
+                "invariant-violated",
+                "invariant" to violation.invariant.name.lowercase(),
+                "step" to violation.step.name.lowercase(),
+                "peer" to violation.peer,
+                "detail" to violation.detail,
+            )
+        }
+    val thread = ControlThread.start(settings.name.text, clock, invariants)
+    val loop = HttpLoop("traffic")
+    val scope =
+        CoroutineScope(
+            SupervisorJob() + loop.dispatcher +
+                CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
+        )
+    val http = HttpClient(loop, clock)
+    val publication = PublicationController(invariants)
+    val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
+    val peers = PeerController(self, settings.seeds)
+    val slots = SlotController()
+    val staging = StagingController(peers, publication, settings.regions)
+
+    /** Logs what changed in what this process believes. */
+    fun logChange(
+        change: PublicationChange,
+        source: String,
+        at: Long,
+    ) {
+        if (change.isEmpty) return
+        change.serving?.let {
+            log.info(
+                "configuration-in-force",
+                "revision" to it.revision.number,
+                "routes" to it.routes.size,
+                "customers" to it.customers.size,
+                "source" to source,
+                "at" to at,
+            )
+        }
+        change.evacuated?.let { domains -> log.info("domains-evacuated", "domains" to domains.map { it.text }, "source" to source, "at" to at) }
+        change.declared.forEach { log.info("version-declared", "model" to it.model.text, "number" to it.number.number, "source" to source, "at" to at) }
+        (change.joined + change.changed).forEach {
+            log.info(
+                "back-end-listed",
+                "target" to it.id.text,
+                "service" to it.service.text,
+                "address" to it.address,
+                "leaving" to it.leaving,
+                "number" to it.weights?.number?.number,
+                "cold-for" to it.coldFor,
+                "source" to source,
+                "at" to at,
+            )
+        }
+        change.gone.forEach { log.info("back-end-gone", "target" to it.text, "source" to source, "at" to at) }
+        change.unusable.forEach { log.warning("item-unusable", "detail" to it, "source" to source, "at" to at) }
+    }
+
+    override fun close() {
+        loop.close()
+        thread.close()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
@@ -0,0 +1,109 @@
+/**
+ * The settings of a daemon that sends straight to back ends and reads everything else from the platform's store.
+ */
+package lagoonrudder.daemon.direct
+
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import lagoonrudder.control.direct.PlacementBounds
+import lagoonrudder.control.direct.RepeatBounds
+import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Location
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.Step
+import lagoonrudder.model.addressOrNull
+import lagoonrudder.wire.documents.IniSection
+import lagoonrudder.wire.documents.readIni
+import kotlin.time.Duration
+
+/** Where an entry daemon listens: for callers, for the balancer's question, and for its peers. */
+data class DirectListen(
+    val callers: Address,
+    val ready: Address,
+    val peers: Address,
+)
+
+/** The back end beside a target daemon. */
+data class DirectSlot(
+    val service: ServiceId,
+    val backEnd: Address,
+)
+
+/** [stopGrace] is the time from the stop signal to the end of the process. */
+data class DirectBounds(
+    val placement: PlacementBounds,
+    val repeats: RepeatBounds,
+    val stopGrace: Duration,
+)
+
+data class DirectSettings(
+    val name: DaemonId,
+    val role: DaemonRole,
+    val domain: DomainId,
+    val region: RegionId,
+    val regions: Map<DomainId, RegionId>,
+    val listen: DirectListen?,
+    val seeds: List<Address>,
+    val store: Address,
+    val slot: DirectSlot?,
+    val bounds: DirectBounds,
+)
+
+/** Reads settings from [text]; [file] is named in errors. */
+fun readDirectSettings(
+    text: String,
+    file: String,
+): Either<Failure.Malformed, DirectSettings> =
+    either {
+        val sections = readIni(text, file, Step.READ_SETTINGS).bind().associateBy { it.name }
+        val daemon = section(sections, file, "daemon")
+        val role = with(daemon) { choice("role", DaemonRole.entries) }
+        DirectSettings(
+            name = with(daemon) { DaemonId(text("name")) },
+            role = role,
+            domain = with(daemon) { DomainId(text("domain")) },
+            region = with(daemon) { RegionId(text("region")) },
+            regions = with(section(sections, file, "domains")) { pairs().map { (domain, region) -> DomainId(domain) to RegionId(region) }.toMap() },
+            listen = if (role == DaemonRole.ENTRY) listen(section(sections, file, "listen")) else null,
+            seeds = with(section(sections, file, "peers")) { addresses("seeds") },
+            store = with(section(sections, file, "store")) { address("address") },
+            slot = sections["slot"]?.let { slot(it) },
+            bounds = bounds(section(sections, file, "bounds")),
+        )
+    }
+
+private fun Raise<Failure.Malformed>.listen(section: IniSection): DirectListen =
+    with(section) { DirectListen(callers = address("callers"), ready = address("ready"), peers = address("peers")) }
+
+private fun Raise<Failure.Malformed>.slot(section: IniSection): DirectSlot? =
+    with(section) {
+        val backEnd = optionalText("back-end") ?: return null
+        val address = addressOrNull(backEnd) ?: raise(malformed("back-end", "expected an IP number and a port, found \"$backEnd\""))
+        DirectSlot(ServiceId(text("service")), address)
+    }
+
+private fun Raise<Failure.Malformed>.bounds(section: IniSection): DirectBounds =
+    with(section) {
+        DirectBounds(
+            placement = PlacementBounds(duration("version"), double("cold-ratio"), double("cold-allowance")),
+            repeats = RepeatBounds(double("repeat-ratio"), duration("repeat-window"), double("repeat-allowance")),
+            stopGrace = duration("stop-grace"),
+        )
+    }
+
+private fun Raise<Failure.Malformed>.section(
+    sections: Map<String, IniSection>,
+    file: String,
+    name: String,
+): IniSection =
+    sections[name] ?: raise(
+        Failure.Malformed(Step.READ_SETTINGS, Peer(PeerRole.OPERATOR, file), Location(file, name, ""), "expected this section, found none"),
+    )
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
@@ -0,0 +1,153 @@
+/**
+ * Exchanges words with other daemons: what each has in flight, who is alive, and what the store's items are for a daemon
+ * that lags behind.
+ */
+package lagoonrudder.daemon.direct
+
+import arrow.core.Either
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.rendezvousOrder
+import lagoonrudder.platform.readItem
+import lagoonrudder.wire.messages.WordMessage
+import lagoonrudder.wire.messages.WordReply
+import lagoonrudder.wire.messages.toItem
+import lagoonrudder.wire.messages.toLoads
+import lagoonrudder.wire.messages.toMessage
+import lagoonrudder.wire.messages.toMessages
+import lagoonrudder.wire.messages.toPeer
+import lagoonrudder.wire.messages.toSighting
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** [loads] is what this process has in flight; [changed] runs on the control thread when a peer brought something new. */
+class PeerLoop(
+    private val core: DirectCore,
+    private val client: PeerClient,
+    private val loads: () -> Map<TargetId, Int>,
+    private val changed: () -> Unit,
+) {
+    private val exchanges = mutableMapOf<Address, Job>()
+    private var behindSince: Duration? = null
+    private var answeredAt: Duration? = null
+
+    /** The word about the back end in this daemon's slot, or null at an entry daemon. */
+    var slot: SlotWord? = null
+
+    /** Whether any peer has answered lately. */
+    fun heardLately(): Boolean = answeredAt?.let { core.clock.elapsed() - it < HEARD_LATELY } ?: false
+
+    suspend fun run() {
+        when (core.self.role) {
+            DaemonRole.ENTRY -> exchangeWithAll()
+            DaemonRole.TARGET -> exchangeWithOne()
+        }
+    }
+
+    /** Tells all live entry daemons at once what [slot] says. */
+    suspend fun announce() {
+        val addresses = core.thread.decide { core.peers.liveEntries(core.clock.elapsed()).mapNotNull { it.address } }
+        addresses.forEach { address -> core.scope.launch { exchange(address, wantsPeers = false) } }
+    }
+
+    private suspend fun exchangeWithAll() {
+        while (currentCoroutineContext().isActive) {
+            val partners = core.thread.decide { core.peers.partners(core.clock.elapsed()) }
+            val over = exchanges.keys - partners.toSet()
+            over.forEach { exchanges.remove(it)?.cancel() }
+            for (partner in partners) exchanges.getOrPut(partner) { core.scope.launch { exchangeRepeatedly(partner) } }
+            delay(PARTNERS_PAUSE)
+        }
+    }
+
+    private suspend fun exchangeRepeatedly(address: Address) {
+        var failures = 0
+        var round = 0
+        while (currentCoroutineContext().isActive) {
+            val heard = exchange(address, wantsPeers = round++ % PEERS_EVERY == 0)
+            failures = if (heard) 0 else failures + 1
+            delay(if (heard) EXCHANGE_PAUSE else (FAILED_PAUSE * failures).coerceAtMost(LONGEST_PAUSE))
+        }
+    }
+
+    /** A target daemon asks one entry daemon of its region at a time, and the next one when that fails. */
+    private suspend fun exchangeWithOne() {
+        var failures = 0
+        while (currentCoroutineContext().isActive) {
+            val candidates = core.thread.decide { candidates() }
+            val heard = candidates.isNotEmpty() && exchange(candidates[failures % candidates.size], wantsPeers = true)
+            if (!heard) failures++
+            delay(if (heard) TARGET_PAUSE else FAILED_PAUSE)
+        }
+    }
+
+    private fun candidates(): List<Address> {
+        val (near, far) = core.peers.liveEntries(core.clock.elapsed()).partition { it.region == core.self.region }
+        val ordered = rendezvousOrder(core.self.daemon.text, near) { it.daemon.text } + far
+        return (ordered.mapNotNull { it.address } + core.peers.seeds).distinct()
+    }
+
+    private suspend fun exchange(
+        address: Address,
+        wantsPeers: Boolean,
+    ): Boolean {
+        val message = core.thread.decide { word(wantsPeers) }
+        return when (val reply = client.word(address, message)) {
+            is Either.Left -> false
+            is Either.Right -> {
+                answeredAt = core.clock.elapsed()
+                take(reply.value, address)
+                true
+            }
+        }
+    }
+
+    private fun word(wantsPeers: Boolean): WordMessage {
+        val lags = behindSince?.let { core.clock.elapsed() - it > LAG_ALLOWED } ?: false
+        val wantsItems = lags || !core.publication.confirmed || core.self.role == DaemonRole.TARGET
+        return WordMessage(core.self.toMessage(), core.publication.at, wantsItems, loads().toMessages(), slot?.toMessage(), wantsPeers)
+    }
+
+    private suspend fun take(
+        reply: WordReply,
+        address: Address,
+    ) {
+        val items = reply.items.map { readItem(it.toItem()) }
+        val before = core.publication.at
+        val change =
+            core.thread.decide {
+                val now = core.clock.elapsed()
+                core.peers.heard(reply.self.toPeer(), reply.loads.toLoads(), now)
+                core.peers.sighted(reply.sightings.map { it.toSighting() }, now)
+                val behind = reply.at > core.publication.at
+                if (!behind) behindSince = null else if (behindSince == null) behindSince = now
+                val brings = items.isNotEmpty() || (!core.publication.confirmed && core.publication.serving != null && !behind)
+                if (!brings) return@decide null
+                behindSince = null
+                core.publication.take(items, reply.at, now).also { changed() }
+            }
+        if (change != null) core.logChange(change, "peer:$address", reply.at)
+        if (change != null && !change.isEmpty) core.log.info("items-from-peer", "peer" to address, "items" to items.size, "from" to before, "at" to reply.at)
+    }
+
+    private companion object {
+        val EXCHANGE_PAUSE = 250.milliseconds
+        val TARGET_PAUSE = 400.milliseconds
+        val FAILED_PAUSE = 300.milliseconds
+        val LONGEST_PAUSE = 2.seconds
+        val PARTNERS_PAUSE = 500.milliseconds
+
+        /** The store's own watch brings a change within this time when it is sound. */
+        val LAG_ALLOWED = 200.milliseconds
+        val HEARD_LATELY = 2.seconds
+        const val PEERS_EVERY = 4
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PieceCache.kt
@@ -0,0 +1,156 @@
+/**
+ * Pieces of weights that an entry daemon keeps for the target daemons around it.
+ *
+ * A piece is drawn once, whoever asks for it and however many do; it is checked against its digest on arrival. The newest
+ * versions of each model are kept. Everything runs on the traffic thread.
+ */
+package lagoonrudder.daemon.direct
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import lagoonrudder.control.direct.PieceSource
+import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.Failure
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Step
+import lagoonrudder.model.WeightNumber
+import lagoonrudder.model.digestOf
+import lagoonrudder.platform.OriginCalls
+
+class PieceCache(
+    private val core: DirectCore,
+    private val sources: PieceSources,
+) {
+    private data class PieceKey(
+        val model: ModelId,
+        val number: WeightNumber,
+        val index: Int,
+    )
+
+    private data class ManifestKey(
+        val model: ModelId,
+        val number: WeightNumber?,
+    )
+
+    private val pieces = mutableMapOf<PieceKey, Deferred<Either<Failure, ByteArray>>>()
+    private val manifests = mutableMapOf<ManifestKey, Deferred<Either<Failure, WeightManifest>>>()
+    private val draws = Semaphore(DRAWS_AT_ONCE)
+
+    suspend fun manifest(
+        model: ModelId,
+        number: WeightNumber?,
+    ): Either<Failure, WeightManifest> {
+        val key = ManifestKey(model, number)
+        val drawing =
+            manifests.getOrPut(key) {
+                core.scope.async { sources.manifest(above(model, number, MANIFEST), model, number) }
+            }
+        return drawing.await().also { if (it is Either.Left || number == null) manifests.remove(key, drawing) }
+    }
+
+    suspend fun piece(
+        model: ModelId,
+        number: WeightNumber,
+        index: Int,
+    ): Either<Failure, ByteArray> {
+        dropOld(model, number)
+        val key = PieceKey(model, number, index)
+        val drawing = pieces.getOrPut(key) { core.scope.async { draws.withPermit { draw(model, number, index) } } }
+        return drawing.await().also { if (it is Either.Left) pieces.remove(key, drawing) }
+    }
+
+    private suspend fun draw(
+        model: ModelId,
+        number: WeightNumber,
+        index: Int,
+    ): Either<Failure, ByteArray> =
+        manifest(model, number).flatMap { manifest -> sources.piece(above(model, number, index), manifest, index) }
+
+    private suspend fun above(
+        model: ModelId,
+        number: WeightNumber?,
+        index: Int,
+    ): List<PieceSource> = core.thread.decide { core.staging.sourcesAbove(model, number, index, core.clock.elapsed()) }
+
+    /** Keeps the pieces of the two newest versions of a model. */
+    private fun dropOld(
+        model: ModelId,
+        newest: WeightNumber,
+    ) {
+        val kept = (pieces.keys.filter { it.model == model }.map { it.number } + newest).distinct().sortedDescending().take(VERSIONS_KEPT)
+        pieces.keys.removeIf { it.model == model && it.number !in kept }
+    }
+
+    private companion object {
+        /** The origin's link is full with a few draws at once. */
+        const val DRAWS_AT_ONCE = 4
+        const val VERSIONS_KEPT = 2
+        const val MANIFEST = -1
+    }
+}
+
+/** Draws from a list of sources, the next one where one fails, and checks what comes. */
+class PieceSources(
+    private val core: DirectCore,
+    private val peers: PeerClient,
+) {
+    suspend fun manifest(
+        sources: List<PieceSource>,
+        model: ModelId,
+        number: WeightNumber?,
+    ): Either<Failure, WeightManifest> =
+        first(sources, "manifest ${model.text}") { source ->
+            when (source) {
+                is PieceSource.Entry -> peers.manifest(source.address, model, number)
+                is PieceSource.Origin -> OriginCalls(core.http, source.address).manifest(model, number)
+            }
+        }
+
+    suspend fun piece(
+        sources: List<PieceSource>,
+        manifest: WeightManifest,
+        index: Int,
+    ): Either<Failure, ByteArray> =
+        first(sources, "piece $index of ${manifest.number.number}") { source ->
+            val drawn =
+                when (source) {
+                    is PieceSource.Entry -> peers.piece(source.address, manifest.model, manifest.number, index)
+                    is PieceSource.Origin ->
+                        OriginCalls(core.http, source.address).piece(manifest.model, manifest.number, index)
+                }
+            drawn.flatMap { bytes ->
+                val sound = digestOf(bytes) == manifest.digests[index]
+                if (sound) bytes.right() else Failure.Damaged(Step.VERIFY_CHUNK, peerOf(source), "piece $index of ${manifest.number.number}").left()
+            }
+        }
+
+    private suspend fun <T> first(
+        sources: List<PieceSource>,
+        what: String,
+        draw: suspend (PieceSource) -> Either<Failure, T>,
+    ): Either<Failure, T> {
+        var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what")
+        for (source in sources) {
+            when (val drawn = draw(source)) {
+                is Either.Right -> return drawn
+                is Either.Left -> failure = drawn.value
+            }
+            core.log.failure("draw-failed", failure, "what" to what)
+        }
+        return failure.left()
+    }
+
+    private fun peerOf(source: PieceSource): Peer =
+        when (source) {
+            is PieceSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
+            is PieceSource.Origin -> Peer(PeerRole.ORIGIN, source.address.toString())
+        }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -0,0 +1,223 @@
+/**
+ * Brings the weights that are wanted into the back end beside this daemon: draws the pieces, stages them, verifies what is
+ * staged, orders the back end to load it, and tells the entry daemons what the back end holds.
+ */
+package lagoonrudder.daemon.direct
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.sync.withPermit
+import lagoonrudder.control.direct.BackEndReport
+import lagoonrudder.control.direct.OrderAnswer
+import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.control.direct.WantedWeights
+import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.digestOf
+import lagoonrudder.platform.SlotCalls
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class StagingLoop(
+    private val core: DirectCore,
+    private val slot: DirectSlot,
+    private val peers: PeerLoop,
+    private val sources: PieceSources,
+) {
+    private val backEnd = SlotCalls(core.http, slot.backEnd)
+    private var manifest: WeightManifest? = null
+    private val sound = mutableSetOf<Int>()
+    private var born = 0L
+    private var reachable = false
+
+    suspend fun run() {
+        while (currentCoroutineContext().isActive) {
+            val report = report()
+            val wanted = report?.let { core.thread.decide { core.staging.wanted(slot.service, it) } }
+            if (wanted == null || report.loading) delay(IDLE_PAUSE) else bring(wanted, report)
+        }
+    }
+
+    /** Reads the back end's report and announces what changed; null while it doesn't answer. */
+    private suspend fun report(): BackEndReport? {
+        val report =
+            backEnd.report().getOrElse { failure ->
+                if (reachable) core.log.failure("back-end-lost", failure)
+                reachable = false
+                return null
+            }
+        if (!reachable) core.log.info("back-end-found", "back-end" to slot.backEnd, "born" to report.born, "number" to report.held?.number?.number)
+        reachable = true
+        if (report.born != born) restarted(report)
+        say(SlotWord(slot.backEnd, report.born, report.held, report.loading))
+        return report
+    }
+
+    private fun restarted(report: BackEndReport) {
+        born = report.born
+        sound.clear()
+        manifest = null
+    }
+
+    private suspend fun say(word: SlotWord) {
+        val before = peers.slot
+        if (before == word) return
+        peers.slot = word
+        peers.announce()
+    }
+
+    private suspend fun bring(
+        wanted: WantedWeights,
+        report: BackEndReport,
+    ) {
+        val manifest = manifestOf(wanted)
+        if (manifest == null) {
+            delay(FAILED_PAUSE)
+            return
+        }
+        if (!stage(manifest, wanted)) return
+        if (!awaitTurn(manifest, wanted, report)) return
+        if (verify(manifest)) order(manifest, report)
+    }
+
+    private suspend fun manifestOf(wanted: WantedWeights): WeightManifest? {
+        val known = manifest?.takeIf { it.model == wanted.model && (wanted.number == null || it.number == wanted.number) }
+        if (known != null) return known
+        val from = core.thread.decide { core.staging.sources(wanted.model, wanted.number, MANIFEST, core.clock.elapsed()) }
+        val drawn = sources.manifest(from, wanted.model, wanted.number).getOrElse { return null }
+        manifest = drawn
+        sound.clear()
+        verify(drawn)
+        core.log.info("staging", "model" to drawn.model.text, "number" to drawn.number.number, "pieces" to drawn.digests.size, "held" to sound.size)
+        return drawn
+    }
+
+    /** Draws and stages what is missing; false when another version is wanted meanwhile or a piece can't be had. */
+    private suspend fun stage(
+        manifest: WeightManifest,
+        wanted: WantedWeights,
+    ): Boolean {
+        val started = core.clock.elapsed()
+        val missing = manifest.digests.indices.filter { it !in sound }
+        if (missing.isEmpty()) return true
+        val draws = Semaphore(DRAWS_AT_ONCE)
+        val staged =
+            coroutineScope {
+                missing.map { index -> async { draws.withPermit { isStillWanted(wanted) && stageOne(manifest, index) } } }.awaitAll()
+            }
+        val complete = staged.all { it }
+        core.log.info(
+            "staged",
+            "number" to manifest.number.number,
+            "drawn" to staged.count { it },
+            "missing" to staged.count { !it },
+            "took" to core.clock.elapsed() - started,
+        )
+        if (!complete) delay(FAILED_PAUSE)
+        return complete
+    }
+
+    private suspend fun stageOne(
+        manifest: WeightManifest,
+        index: Int,
+    ): Boolean {
+        val from = core.thread.decide { core.staging.sources(manifest.model, manifest.number, index, core.clock.elapsed()) }
+        val bytes = sources.piece(from, manifest, index).getOrElse { return false }
+        val staged = backEnd.stage(manifest.model, index, bytes)
+        if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
+        if (staged is Either.Right) sound += index
+        return staged.isRight()
+    }
+
+    private suspend fun isStillWanted(wanted: WantedWeights): Boolean =
+        core.thread.decide { core.publication.declared(wanted.model)?.number == wanted.number }
+
+    private suspend fun awaitTurn(
+        manifest: WeightManifest,
+        wanted: WantedWeights,
+        report: BackEndReport,
+    ): Boolean {
+        while (isStillWanted(wanted)) {
+            val turn = core.thread.decide { core.staging.turn(slot.service, slot.backEnd, manifest.model, report) } ?: return true
+            val wait = turn - core.clock.elapsed()
+            if (wait <= Duration.ZERO) return true
+            delay(minOf(wait, TURN_CHECK))
+        }
+        return false
+    }
+
+    /** Reads every staged piece back; what isn't sound is drawn again. */
+    private suspend fun verify(manifest: WeightManifest): Boolean {
+        for (index in manifest.digests.indices) {
+            val staged = backEnd.staged(manifest.model, index).getOrElse { null }
+            val isSound = staged != null && digestOf(staged) == manifest.digests[index]
+            if (isSound) sound += index else sound -= index
+        }
+        return sound.size == manifest.digests.size
+    }
+
+    private suspend fun order(
+        manifest: WeightManifest,
+        before: BackEndReport,
+    ) {
+        val report = report() ?: return
+        if (report.born != before.born || report.loading) return
+        say(SlotWord(slot.backEnd, report.born, report.held, closed = true))
+        val ordered = core.clock.elapsed()
+        when (val answer = backEnd.start(manifest.model, manifest.number, report.orders)) {
+            is Either.Left -> core.log.failure("order-unanswered", answer.value, "number" to manifest.number.number)
+            is Either.Right -> logOrder(manifest, answer.value, report)
+        }
+        awaitLoaded(manifest, ordered)
+    }
+
+    private fun logOrder(
+        manifest: WeightManifest,
+        answer: OrderAnswer,
+        report: BackEndReport,
+    ) {
+        val fields = arrayOf("number" to manifest.number.number, "orders" to report.orders, "running" to report.running)
+        when (answer) {
+            OrderAnswer.Begun -> core.log.info("order-begun", *fields)
+            OrderAnswer.InEffect -> core.log.info("order-in-effect", *fields)
+            is OrderAnswer.Declined -> core.log.warning("order-declined", *fields, "status" to answer.status, "detail" to answer.detail)
+        }
+    }
+
+    /** Watches the back end until it has loaded or given up; an order without an answer shows in its report. */
+    private suspend fun awaitLoaded(
+        manifest: WeightManifest,
+        ordered: Duration,
+    ) {
+        while (core.clock.elapsed() - ordered < LOAD_LIMIT) {
+            delay(LOAD_CHECK)
+            val report = report() ?: return
+            if (report.held?.number == manifest.number) {
+                core.log.info("loaded", "number" to manifest.number.number, "took" to core.clock.elapsed() - ordered)
+                return
+            }
+            if (!report.loading) return
+        }
+        core.log.warning("load-unfinished", "number" to manifest.number.number, "after" to core.clock.elapsed() - ordered)
+    }
+
+    private companion object {
+        const val MANIFEST = -1
+
+        /** More draws at once would only queue on the slot's own link. */
+        const val DRAWS_AT_ONCE = 4
+        val IDLE_PAUSE = 400.milliseconds
+        val FAILED_PAUSE = 300.milliseconds
+        val TURN_CHECK = 200.milliseconds
+        val LOAD_CHECK = 60.milliseconds
+
+        /** Running work ends within a few seconds, and loading takes less than one. */
+        val LOAD_LIMIT = 8_000.milliseconds
+    }
+}
--- a/model/src/main/kotlin/lagoonrudder/model/Ids.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Ids.kt
@@ -104,3 +104,25 @@
 ) : Comparable<FencingNumber> {
     override fun compareTo(other: FencingNumber): Int = number.compareTo(other.number)
 }
+
+/** A pool of back ends that serve the same requests. */
+@JvmInline
+value class ServiceId(
+    val text: String,
+)
+
+/** The number of a model's weights; each publication raises it. */
+@JvmInline
+value class WeightNumber(
+    val number: Long,
+) : Comparable<WeightNumber> {
+    override fun compareTo(other: WeightNumber): Int = number.compareTo(other.number)
+}
+
+/** The position of an event in a stream; a resumed stream continues after it. */
+@JvmInline
+value class EventId(
+    val number: Long,
+) : Comparable<EventId> {
+    override fun compareTo(other: EventId): Int = number.compareTo(other.number)
+}
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -0,0 +1,51 @@
+/**
+ * A request on its way through the filters of the direct way, with what each filter found out.
+ */
+package lagoonrudder.traffic.direct
+
+import lagoonrudder.model.Failure
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.Revision
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServingCustomer
+import lagoonrudder.model.ServingRoute
+import lagoonrudder.model.TargetId
+import kotlin.time.Duration
+
+/** What the identify filter found. [endsAt] is when the caller or the route stops waiting. */
+class DirectIdentity(
+    val revision: Revision,
+    val route: ServingRoute,
+    val customer: ServingCustomer?,
+    val service: ServiceId,
+    val endsAt: Duration,
+    val priority: Int,
+    val homes: List<Set<RegionId>>,
+)
+
+/** One attempt and how it went, for the log. */
+data class AttemptRecord(
+    val target: TargetId,
+    val result: String,
+)
+
+class DirectCall(
+    val request: CallerRequest,
+    val answer: CallerAnswer,
+    val receivedAt: Duration,
+) {
+    private var known: DirectIdentity? = null
+    val attempts = mutableListOf<AttemptRecord>()
+    var waited: Duration = Duration.ZERO
+    var firstEventAfter: Duration? = null
+    var lastFailure: Failure? = null
+
+    val identityOrNull: DirectIdentity? get() = known
+
+    /** What the identify filter found; only filters after it may ask. */
+    val identity: DirectIdentity get() = checkNotNull(known) { "asked before the identify filter" }
+
+    fun identify(identity: DirectIdentity) {
+        known = identity
+    }
+}
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -0,0 +1,110 @@
+/**
+ * The filters of the direct way, in order: account, identify, send.
+ */
+package lagoonrudder.traffic.direct
+
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.model.Clock
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServingCustomer
+import lagoonrudder.model.ServingRoute
+import lagoonrudder.model.ServingSet
+import lagoonrudder.model.Step
+import lagoonrudder.traffic.Filter
+import lagoonrudder.traffic.Next
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+fun directFilters(
+    control: DirectControl,
+    link: BackEndLink,
+    random: Random,
+    ended: (DirectCall, Outcome?) -> Unit,
+): List<Filter<DirectCall>> =
+    listOf(DirectAccountFilter(ended), DirectIdentifyFilter(control, random), DirectSendFilter(control, link, DirectLimits()))
+
+/** Tells [ended] how each request went; a null outcome means that the caller left. */
+class DirectAccountFilter(
+    private val ended: (DirectCall, Outcome?) -> Unit,
+) : Filter<DirectCall> {
+    override suspend fun handle(
+        call: DirectCall,
+        next: Next<DirectCall>,
+    ): Outcome {
+        var outcome: Outcome? = null
+        try {
+            return next.proceed(call).also { outcome = it }
+        } finally {
+            ended(call, outcome)
+        }
+    }
+}
+
+/** Finds the route, the customer and the service of a request in the configuration in force. */
+class DirectIdentifyFilter(
+    private val control: DirectControl,
+    private val random: Random,
+) : Filter<DirectCall> {
+    override suspend fun handle(
+        call: DirectCall,
+        next: Next<DirectCall>,
+    ): Outcome {
+        val confirmation = control.thread.decide { control.confirmation() }
+        withTimeoutOrNull(CONFIRM_LIMIT) { confirmation.await() }
+        val serving = control.thread.decide { control.publication.serving } ?: return refused(Refusal.NotServing(RETRY_AFTER, "no configuration"))
+        val refusal = identify(call, serving)
+        return if (refusal != null) refused(refusal) else next.proceed(call)
+    }
+
+    private fun identify(
+        call: DirectCall,
+        serving: ServingSet,
+    ): Refusal? {
+        val request = call.request
+        val route = serving.route(request.host, request.path.substringBefore('?')) ?: return Refusal.UnknownRoute
+        val customer = request.key?.let { serving.customerOf(it) }
+        if (serving.asksForKeys && !route.open && customer == null) return Refusal.UnknownCustomer
+        val service = pick(route) ?: return Refusal.NoTarget(RETRY_AFTER)
+        val limit = minOf(route.timeout, request.timeLeft ?: Duration.INFINITE)
+        call.identify(
+            DirectIdentity(
+                revision = serving.revision,
+                route = route,
+                customer = customer.takeUnless { route.open },
+                service = service,
+                endsAt = call.receivedAt + limit,
+                priority = customer?.priority ?: route.priority,
+                homes = listOf(route.homes, homesOf(customer)),
+            ),
+        )
+        return null
+    }
+
+    private fun homesOf(customer: ServingCustomer?) = customer?.homes.orEmpty()
+
+    private fun pick(route: ServingRoute): ServiceId? {
+        var rest = random.nextDouble() * route.shares.sumOf { it.weight }
+        for (share in route.shares) {
+            rest -= share.weight
+            if (rest < 0) return share.service
+        }
+        return route.shares.lastOrNull()?.service
+    }
+
+    private fun refused(refusal: Refusal) = Outcome.Refused(refusal, Step.IDENTIFY, Peer.SELF)
+
+    private companion object {
+        val RETRY_AFTER = 1.seconds
+
+        /** Long enough for one read of the store or of a peer. */
+        val CONFIRM_LIMIT = 400.milliseconds
+    }
+}
+
+/** Runs [call] through [filters]' end of time: what is left of the caller's and the route's time at [clock]. */
+internal fun DirectIdentity.timeLeft(clock: Clock): Duration = endsAt - clock.elapsed()
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -0,0 +1,280 @@
+/**
+ * Sends a request to a back end, again where that is safe, until it has an answer or a truthful end.
+ *
+ * A request that may run at most once is sent again only after a proof that it did not run: a connection that never opened
+ * or an answer that says so. Anything else ends as unknown. A stream that may resume goes on after its last whole event
+ * within the same answer. Every repeat that may reach a back end draws on the budget that all entry daemons share.
+ */
+package lagoonrudder.traffic.direct
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.direct.AttemptEnd
+import lagoonrudder.control.direct.Placement
+import lagoonrudder.control.direct.PlacementNeed
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RequestKind
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import lagoonrudder.traffic.Filter
+import lagoonrudder.traffic.Next
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * [patience] is the part of a route's objective that a request may wait for a place; [firstEvent] and [nextEvent] bound the
+ * silence of a back end whose request may go elsewhere; [refusals] bounds the back ends that may turn one request away.
+ */
+data class DirectLimits(
+    val patience: Double = 0.45,
+    val firstEvent: Duration = 1_200.milliseconds,
+    val nextEvent: Duration = 1_000.milliseconds,
+    val refusals: Int = 4,
+    val retryAfter: Duration = 1.seconds,
+)
+
+class DirectSendFilter(
+    private val control: DirectControl,
+    private val link: BackEndLink,
+    private val limits: DirectLimits,
+) : Filter<DirectCall> {
+    override suspend fun handle(
+        call: DirectCall,
+        next: Next<DirectCall>,
+    ): Outcome = DirectSending(call, control, link, limits).run()
+}
+
+/** How one attempt ended. */
+internal sealed class DirectResult {
+    data class Completed(
+        val length: Long,
+    ) : DirectResult()
+
+    /** The request did not run there. [reached] tells whether it arrived. */
+    data class NotRun(
+        val reached: Boolean,
+        val detail: String,
+    ) : DirectResult()
+
+    /** The request may have run there, and no answer can be passed on. */
+    data class Lost(
+        val detail: String,
+        val silent: Boolean = false,
+    ) : DirectResult()
+
+    /** The back end ran the request and failed it; [relay] holds that answer. */
+    data class Failed(
+        val status: Int,
+    ) : DirectResult()
+}
+
+private class DirectSending(
+    private val call: DirectCall,
+    private val control: DirectControl,
+    private val link: BackEndLink,
+    private val limits: DirectLimits,
+) {
+    private val identity = call.identity
+    private val kind = identity.route.kind
+    private val relay = DirectRelay(call, control.clock)
+    private val passedOver = mutableSetOf<TargetId>()
+    private var runs = 0
+    private var refusals = 0
+    private var mayHaveRun: DirectResult.Lost? = null
+    private var number: WeightNumber? = null
+
+    suspend fun run(): Outcome {
+        control.thread.decide { control.repeats.requested(identity.service, control.clock.elapsed()) }
+        return withTimeoutOrNull(identity.timeLeft(control.clock)) { attempts() } ?: timedOut()
+    }
+
+    private suspend fun attempts(): Outcome {
+        while (true) {
+            val backEnd =
+                when (val placement = place()) {
+                    is Placement.Placed -> placement.backEnd.also { number = placement.number }
+                    is Placement.Refused -> return nowhere(placement)
+                }
+            val result = counted(backEnd) { attempt(backEnd) }
+            call.attempts += AttemptRecord(backEnd.id, describe(result))
+            passedOver += backEnd.id
+            val outcome =
+                when (result) {
+                    is DirectResult.Completed -> return Outcome.Completed(result.length, null)
+                    is DirectResult.NotRun -> afterNotRun(result)
+                    is DirectResult.Lost -> afterLoss(result)
+                    is DirectResult.Failed -> afterFailure(result)
+                }
+            if (outcome != null) return outcome
+        }
+    }
+
+    private suspend fun place(): Placement {
+        val asked = control.clock.elapsed()
+        val patience = if (call.attempts.isEmpty()) identity.route.objective * limits.patience else REPEAT_PATIENCE
+        val need = PlacementNeed(identity.service, identity.customer?.id, identity.priority, identity.homes, passedOver.toSet(), relay.number)
+        val decision =
+            withContext(NonCancellable) {
+                control.thread.decide { control.placement.place(need, patience, control.clock.elapsed()) }
+            }
+        var taken = false
+        try {
+            return decision.await().also { taken = true }
+        } finally {
+            call.waited += control.clock.elapsed() - asked
+            if (!taken) withContext(NonCancellable) { control.thread.decide { giveBack(decision) } }
+        }
+    }
+
+    /** Frees the place of a request whose coroutine ended while it waited; runs on the control thread. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun giveBack(decision: CompletableDeferred<Placement>) {
+        if (!decision.isCompleted) return control.placement.withdraw(decision)
+        val placed = decision.getCompleted() as? Placement.Placed ?: return
+        control.placement.ended(placed.backEnd.id, identity.customer?.id, AttemptEnd.ABANDONED, control.clock.elapsed())
+    }
+
+    /** Runs one attempt and tells the controllers how the back end did. */
+    private suspend fun counted(
+        backEnd: BackEnd,
+        attempt: suspend () -> DirectResult,
+    ): DirectResult {
+        var end = AttemptEnd.ABANDONED
+        try {
+            return attempt().also { end = endOf(it) }
+        } finally {
+            withContext(NonCancellable) {
+                control.thread.decide { control.placement.ended(backEnd.id, identity.customer?.id, end, control.clock.elapsed()) }
+            }
+        }
+    }
+
+    private suspend fun attempt(backEnd: BackEnd): DirectResult {
+        val attempt =
+            DirectAttempt(
+                caller = call.request,
+                backEnd = backEnd,
+                customer = identity.customer?.id,
+                priority = identity.priority,
+                timeLeft = identity.timeLeft(control.clock),
+                number = number,
+                resumeAfter = relay.last ?: call.request.resumeAfter,
+            )
+        val open = link.send(attempt).getOrElse { return DirectResult.NotRun(reached = false, it.describe()) }
+        try {
+            return receive(open, backEnd)
+        } finally {
+            open.abandon()
+        }
+    }
+
+    private suspend fun receive(
+        open: OpenAttempt,
+        backEnd: BackEnd,
+    ): DirectResult {
+        relay.newAttempt()
+        while (true) {
+            val event = nextOf(open) ?: return silent(backEnd).also { relay.attemptEnded() }
+            relay.take(event, kind)?.let {
+                relay.attemptEnded()
+                return it
+            }
+        }
+    }
+
+    /** The next event; null when the back end was silent for too long and another one may be tried. */
+    private suspend fun nextOf(open: OpenAttempt): AnswerEvent? {
+        if (!kind.repeatable || runs + 1 >= identity.route.attempts) return open.next()
+        val limit = if (relay.begun) limits.nextEvent else limits.firstEvent
+        val event = withTimeoutOrNull(limit) { open.next() }
+        if (event != null) return event
+        return if (spend()) null else open.next()
+    }
+
+    private fun silent(backEnd: BackEnd): DirectResult {
+        link.distrust(backEnd)
+        return DirectResult.Lost("silent", silent = true)
+    }
+
+    private suspend fun afterNotRun(result: DirectResult.NotRun): Outcome? {
+        refusals++
+        val again = refusals <= limits.refusals && (!result.reached || spend())
+        return if (again) null else ended(result.detail)
+    }
+
+    private suspend fun afterLoss(result: DirectResult.Lost): Outcome? {
+        runs++
+        mayHaveRun = result
+        val again = kind.repeatable && runs < identity.route.attempts && (result.silent || spend())
+        return if (again) null else ended(result.detail)
+    }
+
+    private suspend fun afterFailure(result: DirectResult.Failed): Outcome? {
+        runs++
+        val again = kind is RequestKind.Idempotent && runs < identity.route.attempts && spend()
+        if (again) return null
+        return Outcome.Completed(relay.passFailure(), null).also { call.lastFailure = failure("status ${result.status}") }
+    }
+
+    private suspend fun spend(): Boolean =
+        control.thread.decide { control.repeats.spend(identity.service, control.peers.entryCount(), control.clock.elapsed()) }
+
+    private suspend fun nowhere(placement: Placement.Refused): Outcome {
+        if (relay.holdsFailure) return Outcome.Completed(relay.passFailure(), null)
+        if (relay.begun || mayHaveRun != null) return ended(placement.reason)
+        call.lastFailure = failure(placement.reason)
+        return Outcome.Refused(placement.refusal, Step.CHOOSE_TARGET, Peer.SELF)
+    }
+
+    private suspend fun timedOut(): Outcome {
+        if (relay.holdsFailure) return Outcome.Completed(relay.passFailure(), null)
+        if (relay.open && mayHaveRun == null) mayHaveRun = DirectResult.Lost("time is over")
+        return ended("time is over")
+    }
+
+    /** The truthful end of a request that gets no answer from a back end. */
+    private fun ended(detail: String): Outcome {
+        val failure = failure(detail)
+        call.lastFailure = failure
+        return when {
+            relay.begun -> Outcome.Broken(failure)
+            mayHaveRun != null -> Outcome.Unknown(failure)
+            else -> Outcome.Refused(Refusal.NoTarget(limits.retryAfter), Step.SEND, failure.peer)
+        }
+    }
+
+    private fun failure(detail: String): Failure =
+        Failure.Interrupted(Step.SEND, Peer(PeerRole.TARGET, call.attempts.lastOrNull()?.target?.text ?: "none"), detail)
+
+    private fun endOf(result: DirectResult): AttemptEnd =
+        when (result) {
+            is DirectResult.Completed -> AttemptEnd.ANSWERED
+            is DirectResult.NotRun -> if (result.reached) AttemptEnd.NOT_RUN else AttemptEnd.UNREACHABLE
+            is DirectResult.Lost -> if (result.silent) AttemptEnd.SILENT else AttemptEnd.FAILED
+            is DirectResult.Failed -> AttemptEnd.FAILED
+        }
+
+    private fun describe(result: DirectResult): String =
+        when (result) {
+            is DirectResult.Completed -> "answered"
+            is DirectResult.NotRun -> "not-run:${result.detail}"
+            is DirectResult.Lost -> "lost:${result.detail}"
+            is DirectResult.Failed -> "failed:${result.status}"
+        }
+
+    private companion object {
+        /** A repeat has lost time already; it takes a free place or none. */
+        val REPEAT_PATIENCE = 60.milliseconds
+    }
+}
--- a/wire/src/main/kotlin/lagoonrudder/wire/documents/IniSection.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/documents/IniSection.kt
@@ -37,6 +37,9 @@
         return values[key]?.takeIf { it.isNotBlank() }
     }
 
+    /** All keys with their values. */
+    fun pairs(): List<Pair<String, String>> = values.map { it.key to it.value.trim() }
+
     fun Raise<Failure.Malformed>.long(key: String): Long = number(key, text(key))
 
     fun Raise<Failure.Malformed>.longOr(
--- /dev/null
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -0,0 +1,129 @@
+/**
+ * Messages between daemons that share what they read of the platform's store and what they have in flight.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package lagoonrudder.wire.messages
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.PeerSighting
+import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Digest
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import lagoonrudder.model.addressOrNull
+import kotlin.time.Duration.Companion.milliseconds
+
+@Serializable
+data class PeerMessage(
+    @ProtoNumber(1) val daemon: String,
+    @ProtoNumber(2) val entry: Boolean,
+    @ProtoNumber(3) val domain: String,
+    @ProtoNumber(4) val region: String,
+    @ProtoNumber(5) val address: String = "",
+)
+
+@Serializable
+data class SightingMessage(
+    @ProtoNumber(1) val peer: PeerMessage,
+    @ProtoNumber(2) val ageMilliseconds: Long,
+)
+
+@Serializable
+data class LoadMessage(
+    @ProtoNumber(1) val target: String,
+    @ProtoNumber(2) val inFlight: Int,
+)
+
+/** [model] is empty while the back end holds nothing. */
+@Serializable
+data class SlotMessage(
+    @ProtoNumber(1) val backEnd: String,
+    @ProtoNumber(2) val born: Long,
+    @ProtoNumber(3) val model: String = "",
+    @ProtoNumber(4) val number: Long = 0,
+    @ProtoNumber(5) val layers: Int = 0,
+    @ProtoNumber(6) val closed: Boolean = false,
+)
+
+@Serializable
+class ItemMessage(
+    @ProtoNumber(1) val key: String,
+    @ProtoNumber(2) val revision: Long,
+    @ProtoNumber(3) val removed: Boolean,
+    @ProtoNumber(4) val value: ByteArray,
+)
+
+/** What a daemon says of itself; [wantsItems] asks for the items that changed after [at], [wantsPeers] for who is alive. */
+@Serializable
+data class WordMessage(
+    @ProtoNumber(1) val self: PeerMessage,
+    @ProtoNumber(2) val at: Long,
+    @ProtoNumber(3) val wantsItems: Boolean = false,
+    @ProtoNumber(4) val loads: List<LoadMessage> = emptyList(),
+    @ProtoNumber(5) val slot: SlotMessage? = null,
+    @ProtoNumber(6) val wantsPeers: Boolean = false,
+)
+
+@Serializable
+class WordReply(
+    @ProtoNumber(1) val self: PeerMessage,
+    @ProtoNumber(2) val at: Long,
+    @ProtoNumber(3) val loads: List<LoadMessage> = emptyList(),
+    @ProtoNumber(4) val sightings: List<SightingMessage> = emptyList(),
+    @ProtoNumber(5) val items: List<ItemMessage> = emptyList(),
+)
+
+@Serializable
+class ManifestMessage(
+    @ProtoNumber(1) val model: String,
+    @ProtoNumber(2) val number: Long,
+    @ProtoNumber(3) val digests: List<String>,
+)
+
+fun PeerDaemon.toMessage() = PeerMessage(daemon.text, role == DaemonRole.ENTRY, domain.text, region.text, address?.toString().orEmpty())
+
+fun PeerMessage.toPeer() =
+    PeerDaemon(
+        daemon = DaemonId(daemon),
+        role = if (entry) DaemonRole.ENTRY else DaemonRole.TARGET,
+        domain = DomainId(domain),
+        region = RegionId(region),
+        address = addressOrNull(address),
+    )
+
+fun PeerSighting.toMessage() = SightingMessage(peer.toMessage(), age.inWholeMilliseconds)
+
+fun SightingMessage.toSighting() = PeerSighting(peer.toPeer(), ageMilliseconds.milliseconds)
+
+fun Map<TargetId, Int>.toMessages() = map { LoadMessage(it.key.text, it.value) }
+
+fun List<LoadMessage>.toLoads(): Map<TargetId, Int> = associate { TargetId(it.target) to it.inFlight }
+
+fun SlotWord.toMessage() =
+    SlotMessage(backEnd.toString(), born, held?.model?.text.orEmpty(), held?.number?.number ?: 0, held?.layers ?: 0, closed)
+
+/** Null when the address of the back end is none. */
+fun SlotMessage.toWord(): SlotWord? {
+    val held = if (model.isEmpty()) null else HeldWeights(ModelId(model), WeightNumber(number), layers)
+    return addressOrNull(backEnd)?.let { SlotWord(it, born, held, closed) }
+}
+
+fun StoreItem.toMessage() = ItemMessage(key, revision, value == null, value ?: ByteArray(0))
+
+fun ItemMessage.toItem() = StoreItem(key, revision, value.takeUnless { removed })
+
+fun WeightManifest.toMessage() = ManifestMessage(model.text, number.number, digests.map { it.hexadecimal })
+
+fun ManifestMessage.toManifest() = WeightManifest(ModelId(model), WeightNumber(number), digests.map { Digest(it) })
