--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -39,7 +39,10 @@
     val coldAllowance: Double,
 )
 
-/** What a request needs of a back end. [passedOver] are back ends that it must not go to again. */
+/**
+ * What a request needs of a back end. [passedOver] are back ends that it must not go to again,
+ * [number] the version that began its answer, where it has begun.
+ */
 data class PlacementNeed(
     val service: ServiceId,
     val customer: CustomerId?,
@@ -203,6 +206,8 @@
         val layout = publication.serving?.service(backEnd.service)?.weights ?: return true
         val held = slots.held(backEnd, now) ?: return false
         if (held.layers < layout.layers) return false
+        val begun = need.number
+        if (begun != null && held.number != begun) return false
         val required = requiredNumber(held, need, now) ?: return true
         return held.number >= required
     }
@@ -213,9 +218,8 @@
         need: PlacementNeed,
         now: Duration,
     ): WeightNumber? {
-        val declared = held?.let { publication.declared(it.model) } ?: return need.number
-        val binds = now - declared.since > bounds.versionLimit - SWITCH_MARGIN
-        return if (binds) declared.number else need.number
+        val declared = held?.let { publication.declaredBy(it.model, now - bounds.versionLimit + SWITCH_MARGIN) }
+        return declared?.number ?: need.number
     }
 
     private fun reasonOf(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -65,7 +65,7 @@
     private val items = mutableMapOf<String, ReadItem>()
     private val lapsing = mutableMapOf<TargetId, Duration>()
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
-    private val declaredByModel = mutableMapOf<ModelId, DeclaredWeights>()
+    private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
     private var disturbedUntil = Duration.ZERO
 
@@ -83,9 +83,20 @@
 
     fun backEnd(id: TargetId): BackEnd? = backEndsById[id]
 
-    fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]
+    /** The newest version that was declared for [model]. */
+    fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]?.last()
 
-    val declaredModels: Collection<DeclaredWeights> get() = declaredByModel.values
+    /** The newest version of [model] that was declared at [time] or before; each declaration binds from its own time on. */
+    fun declaredBy(
+        model: ModelId,
+        time: Duration,
+    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { it.since <= time }
+
+    /** The oldest declaration of [model] that a back end with [held] doesn't meet. */
+    fun oldestUnmet(
+        model: ModelId,
+        held: WeightNumber?,
+    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }
 
     /** Takes changes up to the revision [upTo] from the store or a peer. */
     fun take(
@@ -147,7 +158,7 @@
             entry("revision", serving?.revision?.number)
             entry("confirmed", confirmed)
             entry("evacuated", evacuated.map { it.text })
-            entry("declared", declaredByModel.values.map { "${it.model.text}:${it.number.number}" })
+            entry("declared", declaredByModel.values.map { "${it.last().model.text}:${it.last().number.number}" })
             entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
         }
 
@@ -219,10 +230,12 @@
         now: Duration,
         first: Boolean,
     ): DeclaredWeights? {
-        val known = declaredByModel[offered.model]
-        if (known != null && known.number >= offered.number) return null
+        val known = declaredByModel[offered.model].orEmpty()
+        if (known.isNotEmpty() && known.last().number >= offered.number) return null
         val since = if (first) now - DECLARED_EARLIER else now
-        return DeclaredWeights(offered.model, offered.number, since).also { declaredByModel[offered.model] = it }
+        val declared = DeclaredWeights(offered.model, offered.number, since)
+        declaredByModel[offered.model] = (known + declared).takeLast(DECLARATIONS_KEPT)
+        return declared
     }
 
     private fun changedEvacuation(): Set<DomainId>? {
@@ -238,5 +251,8 @@
 
         /** The age given to a version that was declared before this process started, in place of the unknown one. */
         val DECLARED_EARLIER = 5.seconds
+
+        /** Older declarations bind nobody any more. */
+        const val DECLARATIONS_KEPT = 16
     }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -118,11 +118,14 @@
         model: ModelId,
         report: BackEndReport,
     ): Duration? {
-        val declared = publication.declared(model) ?: return null
-        if (report.held == null) return null
-        val order = rendezvousOrder("${model.text} ${declared.number}", publication.backEnds.filter { it.service == service }) { it.id.text }
+        val held = report.held ?: return null
+        val newest = publication.declared(model) ?: return null
+        val oldest = publication.oldestUnmet(model, held.number) ?: return null
+        val order = rendezvousOrder("${model.text} ${newest.number}", publication.backEnds.filter { it.service == service }) { it.id.text }
         val place = order.indexOfFirst { it.address == backEnd }.coerceAtLeast(0)
-        return declared.since + FIRST_TURN + TURNS_SPREAD * (place.toDouble() / order.size.coerceAtLeast(1))
+        val first = newest.since + FIRST_TURN
+        val last = (oldest.since + FIRST_TURN + TURNS_SPREAD).coerceAtLeast(first)
+        return first + (last - first) * (place.toDouble() / order.size.coerceAtLeast(1))
     }
 
     private fun origin(): Address? = publication.serving?.services?.firstNotNullOfOrNull { it.origin }
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -0,0 +1,77 @@
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.Address
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CallerLimits
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.Published
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.Revision
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServingService
+import lagoonrudder.model.ServingSet
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightLayout
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+internal val MODEL = ModelId("model")
+internal val ENGINES = ServiceId("engines")
+internal val NEAR = DomainId("near")
+internal val FAR = DomainId("far")
+internal val REGIONS = mapOf(NEAR to RegionId("near-region"), FAR to RegionId("far-region"))
+internal const val LAYERS = 16
+
+internal fun backEnd(
+    name: String,
+    domain: DomainId = NEAR,
+    number: Long? = 1,
+    leaving: Boolean = false,
+    born: Long = 1,
+) = BackEnd(
+    id = TargetId(name),
+    service = ENGINES,
+    address = Address("10.0.0.${name.hashCode().mod(200) + 1}", 80),
+    domain = domain,
+    slots = 4,
+    leaving = leaving,
+    coldFor = Duration.ZERO,
+    born = born,
+    weights = number?.let { HeldWeights(MODEL, WeightNumber(it), LAYERS) },
+)
+
+internal fun servingSet(
+    revision: Long,
+    cold: Double? = null,
+) = ServingSet(
+    revision = Revision(revision),
+    routes = emptyList(),
+    services =
+        listOf(
+            ServingService(ENGINES, 100, cold, WeightLayout(listOf(MODEL), LAYERS, 2, 8), null, null),
+            ServingService(ServiceId("origin"), 100, null, null, Address("10.9.9.9", 80), FAR),
+        ),
+    customers = emptyList(),
+    limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds),
+)
+
+internal fun item(
+    key: String,
+    revision: Long,
+    published: Published?,
+) = ReadItem(StoreItem(key, revision, if (published == null) null else ByteArray(0)), published)
+
+internal fun registered(
+    backEnd: BackEnd,
+    revision: Long,
+) = item("servers/${backEnd.id.text}", revision, Published.Registered(backEnd))
+
+internal fun peer(
+    name: String,
+    domain: DomainId = NEAR,
+) = PeerDaemon(DaemonId(name), DaemonRole.ENTRY, domain, REGIONS.getValue(domain), Address("10.1.0.${name.hashCode().mod(200) + 1}", 70))
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -0,0 +1,208 @@
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import lagoonrudder.control.strictInvariants
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CustomerId
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.Published
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+@OptIn(ExperimentalCoroutinesApi::class)
+private val CompletableDeferred<Placement>.target: TargetId?
+    get() = (getCompleted() as? Placement.Placed)?.backEnd?.id
+
+private class Scene(
+    backEnds: List<BackEnd>,
+    cold: Double? = null,
+) {
+    var now = 100.seconds
+    val publication = PublicationController(strictInvariants())
+    val peers = PeerController(peer("self"), emptyList())
+    val slots = SlotController()
+    val placement =
+        PlacementController(Places(NEAR, REGIONS), PlacementBounds(8.seconds, 1.5, 5.0), publication, peers, slots, Random(1))
+
+    init {
+        publication.take(listOf(item("op/config", 1, Published.Serving(servingSet(1, cold)))), 1, 10.seconds)
+        publication.take(backEnds.mapIndexed { index, each -> registered(each, index + 2L) }, 50, 10.seconds)
+    }
+
+    fun place(
+        patience: Duration = Duration.ZERO,
+        customer: String? = null,
+        homes: List<Set<RegionId>> = emptyList(),
+        passedOver: Set<TargetId> = emptySet(),
+        number: Long? = null,
+    ) = placement.place(
+        PlacementNeed(ENGINES, customer?.let { CustomerId(it) }, 1, homes, passedOver, number?.let { WeightNumber(it) }),
+        patience,
+        now,
+    )
+
+    fun declare(number: Long) =
+        publication.take(listOf(item("op/version/model", 60 + number, Published.Declared(MODEL, WeightNumber(number)))), 60 + number, now)
+
+    fun evacuate(domain: DomainId) =
+        publication.take(listOf(item("op/evacuate/${domain.text}", 90, Published.Evacuated(domain))), 90, now)
+}
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class PlacementControllerTest :
+    FunSpec({
+        test("the back end with the smallest share of its places taken gets the request") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            val targets = (1..8).map { scene.place().target }
+            targets.count { it == TargetId("a") } shouldBe 4
+        }
+
+        test("what other entry daemons have in flight counts") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            scene.peers.heard(peer("other"), mapOf(TargetId("a") to 4), scene.now)
+            (1..3).map { scene.place().target }.toSet() shouldBe setOf(TargetId("b"))
+        }
+
+        test("a request waits for a place and gets the first that is free") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(7) { scene.place().target shouldBe TargetId("a") }
+            val waiting = scene.place(patience = 1.seconds)
+            waiting.isCompleted shouldBe false
+            scene.placement.ended(TargetId("a"), null, AttemptEnd.ANSWERED, scene.now)
+            waiting.target shouldBe TargetId("a")
+        }
+
+        test("a request that waited too long is refused as overloaded") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(7) { scene.place() }
+            val waiting = scene.place(patience = 100.milliseconds)
+            scene.now += 200.milliseconds
+            scene.placement.serveLine(scene.now)
+            waiting.getCompleted().shouldBeInstanceOf<Placement.Refused>().refusal.shouldBeInstanceOf<Refusal.Overloaded>()
+        }
+
+        test("the place of a request that was withdrawn goes to the next in line") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(7) { scene.place() }
+            val first = scene.place(patience = 1.seconds)
+            val second = scene.place(patience = 1.seconds)
+            scene.placement.withdraw(first)
+            scene.placement.ended(TargetId("a"), null, AttemptEnd.ANSWERED, scene.now)
+            second.target shouldBe TargetId("a")
+        }
+
+        test("the customer with less in flight goes first when places are short") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(7) { scene.place(customer = "large") }
+            val large = scene.place(patience = 1.seconds, customer = "large")
+            val small = scene.place(patience = 1.seconds, customer = "small")
+            scene.placement.ended(TargetId("a"), CustomerId("large"), AttemptEnd.ANSWERED, scene.now)
+            small.isCompleted shouldBe true
+            large.isCompleted shouldBe false
+        }
+
+        test("a leaving back end and an evacuated failure domain get nothing") {
+            val scene = Scene(listOf(backEnd("a", leaving = true), backEnd("b"), backEnd("c", FAR)))
+            scene.evacuate(NEAR)
+            (1..3).map { scene.place().target }.toSet() shouldBe setOf(TargetId("c"))
+        }
+
+        test("homes bind, and all of them") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("c", FAR)))
+            scene.place(homes = listOf(setOf(RegionId("far-region")), emptySet())).target shouldBe TargetId("c")
+            val nowhere = scene.place(homes = listOf(setOf(RegionId("far-region")), setOf(RegionId("near-region"))))
+            nowhere.getCompleted().shouldBeInstanceOf<Placement.Refused>()
+        }
+
+        test("a back end without whole weights gets nothing until its daemon says that it holds them") {
+            val empty = backEnd("a", number = null)
+            val scene = Scene(listOf(empty))
+            scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
+            val part = HeldWeights(MODEL, WeightNumber(1), LAYERS - 1)
+            scene.slots.heard(SlotWord(empty.address, empty.born, part, closed = false), scene.now)
+            scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
+            scene.slots.heard(SlotWord(empty.address, empty.born, part.copy(layers = LAYERS), closed = false), scene.now)
+            scene.place().target shouldBe TargetId("a")
+        }
+
+        test("the word about an earlier life of a back end doesn't count") {
+            val restarted = backEnd("a", number = null, born = 2)
+            val scene = Scene(listOf(restarted))
+            scene.slots.heard(SlotWord(restarted.address, 1, HeldWeights(MODEL, WeightNumber(1), LAYERS), closed = false), scene.now)
+            scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
+        }
+
+        test("a back end that loads gets nothing") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            val loading = backEnd("a")
+            scene.slots.heard(SlotWord(loading.address, loading.born, loading.weights, closed = true), scene.now)
+            (1..3).map { scene.place().target }.toSet() shouldBe setOf(TargetId("b"))
+        }
+
+        test("an older version serves until its time is nearly over, then only the declared one, which the request asks for") {
+            val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
+            scene.declare(2)
+            (1..6).map { scene.place().target }.toSet() shouldBe setOf(TargetId("old"), TargetId("new"))
+            scene.now += 7.seconds
+            repeat(3) {
+                val placed = scene.place().getCompleted().shouldBeInstanceOf<Placement.Placed>()
+                placed.backEnd.id shouldBe TargetId("new")
+                placed.number shouldBe WeightNumber(2)
+            }
+        }
+
+        test("a version that is declared on top of another doesn't put off the time of the first") {
+            val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
+            scene.declare(2)
+            scene.now += 2.seconds
+            scene.declare(3)
+            scene.now += 5.seconds
+            repeat(3) { scene.place().target shouldBe TargetId("new") }
+        }
+
+        test("a stream that goes on elsewhere goes on with the version that began it") {
+            val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
+            scene.place(number = 1).target shouldBe TargetId("old")
+            scene.place(number = 2).target shouldBe TargetId("new")
+        }
+
+        test("all entry daemons together stay within the rate of a cold back end, in every second") {
+            val entries = 4
+            val bound = 28.0 * 1.5 + 5
+            val sent =
+                (1..entries).map { self ->
+                    val scene = Scene(listOf(backEnd("a")), cold = 28.0)
+                    (1..entries).filter { it != self }.forEach { scene.peers.heard(peer("entry-$it"), emptyMap(), 10.seconds) }
+                    (1..200).count {
+                        val placed = scene.place().getCompleted() is Placement.Placed
+                        if (placed) scene.placement.ended(TargetId("a"), null, AttemptEnd.ANSWERED, scene.now)
+                        placed
+                    }
+                }
+            sent.sum() shouldBeLessThanOrEqual bound.toInt()
+        }
+
+        test("failures in a row set a back end aside, and an answer ends that") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            repeat(3) {
+                scene.place(passedOver = setOf(TargetId("b")))
+                scene.placement.ended(TargetId("a"), null, AttemptEnd.FAILED, scene.now)
+            }
+            scene.place().target shouldBe TargetId("b")
+            scene.place().target shouldBe TargetId("b")
+            scene.now += 10.seconds
+            scene.place(passedOver = setOf(TargetId("b"))).target shouldBe TargetId("a")
+        }
+    })
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
@@ -0,0 +1,97 @@
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import lagoonrudder.control.strictInvariants
+import lagoonrudder.model.Published
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class PublicationControllerTest :
+    FunSpec({
+        val start = 10.seconds
+
+        test("an older configuration never takes the place of a newer one, whoever offers it") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(item("op/config", 7, Published.Serving(servingSet(9)))), 7, start)
+            publication.take(listOf(item("op/config", 5, Published.Serving(servingSet(4)))), 8, start)
+            publication.serving?.revision?.number shouldBe 9
+        }
+
+        test("a stale whole read changes nothing") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 4)), 9, start)
+            publication.takeWhole(emptyList(), 6, start)
+            publication.backEnds.map { it.id.text } shouldContainExactly listOf("a")
+        }
+
+        test("a whole read after lost history takes away what is no longer there") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 4), registered(backEnd("b"), 5)), 5, start)
+            publication.takeWhole(listOf(registered(backEnd("b"), 5)), 20, start)
+            publication.backEnds.map { it.id.text } shouldContainExactly listOf("b")
+        }
+
+        test("an entry that lapsed while the store was away stays until its grace ends, and for good when it is back") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
+            publication.disturbed(start)
+            publication.take(listOf(item("servers/a", 3, null), item("servers/b", 4, null)), 4, start + 100.milliseconds)
+            publication.backEnds.size shouldBe 2
+            publication.take(listOf(registered(backEnd("b"), 5)), 5, start + 1.seconds)
+            publication.expire(start + 2.seconds).shouldBe(emptyList())
+            publication.expire(start + 3.seconds) shouldContainExactly listOf(TargetId("a"))
+            publication.backEnds.map { it.id.text } shouldContainExactly listOf("b")
+        }
+
+        test("an entry that is removed while the store is sound goes at once") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 1)), 1, start)
+            publication.take(listOf(item("servers/a", 2, null)), 2, start).gone shouldContainExactly listOf(TargetId("a"))
+            publication.backEnd(TargetId("a")).shouldBeNull()
+        }
+
+        test("an entry that can no longer be read names no back end") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 1)), 1, start)
+            publication.take(listOf(item("servers/a", 2, Published.Unusable("field slots"))), 2, start).unusable.size shouldBe 1
+            publication.backEnds.size shouldBe 0
+        }
+
+        test("a declared version only rises") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(item("op/version/model", 3, Published.Declared(MODEL, WeightNumber(2)))), 3, start)
+            publication.take(listOf(item("op/version/model", 4, Published.Declared(MODEL, WeightNumber(1)))), 4, start + 1.seconds)
+            publication.declared(MODEL).shouldNotBeNull().number shouldBe WeightNumber(2)
+        }
+
+        test("an evacuated failure domain is taken back when its item goes") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(item("op/evacuate/near", 3, Published.Evacuated(NEAR))), 3, start).evacuated shouldBe setOf(NEAR)
+            publication.take(listOf(item("op/evacuate/near", 4, null)), 4, start).evacuated shouldBe emptySet()
+        }
+
+        test("a peer gets what changed after its revision, removals too") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
+            publication.take(listOf(item("servers/a", 3, null)), 3, start)
+            publication.changesSince(1).map { it.key to (it.value == null) } shouldContainExactlyInAnyOrder
+                listOf("servers/a" to true, "servers/b" to false)
+        }
+
+        test("after a pause nothing is confirmed until the store or a peer answers") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(item("op/config", 1, Published.Serving(servingSet(1)))), 1, start)
+            publication.confirmed shouldBe true
+            publication.doubt()
+            publication.confirmed shouldBe false
+            publication.take(emptyList(), 1, start + 1.seconds)
+            publication.confirmed shouldBe true
+        }
+    })
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -0,0 +1,118 @@
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import lagoonrudder.control.strictInvariants
+import lagoonrudder.model.Address
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.Published
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class RepeatShareTest :
+    FunSpec({
+        val bounds = RepeatBounds(0.2, 10.seconds, 100.0)
+
+        test("the shares of all entry daemons stay within the budget") {
+            val entries = 6
+            val spent =
+                (1..entries).sumOf {
+                    val share = RepeatShare(bounds)
+                    repeat(50) { share.requested(ENGINES, 1.seconds) }
+                    (1..500).count { share.spend(ENGINES, entries, 2.seconds) }
+                }
+            spent.toDouble() shouldBeLessThanOrEqual 0.2 * 50 * entries + 100
+        }
+
+        test("what was spent comes back when the window has passed") {
+            val share = RepeatShare(bounds.copy(allowance = 2.0))
+            generateSequence { share.spend(ENGINES, 1, 1.seconds) }.takeWhile { it }.count() shouldBe 1
+            share.spend(ENGINES, 1, 12.seconds) shouldBe true
+        }
+    })
+
+class PeerControllerTest :
+    FunSpec({
+        test("a daemon that was heard of counts as alive for a while, and for shares much longer") {
+            val peers = PeerController(peer("self"), emptyList())
+            peers.heard(peer("other"), emptyMap(), 10.seconds)
+            peers.liveEntries(11.seconds).size shouldBe 2
+            peers.liveEntries(13.seconds).size shouldBe 1
+            peers.entryCount() shouldBe 2
+        }
+
+        test("daemons learn of each other from each other") {
+            val peers = PeerController(peer("self"), listOf(Address("10.1.0.250", 70)))
+            peers.sighted(listOf(PeerSighting(peer("third"), 500.milliseconds)), 10.seconds)
+            peers.partners(10.seconds) shouldContain peer("third").address.shouldNotBeNull()
+        }
+
+        test("an old word about what is in flight doesn't count") {
+            val peers = PeerController(peer("self"), emptyList())
+            val target = backEnd("a").id
+            peers.heard(peer("other"), mapOf(target to 3), 10.seconds)
+            peers.inFlightElsewhere(target, 10.5.seconds) shouldBe 3
+            peers.inFlightElsewhere(target, 15.seconds) shouldBe 0
+        }
+    })
+
+class StagingControllerTest :
+    FunSpec({
+        fun report(number: Long?) =
+            BackEndReport(1, number?.let { HeldWeights(MODEL, WeightNumber(it), LAYERS) }, loading = false, orders = 0, running = 0, waiting = 0)
+
+        fun scene(): Pair<PublicationController, StagingController> {
+            val publication = PublicationController(strictInvariants())
+            val peers = PeerController(peer("self"), emptyList())
+            peers.heard(peer("near-entry"), emptyMap(), 10.seconds)
+            peers.heard(peer("far-entry", FAR), emptyMap(), 10.seconds)
+            publication.take(listOf(item("op/config", 1, Published.Serving(servingSet(1)))), 1, 1.seconds)
+            publication.take((1..8).map { registered(backEnd("b$it"), it + 1L) }, 9, 2.seconds)
+            return publication to StagingController(peers, publication, REGIONS)
+        }
+
+        fun declare(
+            publication: PublicationController,
+            number: Long,
+        ) = publication.take(listOf(item("op/version/model", 20 + number, Published.Declared(MODEL, WeightNumber(number)))), 20 + number, 10.seconds)
+
+        test("a back end without weights wants the newest, one with the declared version nothing") {
+            val (publication, staging) = scene()
+            staging.wanted(ENGINES, report(null)).shouldNotBeNull().number.shouldBeNull()
+            staging.wanted(ENGINES, report(1)).shouldBeNull()
+            declare(publication, 2)
+            staging.wanted(ENGINES, report(1)).shouldNotBeNull().number shouldBe WeightNumber(2)
+            staging.wanted(ENGINES, report(2)).shouldBeNull()
+            declare(publication, 3)
+            staging.wanted(ENGINES, report(2)).shouldNotBeNull().number shouldBe WeightNumber(3)
+        }
+
+        test("pieces come from entry daemons of the own region first and from the origin last") {
+            val (_, staging) = scene()
+            val sources = staging.sources(MODEL, WeightNumber(1), 0, 10.seconds)
+            sources.first().shouldBeInstanceOf<PieceSource.Entry>()
+            sources.last().shouldBeInstanceOf<PieceSource.Origin>()
+        }
+
+        test("only an entry daemon in the origin's region draws from the origin first") {
+            val (_, staging) = scene()
+            val far = peer("far-entry", FAR).address.shouldNotBeNull()
+            (0 until 20).forEach { staging.sourcesAbove(MODEL, WeightNumber(1), it, 10.seconds).first() shouldBe PieceSource.Entry(far) }
+        }
+
+        test("back ends that serve switch one after the other, all within the time to spread; an empty one needn't wait") {
+            val (publication, staging) = scene()
+            declare(publication, 2)
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, MODEL, report(1)).shouldNotBeNull() }
+            turns.toSet().size shouldBe publication.backEnds.size
+            turns.filter { it > 10.seconds + 6.seconds }.shouldBeEmpty()
+            staging.turn(ENGINES, backEnd("b1").address, MODEL, report(null)).shouldBeNull()
+        }
+    })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -210,8 +210,8 @@
     private companion object {
         const val MANIFEST = -1
 
-        /** More draws at once would only queue on the slot's own link. */
-        const val DRAWS_AT_ONCE = 4
+        /** The link of the slot also carries live requests: more draws at once would queue before them. */
+        const val DRAWS_AT_ONCE = 1
         val IDLE_PAUSE = 400.milliseconds
         val FAILED_PAUSE = 300.milliseconds
         val TURN_CHECK = 200.milliseconds
--- /dev/null
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -0,0 +1,380 @@
+package lagoonrudder.traffic.direct
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import lagoonrudder.control.ControlThread
+import lagoonrudder.control.direct.PeerController
+import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.PlacementBounds
+import lagoonrudder.control.direct.PlacementController
+import lagoonrudder.control.direct.Places
+import lagoonrudder.control.direct.PublicationController
+import lagoonrudder.control.direct.ReadItem
+import lagoonrudder.control.direct.RepeatBounds
+import lagoonrudder.control.direct.RepeatShare
+import lagoonrudder.control.direct.SlotController
+import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.model.Address
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CallerLimits
+import lagoonrudder.model.Clock
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.EventId
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Published
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.RequestId
+import lagoonrudder.model.RequestKind
+import lagoonrudder.model.Revision
+import lagoonrudder.model.RouteId
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServiceShare
+import lagoonrudder.model.ServingRoute
+import lagoonrudder.model.ServingService
+import lagoonrudder.model.ServingSet
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import lagoonrudder.traffic.FilterChain
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+
+private val DOMAIN = DomainId("one")
+private val REGION = RegionId("first")
+private val SERVICE = ServiceId("service")
+
+/** What a back end does with one attempt. */
+private sealed class Behaviour {
+    data object Unreachable : Behaviour()
+
+    data class Answers(
+        val events: List<AnswerEvent>,
+    ) : Behaviour()
+
+    /** Sends [events] and then nothing more. */
+    data class Silent(
+        val events: List<AnswerEvent>,
+    ) : Behaviour()
+}
+
+private class FakeLink(
+    private val behaviours: MutableList<Behaviour>,
+) : BackEndLink {
+    val attempts = mutableListOf<DirectAttempt>()
+    var abandoned = 0
+
+    override suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt> {
+        attempts += attempt
+        return when (val behaviour = behaviours.removeFirst()) {
+            Behaviour.Unreachable -> Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "refused").left()
+            is Behaviour.Answers -> FakeAttempt(behaviour.events, silent = false).right()
+            is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
+        }
+    }
+
+    override fun distrust(backEnd: BackEnd) = Unit
+
+    private inner class FakeAttempt(
+        events: List<AnswerEvent>,
+        private val silent: Boolean,
+    ) : OpenAttempt {
+        private val rest = ArrayDeque(events)
+
+        override suspend fun next(): AnswerEvent =
+            rest.removeFirstOrNull() ?: if (silent) awaitCancellation() else AnswerEvent.Broken("connection closed")
+
+        override fun abandon() {
+            abandoned++
+        }
+    }
+}
+
+private class FakeAnswer : CallerAnswer {
+    val heads = mutableListOf<AnswerHead>()
+    val body = StringBuilder()
+    var ended = false
+
+    override suspend fun whole(
+        head: AnswerHead,
+        body: ByteArray,
+    ) {
+        heads += head
+        this.body.append(body.decodeToString())
+        ended = true
+    }
+
+    override suspend fun begin(head: AnswerHead) {
+        heads += head
+    }
+
+    override suspend fun write(bytes: ByteArray) {
+        body.append(bytes.decodeToString())
+    }
+
+    override suspend fun end() {
+        ended = true
+    }
+}
+
+private fun head(
+    status: Int = 200,
+    execution: Execution = Execution.RUN,
+) = AnswerEvent.Head(AnswerHead(status, emptyList(), null, execution, null))
+
+private fun bytes(text: String) = AnswerEvent.Bytes(text.encodeToByteArray())
+
+private fun event(number: Int) = bytes("id: $number\ndata: $number\n\n")
+
+private fun text(vararg numbers: Int) = numbers.joinToString("") { "id: $it\ndata: $it\n\n" }
+
+private val NOT_RUN = Behaviour.Answers(listOf(head(503, Execution.NOT_RUN), AnswerEvent.End))
+private val RESET = Behaviour.Answers(emptyList())
+private val WHOLE = Behaviour.Answers(listOf(head(), bytes("done"), AnswerEvent.End))
+
+@OptIn(ExperimentalCoroutinesApi::class)
+private class Scene(
+    scope: TestScope,
+    kind: RequestKind,
+    attempts: Int = 2,
+    vararg behaviours: Behaviour,
+) {
+    private val clock =
+        object : Clock {
+            override fun now() = Instant.fromEpochMilliseconds(scope.currentTime)
+
+            override fun elapsed() = scope.currentTime.milliseconds
+        }
+    private val invariants = Invariants { error("violated: $it") }
+    private val publication = PublicationController(invariants)
+    private val self = PeerDaemon(DaemonId("self"), DaemonRole.ENTRY, DOMAIN, REGION, null)
+    private val peers = PeerController(self, emptyList())
+    private val placement =
+        PlacementController(
+            Places(DOMAIN, mapOf(DOMAIN to REGION)),
+            PlacementBounds(8.seconds, 1.5, 5.0),
+            publication,
+            peers,
+            SlotController(),
+            Random(1),
+        )
+    private val control =
+        DirectControl(
+            ControlThread.virtual(StandardTestDispatcher(scope.testScheduler), clock, invariants),
+            clock,
+            publication,
+            peers,
+            placement,
+            RepeatShare(RepeatBounds(0.2, 10.seconds, 100.0)),
+        )
+    val link = FakeLink(behaviours.toMutableList())
+    val answer = FakeAnswer()
+    val inFlight get() = placement.inFlight()
+    private val chain = FilterChain(directFilters(control, link, Random(1)) { _, _ -> })
+
+    init {
+        val route =
+            ServingRoute(
+                RouteId("route"),
+                "host",
+                "/a/",
+                kind,
+                5.seconds,
+                400.milliseconds,
+                1,
+                attempts,
+                listOf(ServiceShare(SERVICE, 1.0)),
+                true,
+                emptySet(),
+            )
+        val limits = CallerLimits(1, 1, 1.seconds, 1.seconds)
+        val set = ServingSet(Revision(1), listOf(route), listOf(ServingService(SERVICE, 9, null, null, null, null)), emptyList(), limits)
+        val backEnds =
+            listOf("a", "b", "c").map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, 4, false, Duration.ZERO, 1, null) }
+        val items =
+            backEnds.mapIndexed { index, each -> ReadItem(StoreItem("servers/${each.id.text}", index + 2L, ByteArray(0)), Published.Registered(each)) }
+        publication.take(items + ReadItem(StoreItem("op/config", 1, ByteArray(0)), Published.Serving(set)), 9, Duration.ZERO)
+    }
+
+    suspend fun run(
+        path: String = "/a/b",
+        timeLeft: Duration = 4.seconds,
+    ): Outcome {
+        val request = CallerRequest(RequestId("r"), "POST", "host", path, null, timeLeft, null, emptyList(), ByteArray(0))
+        return chain.run(DirectCall(request, answer, clock.elapsed()))
+    }
+}
+
+private val STREAM = RequestKind.Stream(resumable = true, longestPause = 300.milliseconds)
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class DirectSendFilterTest :
+    FunSpec({
+        test("a request that may run once is not sent again after a reset, and its end promises nothing") {
+            runTest {
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, RESET, WHOLE)
+                scene.run().shouldBeInstanceOf<Outcome.Unknown>()
+                scene.link.attempts shouldHaveSize 1
+            }
+        }
+
+        test("a request that may run once is sent again after a proof that it did not run, and after no connection") {
+            runTest {
+                val scene = Scene(this, RequestKind.AtMostOnce, 1, NOT_RUN, Behaviour.Unreachable, WHOLE)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.link.attempts.map { it.backEnd.id }.toSet() shouldHaveSize 3
+                scene.answer.body.toString() shouldBe "done"
+            }
+        }
+
+        test("a silent back end of a request that may run once is waited for until the time is over, then the end is unknown") {
+            runTest {
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, Behaviour.Silent(emptyList()))
+                scene.run(timeLeft = 2.seconds).shouldBeInstanceOf<Outcome.Unknown>()
+                testScheduler.currentTime shouldBe 2_000
+                scene.link.abandoned shouldBe 1
+            }
+        }
+
+        test("an idempotent request goes elsewhere after a reset, but to no more back ends than its route allows") {
+            runTest {
+                val scene = Scene(this, RequestKind.Idempotent, 2, RESET, RESET, WHOLE)
+                scene.run().shouldBeInstanceOf<Outcome.Unknown>()
+                scene.link.attempts shouldHaveSize 2
+            }
+        }
+
+        test("an idempotent request whose back end failed it is tried once more, and the failure is passed on unchanged") {
+            runTest {
+                val failed = Behaviour.Answers(listOf(head(500), bytes("bad"), AnswerEvent.End))
+                val scene = Scene(this, RequestKind.Idempotent, 2, failed, failed)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.answer.heads.single().status shouldBe 500
+                scene.answer.body.toString() shouldBe "bad"
+            }
+        }
+
+        test("the failure of a request that may run once is passed on at once") {
+            runTest {
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, Behaviour.Answers(listOf(head(500), bytes("bad"), AnswerEvent.End)), WHOLE)
+                scene.run()
+                scene.link.attempts shouldHaveSize 1
+                scene.answer.heads.single().status shouldBe 500
+            }
+        }
+
+        test("an answer that proves nothing of its origin is never passed on") {
+            runTest {
+                val forged = Behaviour.Answers(listOf(head(200, Execution.UNPROVEN), bytes("forged"), AnswerEvent.End))
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, forged)
+                scene.run().shouldBeInstanceOf<Outcome.Unknown>()
+                scene.answer.body.toString() shouldBe ""
+            }
+        }
+
+        test("an answer that breaks off before it is whole is replaced") {
+            runTest {
+                val broken = Behaviour.Answers(listOf(head(), bytes("do")))
+                val scene = Scene(this, RequestKind.Idempotent, 2, broken, WHOLE)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.answer.body.toString() shouldBe "done"
+            }
+        }
+
+        test("a stream goes on after its last whole event within the same answer") {
+            runTest {
+                val torn = Behaviour.Answers(listOf(head(), event(1), event(2), bytes("id: 3\nda")))
+                val rest = Behaviour.Answers(listOf(head(), event(3), event(4), AnswerEvent.End))
+                val scene = Scene(this, STREAM, 2, torn, rest)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.link.attempts.map { it.resumeAfter } shouldContainExactly listOf(null, EventId(2))
+                scene.answer.heads shouldHaveSize 1
+                scene.answer.body.toString() shouldBe text(1, 2, 3, 4)
+            }
+        }
+
+        test("events that were passed on before are not passed on again, and a gap breaks the answer") {
+            runTest {
+                val torn = Behaviour.Answers(listOf(head(), event(1), event(2)))
+                val overlapping = Behaviour.Answers(listOf(head(), event(2), event(3), AnswerEvent.End))
+                val scene = Scene(this, STREAM, 2, torn, overlapping)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.answer.body.toString() shouldBe text(1, 2, 3)
+            }
+            runTest {
+                val torn = Behaviour.Answers(listOf(head(), event(1)))
+                val gap = Behaviour.Answers(listOf(head(), event(3), AnswerEvent.End))
+                val scene = Scene(this, STREAM, 2, torn, gap)
+                scene.run().shouldBeInstanceOf<Outcome.Broken>()
+                scene.answer.ended shouldBe false
+                scene.answer.body.toString() shouldBe text(1)
+            }
+        }
+
+        test("a stream that ends inside an event is not complete") {
+            runTest {
+                val scene = Scene(this, STREAM, 1, Behaviour.Answers(listOf(head(), event(1), bytes("id: 2"), AnswerEvent.End)))
+                scene.run().shouldBeInstanceOf<Outcome.Broken>()
+                scene.answer.ended shouldBe false
+            }
+        }
+
+        test("a stream whose back end falls silent goes elsewhere before the caller gives up") {
+            runTest {
+                val scene = Scene(this, STREAM, 2, Behaviour.Silent(listOf(head(), event(1))), Behaviour.Answers(listOf(head(), event(2), AnswerEvent.End)))
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                testScheduler.currentTime shouldBe 1_000
+                scene.answer.body.toString() shouldBe text(1, 2)
+            }
+        }
+
+        test("a request that was never run when its time ends is refused") {
+            runTest {
+                val scene = Scene(this, RequestKind.AtMostOnce, 1, NOT_RUN, NOT_RUN, NOT_RUN)
+                scene.run().shouldBeInstanceOf<Outcome.Refused>().refusal.shouldBeInstanceOf<Refusal.NoTarget>()
+            }
+        }
+
+        test("a caller that leaves ends its attempt and frees its place") {
+            runTest {
+                val scene = Scene(this, STREAM, 2, Behaviour.Silent(listOf(head(), event(1))))
+                val running = launch { scene.run() }
+                delay(100.milliseconds)
+                scene.inFlight.values.sum() shouldBe 1
+                running.cancel()
+                delay(1.milliseconds)
+                scene.link.abandoned shouldBe 1
+                scene.inFlight.values.sum() shouldBe 0
+            }
+        }
+
+        test("an unknown route is refused and never sent") {
+            runTest {
+                val scene = Scene(this, STREAM, 2)
+                scene.run(path = "/other").shouldBeInstanceOf<Outcome.Refused>().refusal shouldBe Refusal.UnknownRoute
+                scene.link.attempts shouldHaveSize 0
+            }
+        }
+    })
