--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -8,6 +8,8 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.WriteBufferWaterMark
@@ -132,7 +134,8 @@
                 .setMaxInitialLineLength(limits.headerBytes)
                 .setMaxHeaderSize(limits.headerBytes)
                 .setMaxChunkSize(CHUNK_BYTES)
-        channel.pipeline().addLast(HttpServerCodec(decoder), ServerConnection(channel, limits, this))
+        val connection = ServerConnection(channel, limits, this)
+        channel.pipeline().addLast(ArrivalNotice(connection), HttpServerCodec(decoder), connection)
     }
 
     companion object {
@@ -142,3 +145,16 @@
         val LINGER = 500.milliseconds
     }
 }
+
+/** Tells a connection of bytes before they are decoded. */
+private class ArrivalNotice(
+    private val connection: ServerConnection,
+) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(
+        context: ChannelHandlerContext,
+        message: Any,
+    ) {
+        connection.bytesArrived()
+        context.fireChannelRead(message)
+    }
+}
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -46,6 +46,7 @@
     private var current: ServerExchange? = null
     private var closing = false
     private var timer: NettyTimer<*>? = null
+    private var awaited = Awaited.REQUEST
 
     override fun channelActive(context: ChannelHandlerContext) {
         server.connections += this
@@ -83,6 +84,11 @@
         }
     }
 
+    /** Bytes have arrived, of whatever; the first ones of a request start the time for its head. */
+    fun bytesArrived() {
+        if (awaited == Awaited.REQUEST && current == null && reading == null && !closing) expect(limits.headerTimeout, Awaited.HEAD)
+    }
+
     /** Closes now when no request is being read or answered; otherwise the next answer closes. */
     fun closeWhenIdle() = onLoop { if (current == null && reading == null) channel.close() }
 
@@ -112,7 +118,7 @@
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST)
         if (!request.take(content)) return reject(CONTENT_TOO_LARGE)
-        if (content !is LastHttpContent) return
+        if (content !is LastHttpContent) return expect(limits.idleTimeout, Awaited.BODY)
         reading = null
         if (!request.keepAlive) closing = true
         waiting.addLast(request.whole())
@@ -127,6 +133,7 @@
             return
         }
         channel.config().isAutoRead = true
+        awaited = Awaited.REQUEST
         timer?.cancel(false)
         val exchange = ServerExchange(request)
         current = exchange
@@ -168,6 +175,7 @@
         limit: Duration,
         awaited: Awaited,
     ) {
+        this.awaited = awaited
         timer?.cancel(false)
         timer = channel.eventLoop().schedule({ expired(awaited) }, limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
@@ -175,6 +183,7 @@
     private fun expired(awaited: Awaited) {
         when (awaited) {
             Awaited.REQUEST -> channel.close()
+            Awaited.HEAD -> reject(REQUEST_TIMEOUT)
             Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT)
         }
     }
@@ -185,7 +194,7 @@
             else -> BAD_REQUEST
         }
 
-    private enum class Awaited { REQUEST, BODY }
+    private enum class Awaited { REQUEST, HEAD, BODY }
 
     private inner class RequestReader(
         message: NettyRequest,
--- /dev/null
+++ b/http/src/test/kotlin/lagoonrudder/http/ScriptedPeer.kt
@@ -0,0 +1,63 @@
+package lagoonrudder.http
+
+import lagoonrudder.model.Address
+import java.io.InputStream
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
+
+/** A server that answers each connection as its script says, byte by byte. */
+internal class ScriptedServer(
+    private val script: (ScriptedConnection) -> Unit,
+) : AutoCloseable {
+    private val server = ServerSocket(0, 50, InetAddress.getLoopbackAddress())
+    val connections = AtomicInteger()
+    val address = Address("127.0.0.1", server.localPort)
+
+    init {
+        thread(isDaemon = true) {
+            while (!server.isClosed) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                connections.incrementAndGet()
+                thread(isDaemon = true) { socket.use { runCatching { script(ScriptedConnection(it)) } } }
+            }
+        }
+    }
+
+    override fun close() = server.close()
+}
+
+internal class ScriptedConnection(
+    val socket: Socket,
+) {
+    private val input: InputStream = socket.getInputStream()
+
+    /** Reads up to the blank line after a head; null when the peer closed. */
+    fun readHead(): String? {
+        val head = StringBuilder()
+        while (!head.endsWith("\r\n\r\n")) {
+            val next = input.read()
+            if (next < 0) return null
+            head.append(next.toChar())
+        }
+        return head.toString()
+    }
+
+    /** Reads until the peer closes. */
+    fun readRest(): String = input.readBytes().decodeToString()
+
+    fun send(text: String) {
+        socket.getOutputStream().write(text.encodeToByteArray())
+        socket.getOutputStream().flush()
+    }
+
+    /** Resets the connection when it is closed. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+}
+
+internal fun scriptedClient(port: Int) = ScriptedConnection(Socket(InetAddress.getLoopbackAddress(), port).apply { soTimeout = 5_000 })
