Stand-ins that speak the platform's formats; end an attempt in time without taking the back end for sound

Cause: an attempt that ran out of its caller's time was cancelled from outside, so a back end that had gone dark was never set aside by requests that can't move. The wait now ends by itself and counts as silence. A process that has just started counts on more entry daemons than it has heard of, for the cold rate and the repeats.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -46,6 +46,7 @@
     )
 
     private val known = mutableMapOf<DaemonId, Known>()
+    private var startedAt: Duration? = null
 
     /** Where the search for other daemons starts; a reload of the settings may change it. */
     var seeds: List<Address> = seeds
@@ -95,8 +96,15 @@
         return if (self.role == DaemonRole.ENTRY) others + self else others
     }
 
-    /** The number of entry daemons that may be sending, alive or cut off, with this one. */
-    fun entryCount(): Int = 1 + known.values.count { it.peer.role == DaemonRole.ENTRY }
+    /**
+     * The number of entry daemons that may be sending, alive or cut off, with this one. A process that has just started
+     * assumes that there are more than it has heard of.
+     */
+    fun entryCount(now: Duration): Int {
+        val first = startedAt ?: now.also { startedAt = it }
+        val heardOf = 1 + known.values.count { it.peer.role == DaemonRole.ENTRY }
+        return if (now - first < ACQUAINTANCE) maxOf(heardOf, ASSUMED_ENTRIES) else heardOf
+    }
 
     /** What the other entry daemons have in flight at [target], as far as their word is fresh. */
     fun inFlightElsewhere(
@@ -119,6 +127,10 @@
 
         /** A daemon that is cut off goes on sending, so it counts for shares long after it was last heard from. */
         val FORGET_AFTER = 60.seconds
+
+        /** By then every reachable daemon was heard of. */
+        val ACQUAINTANCE = 3.seconds
+        const val ASSUMED_ENTRIES = 10
         val WORD_FRESH_FOR = 1_500.milliseconds
     }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -245,7 +245,7 @@
         val rate = publication.serving?.service(backEnd.service)?.coldRequestsPerSecond ?: return true
         val use = useOf(backEnd)
         while (use.sent.isNotEmpty() && now - use.sent.first() > COLD_WINDOW) use.sent.removeFirst()
-        val most = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_SAFE_PART / peers.entryCount()
+        val most = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_SAFE_PART / peers.entryCount(now)
         return use.sent.size + 1 <= most.coerceAtLeast(1.0)
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -185,6 +185,7 @@
                 (1..entries).map { self ->
                     val scene = Scene(listOf(backEnd("a")), cold = 28.0)
                     (1..entries).filter { it != self }.forEach { scene.peers.heard(peer("entry-$it"), emptyMap(), 10.seconds) }
+                    scene.peers.entryCount(10.seconds)
                     (1..200).count {
                         val placed = scene.place().getCompleted() is Placement.Placed
                         if (placed) scene.placement.ended(TargetId("a"), null, AttemptEnd.ANSWERED, scene.now)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -0,0 +1,179 @@
+/**
+ * A small site on loopback: a store, an origin, entry daemons, and back ends with their target daemons, in one process.
+ */
+package lagoonrudder.standins.direct
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeout
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import lagoonrudder.control.direct.PlacementBounds
+import lagoonrudder.control.direct.RepeatBounds
+import lagoonrudder.daemon.direct.DirectBounds
+import lagoonrudder.daemon.direct.DirectCore
+import lagoonrudder.daemon.direct.DirectListen
+import lagoonrudder.daemon.direct.DirectSettings
+import lagoonrudder.daemon.direct.DirectSlot
+import lagoonrudder.daemon.direct.directDaemon
+import lagoonrudder.http.HttpClient
+import lagoonrudder.http.HttpHandler
+import lagoonrudder.http.HttpLoop
+import lagoonrudder.http.HttpRequest
+import lagoonrudder.http.HttpResponse
+import lagoonrudder.http.HttpServer
+import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.HeaderField
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.SystemClock
+import java.net.ServerSocket
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DirectSite(
+    entries: Int,
+    workers: Int,
+) : AutoCloseable {
+    private val loop = HttpLoop("site")
+    private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher)
+    private val clock = SystemClock()
+    private val client = HttpClient(loop, clock)
+    private val servers = mutableListOf<HttpServer>()
+    private val cores = mutableListOf<DirectCore>()
+    val store = StoreStandIn()
+    val origin = WeightOriginStandIn()
+    val workers = (1..workers).map { WorkerStandIn("i-$it", scope) }
+    private val storeAddress = listen(store)
+    private val originAddress = listen(origin)
+    private val workerAddresses = this.workers.map { listen(it) }
+    private val entryListens = (1..entries).map { DirectListen(free(), free(), free()) }
+    private var requests = 0
+
+    init {
+        onLoop { publish(revision = 1) }
+        entryListens.forEachIndexed { index, listen -> start(settings("entry-$index", DaemonRole.ENTRY, listen, null)) }
+        workerAddresses.forEachIndexed { index, address ->
+            start(settings("target-$index", DaemonRole.TARGET, null, DirectSlot(SERVICE, address)))
+        }
+    }
+
+    /** Runs [block] on the thread of the stand-ins. */
+    fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.dispatcher) { block() } }
+
+    fun register(index: Int) {
+        val worker = workers[index]
+        store.put(
+            "servers/${worker.id}",
+            buildJsonObject {
+                put("service", SERVICE.text)
+                put("address", workerAddresses[index].toString())
+                put("zone", "one")
+                put("slots", SLOTS)
+                put("state", "ready")
+                put("coldLeftMs", 0)
+                put("born", WorkerStandIn.BORN)
+                with(worker) { holding() }
+            }.toString(),
+        )
+    }
+
+    /** Publishes a configuration whose one route has [prefix]. */
+    fun publish(
+        revision: Int,
+        prefix: String = "/a/",
+    ) = store.put(
+        "op/config",
+        """{"version":$revision,"routes":[{"name":"r","host":"host","prefix":"$prefix","kind":"stream","timeoutMs":5000,
+        "targetLatencyMs":400,"service":"${SERVICE.text}","attempts":2,"canResume":true,"gapAimMs":300}],
+        "services":[{"name":"${SERVICE.text}","maxConns":50,"engine":{"models":[{"name":"$STAND_IN_MODEL"}],"layers":4,
+        "chunks":$STAND_IN_PIECES,"chunkBytes":4096}},{"name":"origin","origin":"$originAddress","zone":"one"}],
+        "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000},
+        "tenants":[{"name":"customer","apiKeys":["key"]}]}""",
+    )
+
+    /** Sends a caller's request to the entry daemon [entry]; null when its connection ended without a whole answer. */
+    suspend fun request(
+        entry: Int = 0,
+        path: String = "/a/b",
+        key: String = "key",
+    ): HttpResponse? {
+        val fields =
+            listOf(
+                HeaderField("Host", "host"),
+                HeaderField("Request-Id", "request-${requests++}"),
+                HeaderField("Deadline-Ms", "4000"),
+                HeaderField("X-Api-Key", key),
+            )
+        val request = HttpRequest("POST", path, fields, "prompt".encodeToByteArray())
+        return client.exchange(entryListens[entry].callers, request, Peer(PeerRole.ENTRY, "$entry"), 6.seconds).getOrNull()
+    }
+
+    suspend fun isReady(entry: Int): Boolean {
+        val request = HttpRequest("GET", "/lagoonrudder/ready", emptyList())
+        val answer = client.exchange(entryListens[entry].ready, request, Peer(PeerRole.ENTRY, "$entry"), 1.seconds)
+        return answer.getOrNull()?.head?.status == 200
+    }
+
+    /** Waits until [condition] holds. */
+    suspend fun eventually(
+        limit: Duration = 10.seconds,
+        condition: suspend () -> Boolean,
+    ) = withTimeout(limit) { while (!condition()) delay(CHECK_PAUSE) }
+
+    /** Violations of invariants in all daemons. */
+    fun violations(): Long = cores.sumOf { it.invariants.total() }
+
+    override fun close() {
+        cores.forEach { it.close() }
+        servers.forEach { it.close() }
+        loop.close()
+    }
+
+    private fun listen(handler: HttpHandler): Address {
+        val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { HttpServer.PEER_LIMITS }, handler)
+        servers += server
+        return Address("127.0.0.1", server.port)
+    }
+
+    private fun free() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+
+    private fun start(settings: DirectSettings) {
+        val core = DirectCore(settings, clock)
+        cores += core
+        runBlocking { directDaemon(core).start() }
+    }
+
+    private fun settings(
+        name: String,
+        role: DaemonRole,
+        listen: DirectListen?,
+        slot: DirectSlot?,
+    ) = DirectSettings(
+        name = DaemonId(name),
+        role = role,
+        domain = DomainId("one"),
+        region = RegionId("first"),
+        regions = mapOf(DomainId("one") to RegionId("first")),
+        listen = listen,
+        seeds = entryListens.take(1).map { it.peers },
+        store = storeAddress,
+        slot = slot,
+        bounds = DirectBounds(PlacementBounds(8.seconds, 1.5, 5.0), RepeatBounds(0.2, 10.seconds, 100.0), 2.seconds),
+    )
+
+    private companion object {
+        val SERVICE = ServiceId("engines")
+        const val SLOTS = 4
+        val CHECK_PAUSE = 20.milliseconds
+    }
+}
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -27,8 +27,8 @@
     var begun = false
         private set
 
-    /** Whether an attempt was sent and has not ended. */
-    var open = false
+    /** Whether the attempt that is under way has brought anything. */
+    var heard = false
         private set
 
     /** The last event that was passed on. */
@@ -42,27 +42,25 @@
     val holdsFailure: Boolean get() = failureKept != null && !begun
 
     fun newAttempt() {
-        open = true
+        heard = false
         head = null
         held = ByteArrayOutputStream(0)
         splitter = EventSplitter()
     }
 
-    fun attemptEnded() {
-        open = false
-    }
-
     /** Takes one event of an attempt; returns how the attempt ended, or null while it goes on. */
     suspend fun take(
         event: AnswerEvent,
         kind: RequestKind,
-    ): DirectResult? =
-        when (event) {
+    ): DirectResult? {
+        heard = true
+        return when (event) {
             is AnswerEvent.Head -> takeHead(event.head)
             is AnswerEvent.Bytes -> takeBytes(event.data, kind)
             AnswerEvent.End -> takeEnd()
             is AnswerEvent.Broken -> DirectResult.Lost(event.detail)
         }
+    }
 
     /** Passes the failure of a back end on and returns its length. */
     suspend fun passFailure(): Long {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -27,7 +27,7 @@
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.traffic.Filter
-import lagoonrudder.traffic.Next
+import lagoonrudder.traffic.Next as NextFilter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -51,7 +51,7 @@
 ) : Filter<DirectCall> {
     override suspend fun handle(
         call: DirectCall,
-        next: Next<DirectCall>,
+        next: NextFilter<DirectCall>,
     ): Outcome = DirectSending(call, control, link, limits).run()
 }
 
@@ -73,6 +73,11 @@
         val silent: Boolean = false,
     ) : DirectResult()
 
+    /** The caller's or the route's time ended; [silent] when the back end had sent nothing at all. */
+    data class OutOfTime(
+        val silent: Boolean,
+    ) : DirectResult()
+
     /** The back end ran the request and failed it; [relay] holds that answer. */
     data class Failed(
         val status: Int,
@@ -96,7 +101,8 @@
 
     suspend fun run(): Outcome {
         control.thread.decide { control.repeats.requested(identity.service, control.clock.elapsed()) }
-        return withTimeoutOrNull(identity.timeLeft(control.clock)) { attempts() } ?: timedOut()
+        // Waits within an attempt end by themselves; this limit is for a caller that does not read.
+        return withTimeoutOrNull(identity.timeLeft(control.clock) + SLOW_READER_MARGIN) { attempts() } ?: outOfTime()
     }
 
     private suspend fun attempts(): Outcome {
@@ -114,6 +120,7 @@
                     is DirectResult.Completed -> return Outcome.Completed(result.length, null)
                     is DirectResult.NotRun -> afterNotRun(result)
                     is DirectResult.Lost -> afterLoss(result)
+                    is DirectResult.OutOfTime -> return outOfTime()
                     is DirectResult.Failed -> afterFailure(result)
                 }
             if (outcome != null) return outcome
@@ -122,7 +129,8 @@
 
     private suspend fun place(): Placement {
         val asked = control.clock.elapsed()
-        val patience = if (call.attempts.isEmpty()) identity.route.objective * limits.patience else REPEAT_PATIENCE
+        val asPlanned = if (call.attempts.isEmpty()) identity.route.objective * limits.patience else REPEAT_PATIENCE
+        val patience = minOf(asPlanned, identity.timeLeft(control.clock))
         val need = PlacementNeed(identity.service, identity.customer?.id, identity.priority, identity.homes, passedOver.toSet(), relay.number)
         val decision =
             withContext(NonCancellable) {
@@ -185,21 +193,37 @@
     ): DirectResult {
         relay.newAttempt()
         while (true) {
-            val event = nextOf(open) ?: return silent(backEnd).also { relay.attemptEnded() }
-            relay.take(event, kind)?.let {
-                relay.attemptEnded()
-                return it
-            }
+            val result =
+                when (val next = nextOf(open)) {
+                    is Next.Event -> relay.take(next.event, kind)
+                    Next.Silence -> silent(backEnd)
+                    Next.OutOfTime -> DirectResult.OutOfTime(silent = !relay.heard)
+                }
+            if (result != null) return result
         }
     }
 
-    /** The next event; null when the back end was silent for too long and another one may be tried. */
-    private suspend fun nextOf(open: OpenAttempt): AnswerEvent? {
-        if (!kind.repeatable || runs + 1 >= identity.route.attempts) return open.next()
+    /** What the wait for the next event brought. */
+    private sealed class Next {
+        class Event(
+            val event: AnswerEvent,
+        ) : Next()
+
+        /** The back end was silent for too long, and another one may be tried. */
+        data object Silence : Next()
+
+        data object OutOfTime : Next()
+    }
+
+    private suspend fun nextOf(open: OpenAttempt): Next {
+        val mayMove = kind.repeatable && runs + 1 < identity.route.attempts
         val limit = if (relay.begun) limits.nextEvent else limits.firstEvent
-        val event = withTimeoutOrNull(limit) { open.next() }
-        if (event != null) return event
-        return if (spend()) null else open.next()
+        if (mayMove && limit < identity.timeLeft(control.clock)) {
+            withTimeoutOrNull(limit) { open.next() }?.let { return Next.Event(it) }
+            if (spend()) return Next.Silence
+        }
+        val event = withTimeoutOrNull(identity.timeLeft(control.clock)) { open.next() }
+        return if (event == null) Next.OutOfTime else Next.Event(event)
     }
 
     private fun silent(backEnd: BackEnd): DirectResult {
@@ -228,7 +252,7 @@
     }
 
     private suspend fun spend(): Boolean =
-        control.thread.decide { control.repeats.spend(identity.service, control.peers.entryCount(), control.clock.elapsed()) }
+        control.thread.decide { control.repeats.spend(identity.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed()) }
 
     private suspend fun nowhere(placement: Placement.Refused): Outcome {
         if (relay.holdsFailure) return Outcome.Completed(relay.passFailure(), null)
@@ -237,9 +261,9 @@
         return Outcome.Refused(placement.refusal, Step.CHOOSE_TARGET, Peer.SELF)
     }
 
-    private suspend fun timedOut(): Outcome {
+    private suspend fun outOfTime(): Outcome {
         if (relay.holdsFailure) return Outcome.Completed(relay.passFailure(), null)
-        if (relay.open && mayHaveRun == null) mayHaveRun = DirectResult.Lost("time is over")
+        mayHaveRun = mayHaveRun ?: DirectResult.Lost("time is over")
         return ended("time is over")
     }
 
@@ -262,6 +286,7 @@
             is DirectResult.Completed -> AttemptEnd.ANSWERED
             is DirectResult.NotRun -> if (result.reached) AttemptEnd.NOT_RUN else AttemptEnd.UNREACHABLE
             is DirectResult.Lost -> if (result.silent) AttemptEnd.SILENT else AttemptEnd.FAILED
+            is DirectResult.OutOfTime -> if (result.silent) AttemptEnd.SILENT else AttemptEnd.ABANDONED
             is DirectResult.Failed -> AttemptEnd.FAILED
         }
 
@@ -270,11 +295,13 @@
             is DirectResult.Completed -> "answered"
             is DirectResult.NotRun -> "not-run:${result.detail}"
             is DirectResult.Lost -> "lost:${result.detail}"
+            is DirectResult.OutOfTime -> "out-of-time"
             is DirectResult.Failed -> "failed:${result.status}"
         }
 
     private companion object {
         /** A repeat has lost time already; it takes a free place or none. */
         val REPEAT_PATIENCE = 60.milliseconds
+        val SLOW_READER_MARGIN = 200.milliseconds
     }
 }
