--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -111,6 +111,17 @@
         return listOfNotNull(fromLead, origin()?.let { PieceSource.Origin(it) })
     }
 
+    /** Whether this entry daemon is the first that the target daemons of its region ask for piece [index]. */
+    fun leads(
+        model: ModelId,
+        number: WeightNumber,
+        index: Int,
+        now: Duration,
+    ): Boolean {
+        val near = peers.liveEntries(now).filter { it.region == peers.self.region }
+        return ordered(near, model, number, index).firstOrNull()?.daemon == peers.self.daemon
+    }
+
     /** When, after a version was declared, the back end at [backEnd] is to switch; null when it serves nothing and needn't wait. */
     fun turn(
         service: ServiceId,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -102,6 +102,13 @@
             sources.last().shouldBeInstanceOf<PieceSource.Origin>()
         }
 
+        test("an entry daemon leads the pieces for which the target daemons of its region ask it first") {
+            val (_, staging) = scene()
+            val led = (0 until 40).filter { staging.leads(MODEL, WeightNumber(1), it, 10.seconds) }
+            led shouldBe (0 until 40).filter { staging.sources(MODEL, WeightNumber(1), it, 10.seconds).first() == PieceSource.Entry(peer("self").address!!) }
+            (led.size in 10..30) shouldBe true
+        }
+
         test("only an entry daemon in the origin's region draws from the origin first") {
             val (_, staging) = scene()
             val far = peer("far-entry", FAR).address.shouldNotBeNull()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PieceCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PieceCache.kt
@@ -12,6 +12,7 @@
 import arrow.core.right
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import lagoonrudder.control.direct.PieceSource
@@ -42,6 +43,7 @@
 
     private val pieces = mutableMapOf<PieceKey, Deferred<Either<Failure, ByteArray>>>()
     private val manifests = mutableMapOf<ManifestKey, Deferred<Either<Failure, WeightManifest>>>()
+    private val drawnAhead = mutableSetOf<Pair<ModelId, WeightNumber>>()
     private val draws = Semaphore(DRAWS_AT_ONCE)
 
     suspend fun manifest(
@@ -53,7 +55,24 @@
             manifests.getOrPut(key) {
                 core.scope.async { sources.manifest(above(model, number, MANIFEST), model, number) }
             }
-        return drawing.await().also { if (it is Either.Left || number == null) manifests.remove(key, drawing) }
+        val drawn = drawing.await()
+        if (drawn is Either.Left || number == null) manifests.remove(key, drawing)
+        if (drawn is Either.Right) drawAhead(drawn.value)
+        return drawn
+    }
+
+    /** Draws the pieces that this daemon leads before they are asked for; the first call for a version does so. */
+    private fun drawAhead(manifest: WeightManifest) {
+        val version = manifest.model to manifest.number
+        if (!drawnAhead.add(version)) return
+        core.scope.launch {
+            val led =
+                core.thread.decide {
+                    manifest.digests.indices.filter { core.staging.leads(manifest.model, manifest.number, it, core.clock.elapsed()) }
+                }
+            core.log.info("drawing-ahead", "number" to manifest.number.number, "pieces" to led.size)
+            led.forEach { index -> core.scope.launch { piece(manifest.model, manifest.number, index) } }
+        }
     }
 
     suspend fun piece(
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -210,8 +210,8 @@
     private companion object {
         const val MANIFEST = -1
 
-        /** The link of the slot also carries live requests: more draws at once would queue before them. */
-        const val DRAWS_AT_ONCE = 1
+        /** The link of the slot also carries live requests: one piece is on its way while the one before is staged. */
+        const val DRAWS_AT_ONCE = 2
         val IDLE_PAUSE = 400.milliseconds
         val FAILED_PAUSE = 300.milliseconds
         val TURN_CHECK = 200.milliseconds
