Finish a version that is half staged when a newer one can't be drawn; keep queues at engines short

A bind failure of DirectSiteTest, seen once: its free ports were ephemeral, and an outgoing connection took one before the daemon bound it. The ports are now below the ephemeral range.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -236,7 +236,11 @@
         now: Duration,
     ): Int = useOf(backEnd).inFlight + peers.inFlightElsewhere(backEnd.id, now)
 
-    private fun mostInFlight(backEnd: BackEnd): Int = backEnd.slots + QUEUED_AT_BACK_END
+    /** A place in an engine's batch is taken for a second, one in a plain service for milliseconds. */
+    private fun mostInFlight(backEnd: BackEnd): Int {
+        val isEngine = publication.serving?.service(backEnd.service)?.weights != null
+        return backEnd.slots + if (isEngine) QUEUED_STREAMS else QUEUED_CALLS
+    }
 
     private fun bearsOneMore(
         backEnd: BackEnd,
@@ -282,8 +286,9 @@
     private fun useOf(backEnd: BackEnd) = uses.getOrPut(backEnd.id) { Use() }
 
     private companion object {
-        /** What may wait in a back end's own queue: about a quarter of a second at its usual rate. */
-        const val QUEUED_AT_BACK_END = 3
+        /** What may wait in a back end's own queue without making answers late. */
+        const val QUEUED_STREAMS = 1
+        const val QUEUED_CALLS = 4
         const val LONGEST_LINE = 200
         const val DISTANCE_PENALTY = 1.0
         const val FAILURES_BEFORE_ASIDE = 3
@@ -294,7 +299,7 @@
         val FULL_RETRY = 1_000.milliseconds
 
         /** Requests sent within the margin may still wait in a back end's queue when the time to switch is over. */
-        val SWITCH_MARGIN = 1_200.milliseconds
+        val SWITCH_MARGIN = 800.milliseconds
         val COLD_WINDOW = 1.seconds + 100.milliseconds
 
         /** The rest is left for entry daemons that this one hasn't heard of and for requests that arrive late together. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -85,6 +85,20 @@
         return if (satisfied) null else WantedWeights(model, declared?.number, origin())
     }
 
+    /**
+     * Whether to go on staging [number], of which [staged] pieces out of [all] are there, although a newer version was
+     * declared: one that is half done is finished, in case the newer one can't be drawn before the older one is due.
+     */
+    fun finishes(
+        model: ModelId,
+        number: WeightNumber,
+        staged: Int,
+        all: Int,
+    ): Boolean {
+        val newest = publication.declared(model)?.number ?: return true
+        return number >= newest || staged * 2 >= all
+    }
+
     /** Where a target daemon draws piece [index], best first. */
     fun sources(
         model: ModelId,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -95,6 +95,17 @@
             staging.wanted(ENGINES, report(2)).shouldNotBeNull().number shouldBe WeightNumber(3)
         }
 
+        test("a version that is half staged is finished although a newer one was declared") {
+            val (publication, staging) = scene()
+            staging.finishes(MODEL, WeightNumber(1), 0, 48) shouldBe true
+            declare(publication, 2)
+            staging.finishes(MODEL, WeightNumber(2), 0, 48) shouldBe true
+            declare(publication, 3)
+            staging.finishes(MODEL, WeightNumber(2), 23, 48) shouldBe false
+            staging.finishes(MODEL, WeightNumber(2), 24, 48) shouldBe true
+            staging.finishes(MODEL, WeightNumber(3), 0, 48) shouldBe true
+        }
+
         test("pieces come from entry daemons of the own region first and from the origin last") {
             val (_, staging) = scene()
             val sources = staging.sources(MODEL, WeightNumber(1), 0, 10.seconds)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -14,11 +14,13 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
 import lagoonrudder.control.direct.OrderAnswer
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.WantedWeights
 import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.platform.SlotCalls
 import kotlin.time.Duration
@@ -76,19 +78,24 @@
         wanted: WantedWeights,
         report: BackEndReport,
     ) {
-        val manifest = manifestOf(wanted)
+        val manifest = manifestOf(wanted, report)
         if (manifest == null) {
             delay(FAILED_PAUSE)
             return
         }
-        if (!stage(manifest, wanted)) return
-        if (!awaitTurn(manifest, wanted, report)) return
+        if (!stage(manifest)) return
+        if (!awaitTurn(manifest, report)) return
         if (verify(manifest)) order(manifest, report)
     }
 
-    private suspend fun manifestOf(wanted: WantedWeights): WeightManifest? {
+    private suspend fun manifestOf(
+        wanted: WantedWeights,
+        report: BackEndReport,
+    ): WeightManifest? {
         val known = manifest?.takeIf { it.model == wanted.model && (wanted.number == null || it.number == wanted.number) }
         if (known != null) return known
+        val begun = manifest?.takeIf { it.model == wanted.model && it.number > (report.held?.number ?: NONE_HELD) }
+        if (begun != null && isStillWanted(begun) && !isOutdated(begun)) return begun
         val from = core.thread.decide { core.staging.sources(wanted.model, wanted.number, MANIFEST, core.clock.elapsed()) }
         val drawn = sources.manifest(from, wanted.model, wanted.number).getOrElse { return null }
         manifest = drawn
@@ -101,7 +108,6 @@
     /** Draws and stages what is missing; false when another version is wanted meanwhile or a piece can't be had. */
     private suspend fun stage(
         manifest: WeightManifest,
-        wanted: WantedWeights,
     ): Boolean {
         val started = core.clock.elapsed()
         val missing = manifest.digests.indices.filter { it !in sound }
@@ -109,7 +115,7 @@
         val draws = Semaphore(DRAWS_AT_ONCE)
         val staged =
             coroutineScope {
-                missing.map { index -> async { draws.withPermit { isStillWanted(wanted) && stageOne(manifest, index) } } }.awaitAll()
+                missing.map { index -> async { draws.withPermit { isStillWanted(manifest) && stageOne(manifest, index) } } }.awaitAll()
             }
         val complete = staged.all { it }
         core.log.info(
@@ -135,15 +141,15 @@
         return staged.isRight()
     }
 
-    private suspend fun isStillWanted(wanted: WantedWeights): Boolean =
-        core.thread.decide { core.publication.declared(wanted.model)?.number == wanted.number }
+    private suspend fun isStillWanted(manifest: WeightManifest): Boolean =
+        core.thread.decide { core.staging.finishes(manifest.model, manifest.number, sound.size, manifest.digests.size) }
 
     private suspend fun awaitTurn(
         manifest: WeightManifest,
-        wanted: WantedWeights,
         report: BackEndReport,
     ): Boolean {
-        while (isStillWanted(wanted)) {
+        while (isStillWanted(manifest)) {
+            if (isOutdated(manifest)) return false
             val turn = core.thread.decide { core.staging.turn(slot.service, slot.backEnd, manifest.model, report) } ?: return true
             val wait = turn - core.clock.elapsed()
             if (wait <= Duration.ZERO) return true
@@ -152,6 +158,22 @@
         return false
     }
 
+    /** Whether a newer version was declared and can be drawn: then this one is passed over. */
+    private suspend fun isOutdated(manifest: WeightManifest): Boolean {
+        val newest = core.thread.decide { core.publication.declared(manifest.model)?.number }
+        if (newest == null || newest <= manifest.number) return false
+        val last = manifest.digests.lastIndex
+        val from = core.thread.decide { core.staging.sources(manifest.model, newest, last, core.clock.elapsed()) }
+        val canBeDrawn =
+            withTimeoutOrNull(NEWER_LIMIT) {
+                val newer = sources.manifest(from, manifest.model, newest).getOrElse { return@withTimeoutOrNull false }
+                // Entry daemons draw ahead in order, so the last piece is there when the others are.
+                sources.piece(from, newer, last).isRight()
+            } ?: false
+        core.log.info("newer-version", "number" to newest.number, "staged" to manifest.number.number, "can-be-drawn" to canBeDrawn)
+        return canBeDrawn
+    }
+
     /** Reads every staged piece back; what isn't sound is drawn again. */
     private suspend fun verify(manifest: WeightManifest): Boolean {
         for (index in manifest.digests.indices) {
@@ -209,12 +231,16 @@
 
     private companion object {
         const val MANIFEST = -1
+        val NONE_HELD = WeightNumber(0)
 
         /** The link of the slot also carries live requests: one piece is on its way while the one before is staged. */
         const val DRAWS_AT_ONCE = 2
         val IDLE_PAUSE = 400.milliseconds
         val FAILED_PAUSE = 300.milliseconds
         val TURN_CHECK = 200.milliseconds
+
+        /** A piece that an entry daemon of the region holds comes within a few link times. */
+        val NEWER_LIMIT = 400.milliseconds
         val LOAD_CHECK = 60.milliseconds
 
         /** Running work ends within a few seconds, and loading takes less than one. */
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -36,6 +36,8 @@
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.SystemClock
 import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -145,7 +147,14 @@
         return Address("127.0.0.1", server.port)
     }
 
-    private fun free() = Address("127.0.0.1", ServerSocket(0).use { it.localPort })
+    /** A port that no outgoing connection can take before a daemon binds it. */
+    private fun free(): Address {
+        while (true) {
+            val port = nextPort.getAndIncrement()
+            val isFree = runCatching { ServerSocket(port).close() }.isSuccess
+            if (isFree) return Address("127.0.0.1", port)
+        }
+    }
 
     private fun start(settings: DirectSettings) {
         val core = DirectCore(settings, clock)
@@ -174,6 +183,9 @@
     private companion object {
         val SERVICE = ServiceId("engines")
         const val SLOTS = 4
+
+        /** Below the ports that systems give to outgoing connections. */
+        val nextPort = AtomicInteger(20_000 + Random.nextInt(8_000))
         val CHECK_PAUSE = 20.milliseconds
     }
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -37,7 +37,7 @@
  * silence of a back end whose request may go elsewhere; [refusals] bounds the back ends that may turn one request away.
  */
 data class DirectLimits(
-    val patience: Double = 0.45,
+    val patience: Double = 0.25,
     val firstEvent: Duration = 1_200.milliseconds,
     val nextEvent: Duration = 1_000.milliseconds,
     val refusals: Int = 4,
