Give a version of unknown age two seconds after a start; metrics and dump for the daemons of the direct way

Test: PublicationControllerTest 'declared before the start'. Besides: back ends close and empty their queue before the order, turns spread over 3.1 s; a stream that has begun waits up to 0.8 s for a place to go on and goes first; metrics (histograms by outcome, gauges) on an operators' address.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -166,7 +166,13 @@
         dumpSection("placement") {
             entry("waiting", line.size)
             for ((id, use) in uses) {
-                entry(id.text, "in-flight=${use.inFlight} elsewhere=${peers.inFlightElsewhere(id, now)} failures=${use.failures} aside=${use.asideUntil - now}")
+                entry(
+                    id.text,
+                    "in-flight=${use.inFlight} elsewhere=${peers.inFlightElsewhere(
+                        id,
+                        now,
+                    )} failures=${use.failures} aside=${use.asideUntil - now}",
+                )
             }
         }
 
@@ -194,7 +200,8 @@
     ): Boolean {
         val region = places.regions[backEnd.domain]
         val inHomes = need.homes.all { it.isEmpty() || region in it }
-        val isOpen = !backEnd.leaving && backEnd.domain !in publication.evacuated && !slots.closed(backEnd, now) && backEnd.id !in need.passedOver
+        val isOpen =
+            !backEnd.leaving && backEnd.domain !in publication.evacuated && !slots.closed(backEnd, now) && backEnd.id !in need.passedOver
         return isOpen && inHomes && holdsWeights(backEnd, need, now)
     }
 
@@ -228,7 +235,9 @@
     ): String {
         val all = publication.backEnds.filter { it.service == need.service }
         val without = all.count { !holdsWeights(it, need, now) }
-        return "no back end listed=${all.size} leaving=${all.count { it.leaving }} without-weights=$without passed-over=${need.passedOver.size}"
+        return "no back end listed=${all.size} leaving=${all.count {
+            it.leaving
+        }} without-weights=$without passed-over=${need.passedOver.size}"
     }
 
     private fun load(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -55,12 +55,19 @@
 ) {
     val isEmpty: Boolean
         get() =
-            serving == null && joined.isEmpty() && changed.isEmpty() && gone.isEmpty() && declared.isEmpty() && evacuated == null &&
+            serving == null &&
+                joined.isEmpty() &&
+                changed.isEmpty() &&
+                gone.isEmpty() &&
+                declared.isEmpty() &&
+                evacuated == null &&
                 unusable.isEmpty()
 }
 
+/** [ageAtStart] is the age given to a version that was declared before this process started, in place of the unknown one. */
 class PublicationController(
     private val invariants: Invariants,
+    private val ageAtStart: Duration = 5.seconds,
 ) {
     private val items = mutableMapOf<String, ReadItem>()
     private val lapsing = mutableMapOf<TargetId, Duration>()
@@ -232,7 +239,7 @@
     ): DeclaredWeights? {
         val known = declaredByModel[offered.model].orEmpty()
         if (known.isNotEmpty() && known.last().number >= offered.number) return null
-        val since = if (first) now - DECLARED_EARLIER else now
+        val since = if (first) now - ageAtStart else now
         val declared = DeclaredWeights(offered.model, offered.number, since)
         declaredByModel[offered.model] = (known + declared).takeLast(DECLARATIONS_KEPT)
         return declared
@@ -249,9 +256,6 @@
         /** A live back end's entry is back two seconds after the store; half a second more covers its way here. */
         val LAPSE_GRACE = 2_500.milliseconds
 
-        /** The age given to a version that was declared before this process started, in place of the unknown one. */
-        val DECLARED_EARLIER = 5.seconds
-
         /** Older declarations bind nobody any more. */
         const val DECLARATIONS_KEPT = 16
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -155,7 +155,12 @@
 
     private fun origin(): Address? = publication.serving?.services?.firstNotNullOfOrNull { it.origin }
 
-    private fun originRegion(): RegionId? = publication.serving?.services?.firstOrNull { it.origin != null }?.originDomain?.let { regions[it] }
+    private fun originRegion(): RegionId? =
+        publication.serving
+            ?.services
+            ?.firstOrNull { it.origin != null }
+            ?.originDomain
+            ?.let { regions[it] }
 
     private fun ordered(
         candidates: List<PeerDaemon>,
@@ -171,7 +176,7 @@
         /** A copy takes three seconds over a target's link, less when it overlaps the origin's sending. */
         val FIRST_TURN = 3_000.milliseconds
 
-        /** The last switch must end within the bound of eight seconds, running work included. */
-        val TURNS_SPREAD = 2_300.milliseconds
+        /** The last back end closes before requests on the older version end, and finishes its work after that. */
+        val TURNS_SPREAD = 3_100.milliseconds
     }
 }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
@@ -71,6 +71,12 @@
             publication.declared(MODEL).shouldNotBeNull().number shouldBe WeightNumber(2)
         }
 
+        test("a version that was declared before the start counts as declared long ago") {
+            val publication = PublicationController(strictInvariants(), ageAtStart = 6.seconds)
+            publication.take(listOf(item("op/version/model", 3, Published.Declared(MODEL, WeightNumber(2)))), 3, start)
+            publication.declaredBy(MODEL, start - 6.seconds).shouldNotBeNull().number shouldBe WeightNumber(2)
+        }
+
         test("an evacuated failure domain is taken back when its item goes") {
             val publication = PublicationController(strictInvariants())
             publication.take(listOf(item("op/evacuate/near", 3, Published.Evacuated(NEAR))), 3, start).evacuated shouldBe setOf(NEAR)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -8,17 +8,20 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import lagoonrudder.control.ControlThread
+import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.PublicationChange
 import lagoonrudder.control.direct.PublicationController
 import lagoonrudder.control.direct.SlotController
 import lagoonrudder.control.direct.StagingController
+import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
 import lagoonrudder.http.HttpLoop
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
+import kotlin.time.Duration.Companion.seconds
 
 class DirectCore(
     val settings: DirectSettings,
@@ -36,6 +39,7 @@
             )
         }
     val thread = ControlThread.start(settings.name.text, clock, invariants)
+    val metrics = DaemonMetrics(thread, invariants)
     val loop = HttpLoop("traffic")
     val scope =
         CoroutineScope(
@@ -43,7 +47,7 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    val publication = PublicationController(invariants)
+    val publication = PublicationController(invariants, settings.bounds.placement.versionLimit - UNKNOWN_AGE_LEFT)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val slots = SlotController()
@@ -66,8 +70,23 @@
                 "at" to at,
             )
         }
-        change.evacuated?.let { domains -> log.info("domains-evacuated", "domains" to domains.map { it.text }, "source" to source, "at" to at) }
-        change.declared.forEach { log.info("version-declared", "model" to it.model.text, "number" to it.number.number, "source" to source, "at" to at) }
+        change.evacuated?.let { domains ->
+            log.info(
+                "domains-evacuated",
+                "domains" to domains.map { it.text },
+                "source" to source,
+                "at" to at,
+            )
+        }
+        change.declared.forEach {
+            log.info(
+                "version-declared",
+                "model" to it.model.text,
+                "number" to it.number.number,
+                "source" to source,
+                "at" to at,
+            )
+        }
         (change.joined + change.changed).forEach {
             log.info(
                 "back-end-listed",
@@ -85,8 +104,26 @@
         change.unusable.forEach { log.warning("item-unusable", "detail" to it, "source" to source, "at" to at) }
     }
 
+    /** The state that both roles have, for operators; runs on the control thread. */
+    fun dump(): List<DumpSection> = listOf(publication.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
+
+    fun gauges(): Map<String, Number> =
+        mapOf(
+            "configuration_revision" to (publication.serving?.revision?.number ?: 0),
+            "store_revision" to publication.at,
+            "confirmed" to if (publication.confirmed) 1 else 0,
+            "back_ends" to publication.backEnds.size,
+            "back_ends_leaving" to publication.backEnds.count { it.leaving },
+            "peers_alive" to peers.liveEntries(clock.elapsed()).size,
+        )
+
     override fun close() {
         loop.close()
         thread.close()
     }
+
+    private companion object {
+        /** How much of its time to spread a version is given that was declared at an unknown time before the start. */
+        val UNKNOWN_AGE_LEFT = 2.seconds
+    }
 }
--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -0,0 +1,145 @@
+/**
+ * The daemon between callers and back ends.
+ */
+package lagoonrudder.daemon.direct
+
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.PlacementController
+import lagoonrudder.control.direct.Places
+import lagoonrudder.control.direct.RepeatShare
+import lagoonrudder.http.HttpServer
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.TargetId
+import lagoonrudder.platform.BackEndEnd
+import lagoonrudder.platform.CallerEnd
+import lagoonrudder.platform.DEFAULT_LIMITS
+import lagoonrudder.platform.ReadyEnd
+import lagoonrudder.traffic.FilterChain
+import lagoonrudder.traffic.direct.DirectCall
+import lagoonrudder.traffic.direct.DirectControl
+import lagoonrudder.traffic.direct.directFilters
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class DirectEntry(
+    core: DirectCore,
+) : DirectDaemon(core),
+    DirectView {
+    private val settings = core.settings
+    private val random = Random(System.nanoTime())
+    private val placement =
+        PlacementController(
+            Places(settings.domain, settings.regions),
+            settings.bounds.placement,
+            core.publication,
+            core.peers,
+            core.slots,
+            random,
+        )
+    private val control =
+        DirectControl(core.thread, core.clock, core.publication, core.peers, placement, RepeatShare(settings.bounds.repeats))
+    private val client = PeerClient(core.http)
+    private val store = StoreLoop(core, needed = { true }, changed = control::published)
+    private val peers = PeerLoop(core, client, loads = placement::inFlight, changed = control::published)
+    private val pieces = PieceCache(core, PieceSources(core, client))
+    private val pauses = PauseWatch(core.clock)
+    private var callers: HttpServer? = null
+
+    @Volatile
+    private var leaving = false
+
+    override suspend fun start() {
+        val listen = checkNotNull(settings.listen)
+        val chain = FilterChain(directFilters(control, BackEndEnd(core.http), random, ::ended))
+        val endpoint = PeerEndpoint(core, pieces, placement::inFlight, control::published)
+        HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, endpoint)
+        HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, ReadyEnd { ready() })
+        callers =
+            HttpServer.start(core.loop, core.scope, listen.callers, {
+                core.publication.serving?.limits ?: DEFAULT_LIMITS
+            }, CallerEnd(chain, core.clock))
+        serveOperators(this)
+        core.scope.launch { store.run() }
+        core.scope.launch { peers.run() }
+        core.scope.launch { tick() }
+        core.log.info("started", "role" to "entry", "callers" to listen.callers, "peers" to listen.peers, "store" to settings.store)
+    }
+
+    override suspend fun stop() {
+        val started = core.clock.elapsed()
+        val server = callers ?: return
+        leaving = true
+        core.log.info("leaving", "in-hand" to server.inHand)
+        delay(BALANCER_NOTICES)
+        server.retire()
+        val last = started + settings.bounds.stopGrace - STOP_MARGIN
+        delay(RETIRE_NOTICE)
+        while (server.inHand > 0 && core.clock.elapsed() < last) delay(STOP_CHECK)
+        core.log.info("stopped", "in-hand" to server.inHand, "took" to core.clock.elapsed() - started)
+    }
+
+    private fun ready() = !leaving && core.publication.confirmed
+
+    private suspend fun tick() {
+        while (currentCoroutineContext().isActive) {
+            delay(TICK)
+            val pause = pauses.pause(TICK)
+            val gone = core.thread.decide { onTick(pause) }
+            gone.forEach { core.log.info("back-end-gone", "target" to it.text, "source" to "lapsed") }
+            if (pause != null) {
+                core.log.warning("paused", "for" to pause)
+                core.http.forget(settings.store)
+                store.hurry()
+            }
+        }
+    }
+
+    private fun onTick(pause: Duration?): List<TargetId> {
+        val now = core.clock.elapsed()
+        if (pause != null) core.publication.doubt()
+        if (store.isLost) core.publication.disturbed(now)
+        placement.serveLine(now)
+        return core.publication.expire(now)
+    }
+
+    override fun dump() = core.dump() + placement.dump(core.clock.elapsed())
+
+    override fun gauges() = core.gauges() + mapOf("in_flight" to placement.inFlight().values.sum(), "waiting" to placement.waiting())
+
+    private fun ended(
+        call: DirectCall,
+        outcome: Outcome?,
+    ) {
+        val identity = call.identityOrNull
+        val took = core.clock.elapsed() - call.receivedAt
+        if (outcome == null) core.metrics.callerLeft(took) else core.metrics.requestEnded(outcome, took)
+        call.firstEventAfter?.let { core.metrics.firstEvent(it) }
+        core.log.info(
+            "request-ended",
+            "request" to call.request.request.text,
+            "route" to identity?.route?.id?.text,
+            "customer" to identity?.customer?.id?.text,
+            "revision" to identity?.revision?.number,
+            "outcome" to (outcome?.code ?: "caller-left"),
+            "took-ms" to took.inWholeMilliseconds,
+            "first-ms" to call.firstEventAfter?.inWholeMilliseconds,
+            "waited-ms" to call.waited.inWholeMilliseconds,
+            "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}" },
+            "detail" to call.lastFailure?.detail,
+        )
+    }
+
+    private companion object {
+        val TICK = 100.milliseconds
+
+        /** The balancer asks once a second and turns away after two refusals. */
+        val BALANCER_NOTICES = 2_300.milliseconds
+        val RETIRE_NOTICE = 400.milliseconds
+        val STOP_CHECK = 50.milliseconds
+        val STOP_MARGIN = 700.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
@@ -51,6 +51,7 @@
     val region: RegionId,
     val regions: Map<DomainId, RegionId>,
     val listen: DirectListen?,
+    val operators: Address,
     val seeds: List<Address>,
     val store: Address,
     val slot: DirectSlot?,
@@ -71,8 +72,15 @@
             role = role,
             domain = with(daemon) { DomainId(text("domain")) },
             region = with(daemon) { RegionId(text("region")) },
-            regions = with(section(sections, file, "domains")) { pairs().map { (domain, region) -> DomainId(domain) to RegionId(region) }.toMap() },
+            regions =
+                with(section(sections, file, "domains")) {
+                    pairs()
+                        .map { (domain, region) ->
+                            DomainId(domain) to RegionId(region)
+                        }.toMap()
+                },
             listen = if (role == DaemonRole.ENTRY) listen(section(sections, file, "listen")) else null,
+            operators = with(section(sections, file, "operators")) { address("address") },
             seeds = with(section(sections, file, "peers")) { addresses("seeds") },
             store = with(section(sections, file, "store")) { address("address") },
             slot = sections["slot"]?.let { slot(it) },
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -63,7 +63,11 @@
         number: WeightNumber,
         index: Int,
     ): Either<Failure, ByteArray> =
-        call(address, HttpRequest("GET", "${PeerCalls.PIECE}/${model.text}/${number.number}/$index", emptyList()), PIECE_LIMIT).map { it.body }
+        call(
+            address,
+            HttpRequest("GET", "${PeerCalls.PIECE}/${model.text}/${number.number}/$index", emptyList()),
+            PIECE_LIMIT,
+        ).map { it.body }
 
     private suspend fun call(
         address: Address,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -28,16 +28,17 @@
     private val pieces: PieceCache,
     private val loads: () -> Map<TargetId, Int>,
     private val slotChanged: () -> Unit,
-    private val dump: () -> String,
 ) : HttpHandler {
     override suspend fun handle(exchange: HttpExchange) {
-        val parts = exchange.request.target.split('/').drop(1)
+        val parts =
+            exchange.request.target
+                .split('/')
+                .drop(1)
         val call = "/" + parts.take(2).joinToString("/")
         when {
             call == PeerCalls.WORD -> word(exchange)
             call == PeerCalls.MANIFEST && parts.size == MANIFEST_PARTS -> manifest(exchange, parts)
             call == PeerCalls.PIECE && parts.size == PIECE_PARTS -> piece(exchange, parts)
-            call == "/dump" -> exchange.respond(OK, emptyList(), core.thread.decide { dump() }.encodeToByteArray())
             else -> exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
         }
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
@@ -128,14 +128,22 @@
                 core.peers.heard(reply.self.toPeer(), reply.loads.toLoads(), now)
                 core.peers.sighted(reply.sightings.map { it.toSighting() }, now)
                 val behind = reply.at > core.publication.at
-                if (!behind) behindSince = null else if (behindSince == null) behindSince = now
+                if (!behind) {
+                    behindSince = null
+                } else if (behindSince == null) {
+                    behindSince = now
+                }
                 val brings = items.isNotEmpty() || (!core.publication.confirmed && core.publication.serving != null && !behind)
                 if (!brings) return@decide null
                 behindSince = null
                 core.publication.take(items, reply.at, now).also { changed() }
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
-        if (change != null && !change.isEmpty) core.log.info("items-from-peer", "peer" to address, "items" to items.size, "from" to before, "at" to reply.at)
+        if (change != null &&
+            !change.isEmpty
+        ) {
+            core.log.info("items-from-peer", "peer" to address, "items" to items.size, "from" to before, "at" to reply.at)
+        }
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -54,7 +54,14 @@
                 reachable = false
                 return null
             }
-        if (!reachable) core.log.info("back-end-found", "back-end" to slot.backEnd, "born" to report.born, "number" to report.held?.number?.number)
+        if (!reachable) {
+            core.log.info(
+                "back-end-found",
+                "back-end" to slot.backEnd,
+                "born" to report.born,
+                "number" to report.held?.number?.number,
+            )
+        }
         reachable = true
         if (report.born != born) restarted(report)
         say(SlotWord(slot.backEnd, report.born, report.held, report.loading))
@@ -101,14 +108,18 @@
         manifest = drawn
         sound.clear()
         verify(drawn)
-        core.log.info("staging", "model" to drawn.model.text, "number" to drawn.number.number, "pieces" to drawn.digests.size, "held" to sound.size)
+        core.log.info(
+            "staging",
+            "model" to drawn.model.text,
+            "number" to drawn.number.number,
+            "pieces" to drawn.digests.size,
+            "held" to sound.size,
+        )
         return drawn
     }
 
     /** Draws and stages what is missing; false when another version is wanted meanwhile or a piece can't be had. */
-    private suspend fun stage(
-        manifest: WeightManifest,
-    ): Boolean {
+    private suspend fun stage(manifest: WeightManifest): Boolean {
         val started = core.clock.elapsed()
         val missing = manifest.digests.indices.filter { it !in sound }
         if (missing.isEmpty()) return true
@@ -188,9 +199,7 @@
         manifest: WeightManifest,
         before: BackEndReport,
     ) {
-        val report = report() ?: return
-        if (report.born != before.born || report.loading) return
-        say(SlotWord(slot.backEnd, report.born, report.held, closed = true))
+        val report = close(before) ?: return
         val ordered = core.clock.elapsed()
         when (val answer = backEnd.start(manifest.model, manifest.number, report.orders)) {
             is Either.Left -> core.log.failure("order-unanswered", answer.value, "number" to manifest.number.number)
@@ -199,6 +208,23 @@
         awaitLoaded(manifest, ordered)
     }
 
+    /**
+     * Tells the entry daemons to send nothing more and waits until the back end's queue is empty: what still waits there
+     * when the order comes would wait until the load has ended. Null when the back end restarted meanwhile.
+     */
+    private suspend fun close(before: BackEndReport): BackEndReport? {
+        val asked = core.clock.elapsed()
+        var report = report() ?: return null
+        while (report.born == before.born && !report.loading) {
+            say(SlotWord(slot.backEnd, report.born, report.held, closed = true))
+            val waited = core.clock.elapsed() - asked
+            if (waited > QUEUE_LIMIT || (report.waiting == 0 && waited > NOTICE)) return report
+            delay(QUEUE_CHECK)
+            report = backEnd.report().getOrElse { return null }
+        }
+        return null
+    }
+
     private fun logOrder(
         manifest: WeightManifest,
         answer: OrderAnswer,
@@ -242,6 +268,11 @@
         /** A piece that an entry daemon of the region holds comes within a few link times. */
         val NEWER_LIMIT = 400.milliseconds
         val LOAD_CHECK = 60.milliseconds
+        val QUEUE_CHECK = 40.milliseconds
+
+        /** By then the entry daemons have heard, and what they sent before has arrived. */
+        val NOTICE = 60.milliseconds
+        val QUEUE_LIMIT = 600.milliseconds
 
         /** Running work ends within a few seconds, and loading takes less than one. */
         val LOAD_LIMIT = 8_000.milliseconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/observe/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/observe/DaemonMetrics.kt
@@ -12,6 +12,7 @@
 import lagoonrudder.model.Invariants
 import lagoonrudder.model.Outcome
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
 import kotlin.time.toJavaDuration
 
@@ -37,12 +38,25 @@
         outcome: Outcome,
         took: Duration,
     ) {
+        requestTimer(outcome.code).record(took.toJavaDuration())
+    }
+
+    /** The caller left before there was an outcome. */
+    fun callerLeft(took: Duration) = requestTimer("caller-left").record(took.toJavaDuration())
+
+    fun firstEvent(after: Duration) =
+        Timer
+            .builder("lagoonrudder.first.event")
+            .serviceLevelObjectives(*LATENCY_BUCKETS)
+            .register(registry)
+            .record(after.toJavaDuration())
+
+    private fun requestTimer(outcome: String): Timer =
         Timer
             .builder("lagoonrudder.requests")
-            .tag("outcome", outcome.code)
+            .tag("outcome", outcome)
+            .serviceLevelObjectives(*LATENCY_BUCKETS)
             .register(registry)
-            .record(took.toJavaDuration())
-    }
 
     fun count(
         name: String,
@@ -50,4 +64,9 @@
     ) = registry.counter("lagoonrudder.$name", "kind", kind).increment()
 
     fun render(): String = registry.scrape()
+
+    private companion object {
+        /** Around the objectives of requests, from a plain call to a stream under overload. */
+        val LATENCY_BUCKETS = listOf(50L, 100, 200, 300, 400, 800, 1_600, 3_200).map { it.milliseconds.toJavaDuration() }.toTypedArray()
+    }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
@@ -0,0 +1,48 @@
+package lagoonrudder.daemon.direct
+
+import arrow.core.getOrElse
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.RegionId
+import java.io.File
+import kotlin.time.Duration.Companion.seconds
+
+private val ENTRY = File("../deploy/rehearsal-entry.ini").readText()
+private val TARGET = File("../deploy/rehearsal-target.ini").readText()
+
+private fun error(text: String): String = readDirectSettings(text, "file.ini").leftOrNull().shouldNotBeNull().describe()
+
+class DirectSettingsTest :
+    FunSpec({
+        test("an entry daemon's settings are read") {
+            val settings = readDirectSettings(ENTRY, "file.ini").getOrElse { kotlin.error(it.describe()) }
+            settings.role shouldBe DaemonRole.ENTRY
+            settings.listen.shouldNotBeNull().callers shouldBe Address("127.0.0.1", 17611)
+            settings.regions shouldBe mapOf(DomainId("one") to RegionId("first"))
+            settings.bounds.placement.versionLimit shouldBe 8.seconds
+            settings.slot.shouldBeNull()
+        }
+
+        test("a target daemon's settings are read") {
+            val settings = readDirectSettings(TARGET, "file.ini").getOrElse { kotlin.error(it.describe()) }
+            settings.slot.shouldNotBeNull().backEnd shouldBe Address("127.0.0.1", 17618)
+            settings.listen.shouldBeNull()
+        }
+
+        test("an empty slot is none") {
+            val empty = TARGET.replace("back-end = 127.0.0.1:17618", "back-end = ")
+            readDirectSettings(empty, "file.ini").getOrElse { kotlin.error(it.describe()) }.slot.shouldBeNull()
+        }
+
+        test("an error names file, section and key") {
+            error(ENTRY.replace("version = 8s", "version = soon")) shouldContain "file file.ini section [bounds] key version"
+            error(ENTRY.replace("role = entry", "role = other")) shouldContain "section [daemon] key role"
+            error(ENTRY.replace("[store]", "[shop]")) shouldContain "section [store]"
+        }
+    })
--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -148,7 +148,12 @@
                     channel.pipeline().addLast(HttpClientCodec(), connection)
                 }
             }
-        val opened = bootstrap.clone().handler(initializer).connect(address.host, address.port).awaitOpen()
+        val opened =
+            bootstrap
+                .clone()
+                .handler(initializer)
+                .connect(address.host, address.port)
+                .awaitOpen()
         return if (opened != null) made else null
     }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -174,6 +174,7 @@
         region = RegionId("first"),
         regions = mapOf(DomainId("one") to RegionId("first")),
         listen = listen,
+        operators = free(),
         seeds = entryListens.take(1).map { it.peers },
         store = storeAddress,
         slot = slot,
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/WorkerStandIn.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/WorkerStandIn.kt
@@ -114,7 +114,12 @@
         )
 
     private suspend fun order(exchange: HttpExchange) {
-        val asked = Regex("\"version\":(\\d+)").find(exchange.request.body.decodeToString())?.groupValues?.get(1)?.toLong()
+        val asked =
+            Regex("\"version\":(\\d+)")
+                .find(exchange.request.body.decodeToString())
+                ?.groupValues
+                ?.get(1)
+                ?.toLong()
         if (asked == null || loading) return exchange.respond(409, emptyList(), NO_BYTES)
         orders++
         loading = true
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -3,6 +3,7 @@
  */
 package lagoonrudder.traffic.direct
 
+import lagoonrudder.model.Clock
 import lagoonrudder.model.Failure
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.Revision
@@ -21,7 +22,10 @@
     val endsAt: Duration,
     val priority: Int,
     val homes: List<Set<RegionId>>,
-)
+) {
+    /** What is left of the caller's and the route's time. */
+    fun timeLeft(clock: Clock): Duration = endsAt - clock.elapsed()
+}
 
 /** One attempt and how it went, for the log. */
 data class AttemptRecord(
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -4,7 +4,6 @@
 package lagoonrudder.traffic.direct
 
 import kotlinx.coroutines.withTimeoutOrNull
-import lagoonrudder.model.Clock
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.Refusal
@@ -16,7 +15,6 @@
 import lagoonrudder.traffic.Filter
 import lagoonrudder.traffic.Next
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -56,7 +54,8 @@
     ): Outcome {
         val confirmation = control.thread.decide { control.confirmation() }
         withTimeoutOrNull(CONFIRM_LIMIT) { confirmation.await() }
-        val serving = control.thread.decide { control.publication.serving } ?: return refused(Refusal.NotServing(RETRY_AFTER, "no configuration"))
+        val serving =
+            control.thread.decide { control.publication.serving } ?: return refused(Refusal.NotServing(RETRY_AFTER, "no configuration"))
         val refusal = identify(call, serving)
         return if (refusal != null) refused(refusal) else next.proceed(call)
     }
@@ -70,7 +69,7 @@
         val customer = request.key?.let { serving.customerOf(it) }
         if (serving.asksForKeys && !route.open && customer == null) return Refusal.UnknownCustomer
         val service = pick(route) ?: return Refusal.NoTarget(RETRY_AFTER)
-        val limit = minOf(route.timeout, request.timeLeft ?: Duration.INFINITE)
+        val limit = request.timeLeft?.let { minOf(route.timeout, it) } ?: route.timeout
         call.identify(
             DirectIdentity(
                 revision = serving.revision,
@@ -105,6 +104,3 @@
         val CONFIRM_LIMIT = 400.milliseconds
     }
 }
-
-/** Runs [call] through [filters]' end of time: what is left of the caller's and the route's time at [clock]. */
-internal fun DirectIdentity.timeLeft(clock: Clock): Duration = endsAt - clock.elapsed()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -105,7 +105,12 @@
             val id = event.id
             val before = last
             if (id != null && before != null && id <= before) continue
-            if (id != null && before != null && id.number != before.number + 1) return DirectResult.Lost("event ${id.number} after ${before.number}")
+            if (id != null &&
+                before != null &&
+                id.number != before.number + 1
+            ) {
+                return DirectResult.Lost("event ${id.number} after ${before.number}")
+            }
             if (!begun) begin(current.copyWithoutLength())
             number = current.number ?: number
             pass(event.bytes)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -27,19 +27,21 @@
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.traffic.Filter
-import lagoonrudder.traffic.Next as NextFilter
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import lagoonrudder.traffic.Next as NextFilter
 
 /**
- * [patience] is the part of a route's objective that a request may wait for a place; [firstEvent] and [nextEvent] bound the
- * silence of a back end whose request may go elsewhere; [refusals] bounds the back ends that may turn one request away.
+ * [patience] is the part of a route's objective that a request may wait for a place, [resume] how long a stream that has
+ * begun may; [firstEvent] and [nextEvent] bound the silence of a back end whose request may go elsewhere; [refusals] bounds
+ * the back ends that may turn one request away.
  */
 data class DirectLimits(
     val patience: Double = 0.25,
     val firstEvent: Duration = 1_200.milliseconds,
     val nextEvent: Duration = 1_000.milliseconds,
+    val resume: Duration = 800.milliseconds,
     val refusals: Int = 4,
     val retryAfter: Duration = 1.seconds,
 )
@@ -129,9 +131,10 @@
 
     private suspend fun place(): Placement {
         val asked = control.clock.elapsed()
-        val asPlanned = if (call.attempts.isEmpty()) identity.route.objective * limits.patience else REPEAT_PATIENCE
-        val patience = minOf(asPlanned, identity.timeLeft(control.clock))
-        val need = PlacementNeed(identity.service, identity.customer?.id, identity.priority, identity.homes, passedOver.toSet(), relay.number)
+        val patience = minOf(patience(), identity.timeLeft(control.clock))
+        val priority = if (relay.begun) FIRST else identity.priority
+        val need =
+            PlacementNeed(identity.service, identity.customer?.id, priority, identity.homes, passedOver.toSet(), relay.number)
         val decision =
             withContext(NonCancellable) {
                 control.thread.decide { control.placement.place(need, patience, control.clock.elapsed()) }
@@ -145,6 +148,13 @@
         }
     }
 
+    private fun patience(): Duration =
+        when {
+            relay.begun -> limits.resume
+            call.attempts.isEmpty() -> identity.route.objective * limits.patience
+            else -> REPEAT_PATIENCE
+        }
+
     /** Frees the place of a request whose coroutine ended while it waited; runs on the control thread. */
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun giveBack(decision: CompletableDeferred<Placement>) {
@@ -252,7 +262,9 @@
     }
 
     private suspend fun spend(): Boolean =
-        control.thread.decide { control.repeats.spend(identity.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed()) }
+        control.thread.decide {
+            control.repeats.spend(identity.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed())
+        }
 
     private suspend fun nowhere(placement: Placement.Refused): Outcome {
         if (relay.holdsFailure) return Outcome.Completed(relay.passFailure(), null)
@@ -279,7 +291,17 @@
     }
 
     private fun failure(detail: String): Failure =
-        Failure.Interrupted(Step.SEND, Peer(PeerRole.TARGET, call.attempts.lastOrNull()?.target?.text ?: "none"), detail)
+        Failure.Interrupted(
+            Step.SEND,
+            Peer(
+                PeerRole.TARGET,
+                call.attempts
+                    .lastOrNull()
+                    ?.target
+                    ?.text ?: "none",
+            ),
+            detail,
+        )
 
     private fun endOf(result: DirectResult): AttemptEnd =
         when (result) {
@@ -300,6 +322,9 @@
         }
 
     private companion object {
+        /** A stream that has begun goes before requests of every priority. */
+        const val FIRST = -1
+
         /** A repeat has lost time already; it takes a free place or none. */
         val REPEAT_PATIENCE = 60.milliseconds
         val SLOW_READER_MARGIN = 200.milliseconds
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
@@ -51,7 +51,11 @@
 
     private fun idOf(event: ByteArray): EventId? {
         val line = event.decodeToString().lineSequence().firstOrNull { it.startsWith(ID_FIELD) } ?: return null
-        return line.removePrefix(ID_FIELD).trim().toLongOrNull()?.let { EventId(it) }
+        return line
+            .removePrefix(ID_FIELD)
+            .trim()
+            .toLongOrNull()
+            ?.let { EventId(it) }
     }
 
     private companion object {
