Lose no event when a wait is cancelled; read control state on its thread only; send nothing when the time is over

Cause, found by reading: a channel may lose an element whose receiver is cancelled by a time limit just as it arrives, which would have cut bytes out of an answer. HttpClientTest 'nothing is lost when the wait for an event ends just as it arrives'. An event without an end is bounded; words between regions go out every 450 ms.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/DaemonCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/DaemonCore.kt
@@ -36,13 +36,7 @@
     val log = EventLog(settings.name.text)
     val invariants =
         Invariants { violation ->
-            log.error(
-                "invariant-violated",
-                "invariant" to violation.invariant.name.lowercase(),
-                "step" to violation.step.name.lowercase(),
-                "peer" to violation.peer,
-                "detail" to violation.detail,
-            )
+            log.violated(violation)
             options.onViolation(violation)
         }
     val thread = ControlThread.start(settings.name.text, clock, invariants)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -28,16 +28,7 @@
     val clock: Clock,
 ) : AutoCloseable {
     val log = EventLog(settings.name.text)
-    val invariants =
-        Invariants { violation ->
-            log.error(
-                "invariant-violated",
-                "invariant" to violation.invariant.name.lowercase(),
-                "step" to violation.step.name.lowercase(),
-                "peer" to violation.peer,
-                "detail" to violation.detail,
-            )
-        }
+    val invariants = Invariants { log.violated(it) }
     val thread = ControlThread.start(settings.name.text, clock, invariants)
     val metrics = DaemonMetrics(thread, invariants)
     val loop = HttpLoop("traffic")
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -43,8 +43,8 @@
     private val control =
         DirectControl(core.thread, core.clock, core.publication, core.peers, placement, RepeatShare(settings.bounds.repeats))
     private val client = PeerClient(core.http)
-    private val store = StoreLoop(core, needed = { true }, changed = control::published)
-    private val peers = PeerLoop(core, client, loads = placement::inFlight, changed = control::published)
+    private val store = StoreLoop(core, needed = { true }, changed = ::published)
+    private val peers = PeerLoop(core, client, loads = placement::inFlight, changed = ::published)
     private val pieces = PieceCache(core, PieceSources(core, client))
     private val pauses = PauseWatch(core.clock)
     private var callers: HttpServer? = null
@@ -52,10 +52,14 @@
     @Volatile
     private var leaving = false
 
+    /** The limits for callers, as the traffic thread reads them. */
+    @Volatile
+    private var limits = DEFAULT_LIMITS
+
     override suspend fun start() {
         val listen = checkNotNull(settings.listen)
         val chain = FilterChain(directFilters(control, BackEndEnd(core.http), random, ::ended))
-        val endpoint = PeerEndpoint(core, pieces, placement::inFlight, control::published)
+        val endpoint = PeerEndpoint(core, pieces, placement::inFlight, ::published)
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, endpoint)
         HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, ReadyEnd { ready() })
         callers =
@@ -82,7 +86,13 @@
         core.log.info("stopped", "in-hand" to server.inHand, "took" to core.clock.elapsed() - started)
     }
 
-    private fun ready() = !leaving && core.publication.confirmed
+    /** Something that this process believes has changed; runs on the control thread. */
+    private fun published() {
+        limits = core.publication.serving?.limits ?: DEFAULT_LIMITS
+        control.published()
+    }
+
+    private suspend fun ready() = !leaving && core.thread.decide { core.publication.confirmed }
 
     private suspend fun tick() {
         while (currentCoroutineContext().isActive) {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
@@ -38,8 +38,10 @@
     private val exchanges = mutableMapOf<Address, Job>()
     private var behindSince: Duration? = null
     private var answeredAt: Duration? = null
+    private var nearPartners: Set<Address> = emptySet()
 
     /** The word about the back end in this daemon's slot, or null at an entry daemon. */
+    @Volatile
     var slot: SlotWord? = null
 
     /** Whether any peer has answered lately. */
@@ -64,6 +66,7 @@
             val over = exchanges.keys - partners.toSet()
             over.forEach { exchanges.remove(it)?.cancel() }
             for (partner in partners) exchanges.getOrPut(partner) { core.scope.launch { exchangeRepeatedly(partner) } }
+            nearPartners = core.thread.decide { nearAddresses() }
             delay(PARTNERS_PAUSE)
         }
     }
@@ -74,10 +77,18 @@
         while (currentCoroutineContext().isActive) {
             val heard = exchange(address, wantsPeers = round++ % PEERS_EVERY == 0)
             failures = if (heard) 0 else failures + 1
-            delay(if (heard) EXCHANGE_PAUSE else (FAILED_PAUSE * failures).coerceAtMost(LONGEST_PAUSE))
+            val pause = if (address in nearPartners) EXCHANGE_PAUSE else FAR_EXCHANGE_PAUSE
+            delay(if (heard) pause else (FAILED_PAUSE * failures).coerceAtMost(LONGEST_PAUSE))
         }
     }
 
+    private fun nearAddresses(): Set<Address> =
+        core.peers
+            .liveEntries(core.clock.elapsed())
+            .filter { it.region == core.self.region }
+            .mapNotNull { it.address }
+            .toSet()
+
     /** A target daemon asks one entry daemon of its region at a time, and the next one when that fails. */
     private suspend fun exchangeWithOne() {
         var failures = 0
@@ -121,7 +132,6 @@
         address: Address,
     ) {
         val items = reply.items.map { readItem(it.toItem()) }
-        val before = core.publication.at
         val change =
             core.thread.decide {
                 val now = core.clock.elapsed()
@@ -139,15 +149,13 @@
                 core.publication.take(items, reply.at, now).also { changed() }
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
-        if (change != null &&
-            !change.isEmpty
-        ) {
-            core.log.info("items-from-peer", "peer" to address, "items" to items.size, "from" to before, "at" to reply.at)
-        }
     }
 
     private companion object {
         val EXCHANGE_PAUSE = 250.milliseconds
+
+        /** Both sides learn from each exchange, and the links between regions are thin. */
+        val FAR_EXCHANGE_PAUSE = 450.milliseconds
         val TARGET_PAUSE = 400.milliseconds
         val FAILED_PAUSE = 300.milliseconds
         val LONGEST_PAUSE = 2.seconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
@@ -31,6 +31,8 @@
     private var waiting: Job? = null
     private var hurried = false
     private var readAll = true
+
+    @Volatile
     private var lostSince: Duration? = null
     private var failures = 0
 
@@ -93,8 +95,8 @@
     }
 
     private suspend fun take(action: () -> PublicationChange) {
-        val change = core.thread.decide { action().also { changed() } }
-        core.logChange(change, "store", core.publication.at)
+        val (change, at) = core.thread.decide { action().also { changed() } to core.publication.at }
+        core.logChange(change, "store", at)
     }
 
     private suspend fun lost(failure: Failure) {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/observe/EventLog.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/observe/EventLog.kt
@@ -4,6 +4,7 @@
 package lagoonrudder.daemon.observe
 
 import lagoonrudder.model.Failure
+import lagoonrudder.model.Violation
 import org.tinylog.kotlin.Logger
 
 enum class LogLevel { INFO, WARNING, ERROR }
@@ -37,6 +38,16 @@
         arrayOf("step" to failure.step.name.lowercase(), "peer" to failure.peer, "detail" to failure.detail, *fields),
     )
 
+    /** Logs that the program broke an invariant of its own. */
+    fun violated(violation: Violation) =
+        error(
+            "invariant-violated",
+            "invariant" to violation.invariant.name.lowercase(),
+            "step" to violation.step.name.lowercase(),
+            "peer" to violation.peer,
+            "detail" to violation.detail,
+        )
+
     private fun write(
         level: LogLevel,
         event: String,
--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -20,9 +20,11 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.suspendCancellableCoroutine
 import lagoonrudder.model.Address
 import lagoonrudder.model.HeaderField
+import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -129,7 +131,9 @@
         private val belongs: (HttpHead) -> Boolean,
         private val released: (HttpConnection) -> Unit,
     ) : HttpCall {
-        private val events = Channel<HttpEvent>(Channel.UNLIMITED)
+        // A channel could lose an event that arrives just as the wait for it is cancelled.
+        private val events = ArrayDeque<HttpEvent>()
+        private var reader: CancellableContinuation<Unit>? = null
         private var waitingBytes = 0
         private var skipping = false
         private var ended = false
@@ -137,7 +141,8 @@
         var written = false
 
         override suspend fun next(): HttpEvent {
-            val event = events.receive()
+            while (events.isEmpty()) suspendCancellableCoroutine { reader = it }
+            val event = events.removeFirst()
             if (event is HttpEvent.Bytes) taken(event.data.size)
             return event
         }
@@ -152,7 +157,7 @@
         fun fail(detail: String) {
             if (ended) return
             ended = true
-            events.trySend(HttpEvent.Broken(detail))
+            deliver(HttpEvent.Broken(detail))
             detach()
             close()
         }
@@ -173,7 +178,7 @@
             keep = HttpUtil.isKeepAlive(response) && (head.length != null || HttpUtil.isTransferEncodingChunked(response))
             if (!skipping) {
                 keptFor = keptFor(head)
-                events.trySend(HttpEvent.Head(head))
+                deliver(HttpEvent.Head(head))
             }
             return true
         }
@@ -184,7 +189,7 @@
             if (bytes.isNotEmpty() && !skipping) {
                 waitingBytes += bytes.size
                 if (waitingBytes > READ_WINDOW_BYTES) channel.config().isAutoRead = false
-                events.trySend(HttpEvent.Bytes(bytes))
+                deliver(HttpEvent.Bytes(bytes))
             }
             if (content is LastHttpContent) finish()
         }
@@ -195,11 +200,17 @@
                 return
             }
             ended = true
-            events.trySend(HttpEvent.End)
+            deliver(HttpEvent.End)
             detach()
             if (keep && written) released(this@HttpConnection) else close()
         }
 
+        private fun deliver(event: HttpEvent) {
+            events.addLast(event)
+            reader?.takeIf { it.isActive }?.resume(Unit)
+            reader = null
+        }
+
         private fun detach() {
             if (call === this) call = null
             channel.config().isAutoRead = true
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.model.Address
 import lagoonrudder.model.Failure
 import lagoonrudder.model.HeaderField
@@ -168,6 +169,30 @@
             }
         }
 
+        test("nothing is lost when the wait for an event ends just as it arrives") {
+            val pieces = 400
+            ScriptedServer { connection ->
+                connection.readHead()
+                connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                repeat(pieces) {
+                    connection.send("4\r\n%04d\r\n".format(it))
+                    Thread.sleep(1)
+                }
+                connection.send("0\r\n\r\n")
+            }.use { server ->
+                withClient { client ->
+                    val call = client.send(server.address, get(), PEER).getOrElse { error(it.describe()) }
+                    val body = StringBuilder()
+                    while (true) {
+                        val event = withTimeoutOrNull(1.milliseconds) { call.next() } ?: continue
+                        if (event is HttpEvent.Bytes) body.append(event.data.decodeToString())
+                        if (event == HttpEvent.End) break
+                    }
+                    body.toString() shouldBe (0 until pieces).joinToString("") { "%04d".format(it) }
+                }
+            }
+        }
+
         test("no connection means that nothing was sent") {
             val free = ServerSocket(0).use { it.localPort }
             withClient { client ->
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -116,7 +116,7 @@
             pass(event.bytes)
             if (id != null) last = id
         }
-        return null
+        return if (splitter.overflowed) DirectResult.Lost("an event without an end") else null
     }
 
     private suspend fun takeEnd(): DirectResult {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -131,7 +131,9 @@
 
     private suspend fun place(): Placement {
         val asked = control.clock.elapsed()
-        val patience = minOf(patience(), identity.timeLeft(control.clock))
+        val timeLeft = identity.timeLeft(control.clock)
+        if (timeLeft <= Duration.ZERO) return Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
+        val patience = minOf(patience(), timeLeft)
         val priority = if (relay.begun) FIRST else identity.priority
         val need =
             PlacementNeed(identity.service, identity.customer?.id, priority, identity.homes, passedOver.toSet(), relay.number)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
@@ -17,6 +17,9 @@
     /** Whether part of an event has arrived and its end has not. */
     val midEvent: Boolean get() = pending.isNotEmpty()
 
+    /** Whether an event has grown so long without an end that it is none. */
+    val overflowed: Boolean get() = pending.size > LONGEST_EVENT_BYTES
+
     /** The events that [data] completes. */
     fun take(data: ByteArray): List<StreamEvent> {
         val all = if (pending.isEmpty()) data else pending + data
@@ -62,5 +65,8 @@
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+
+        /** An event holds a few tokens; this is far more than any. */
+        const val LONGEST_EVENT_BYTES = 262_144
     }
 }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
@@ -24,6 +24,12 @@
             }
         }
 
+        test("an event that never ends is noticed") {
+            val splitter = EventSplitter()
+            repeat(300) { splitter.take(ByteArray(1_000) { 'x'.code.toByte() }) }
+            splitter.overflowed shouldBe true
+        }
+
         test("half an event is kept back") {
             val splitter = EventSplitter()
             splitter.take("id: 1\ndata: a\n\nid: 2\nda".encodeToByteArray()).map { it.id } shouldContainExactly listOf(EventId(1))
