--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -183,7 +183,7 @@
         val usable = publication.backEnds.filter { it.service == need.service && isUsable(it, need, now) }
         if (usable.isEmpty()) return Placement.Refused(Refusal.NoTarget(NO_TARGET_RETRY), reasonOf(need, now))
         val rested = usable.filter { useOf(it).asideUntil <= now }.ifEmpty { listOf(usable.minBy { useOf(it).asideUntil }) }
-        val free = rested.filter { load(it, now) < mostInFlight(it) && bearsOneMore(it, now) }
+        val free = rested.filter { load(it, now) < mostInFlight(it, now) && bearsOneMore(it, now) }
         if (free.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${rested.size}")
         val chosen = free.minBy { score(it, now) }
         val use = useOf(chosen)
@@ -246,9 +246,26 @@
     ): Int = useOf(backEnd).inFlight + peers.inFlightElsewhere(backEnd.id, now)
 
     /** A place in an engine's batch is taken for a second, one in a plain service for milliseconds. */
-    private fun mostInFlight(backEnd: BackEnd): Int {
+    private fun mostInFlight(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Int {
         val isEngine = publication.serving?.service(backEnd.service)?.weights != null
-        return backEnd.slots + if (isEngine) QUEUED_STREAMS else QUEUED_CALLS
+        return when {
+            !isEngine -> backEnd.slots + QUEUED_CALLS
+            isDueSoon(backEnd, now) -> (backEnd.slots - SPARED_WHEN_DUE).coerceAtLeast(1)
+            else -> backEnd.slots + QUEUED_STREAMS
+        }
+    }
+
+    /** Whether [backEnd] is about to be too old: a request that waits in its queue could begin after the bound. */
+    private fun isDueSoon(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean {
+        val held = slots.held(backEnd, now) ?: return false
+        val due = publication.declaredBy(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DUE_SOON) ?: return false
+        return held.number < due.number
     }
 
     private fun bearsOneMore(
@@ -308,7 +325,11 @@
         val FULL_RETRY = 1_000.milliseconds
 
         /** Requests sent within the margin may still wait in a back end's queue when the time to switch is over. */
-        val SWITCH_MARGIN = 800.milliseconds
+        val SWITCH_MARGIN = 1_200.milliseconds
+
+        /** Before that, a back end with the older version gets no more than it can begin at once, by words that may be old. */
+        val DUE_SOON = 1_000.milliseconds
+        const val SPARED_WHEN_DUE = 3
         val COLD_WINDOW = 1.seconds + 100.milliseconds
 
         /** The rest is left for entry daemons that this one hasn't heard of and for requests that arrive late together. */
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -169,6 +169,19 @@
             }
         }
 
+        test("a back end whose version is about to be too old gets only what it can begin at once") {
+            val scene = Scene(listOf(backEnd("old", number = 1)))
+            scene.declare(2)
+            scene.now += 6.2.seconds
+            scene.place().target shouldBe TargetId("old")
+            scene
+                .place()
+                .getCompleted()
+                .shouldBeInstanceOf<Placement.Refused>()
+                .refusal
+                .shouldBeInstanceOf<Refusal.Overloaded>()
+        }
+
         test("a version that is declared on top of another doesn't put off the time of the first") {
             val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
             scene.declare(2)
