Read no request that a stopping process can't answer

Test first: HttpServerTest 'has stopped reading'. The listener closes and idle connections end before the last look at what is in hand.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -82,6 +82,8 @@
         server.retire()
         val last = started + settings.bounds.stopGrace - STOP_MARGIN
         delay(RETIRE_NOTICE)
+        // A request that was read just before the process ends would get no answer.
+        server.stopReading()
         while (server.inHand > 0 && core.clock.elapsed() < last) delay(STOP_CHECK)
         core.log.info("stopped", "in-hand" to server.inHand, "took" to core.clock.elapsed() - started)
     }
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -68,6 +68,13 @@
         state.connections.forEach { it.closeWhenIdle() }
     }
 
+    /** Takes no new connection and reads no further request; what is being answered goes on to its end. */
+    fun stopReading() {
+        state.deaf = true
+        channel.close()
+        state.connections.forEach { it.closeWhenIdle() }
+    }
+
     override fun close() {
         channel.close()
         state.connections.forEach { it.abandon() }
@@ -125,6 +132,10 @@
     @Volatile
     var retiring = false
 
+    /** Whether requests are no longer read. */
+    @Volatile
+    var deaf = false
+
     fun connect(
         channel: SocketChannel,
         limits: CallerLimits,
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -99,6 +99,7 @@
     }
 
     private fun readHead(message: NettyRequest) {
+        if (server.deaf) return hangUp()
         val failure = message.decoderResult().cause()
         if (failure != null) return reject(statusOf(failure))
         val twoLengths = message.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size > 1
@@ -154,6 +155,12 @@
         if (channel.isActive) answerNext()
     }
 
+    /** Closes without having taken the request; one that is being answered ends first. */
+    private fun hangUp() {
+        closing = true
+        if (current == null) channel.close()
+    }
+
     /** Answers a request that is not passed on, and closes. */
     private fun reject(status: Int) {
         closing = true
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -1,5 +1,6 @@
 package lagoonrudder.http
 
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
@@ -13,6 +14,7 @@
 import kotlinx.coroutines.withTimeout
 import lagoonrudder.model.Address
 import lagoonrudder.model.CallerLimits
+import java.net.ConnectException
 import java.util.Collections
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -185,4 +187,28 @@
                 answer shouldEndWith "done"
             }
         }
+
+        test("a server that has stopped reading ends what is in hand and takes nothing more, on no connection") {
+            val release = CompletableDeferred<Unit>()
+            val handler =
+                HttpHandler { exchange ->
+                    release.await()
+                    exchange.respond(200, emptyList(), "done".encodeToByteArray())
+                }
+            Serving(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                val idle = serving.connect()
+                val busy = serving.connect()
+                busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.server.stopReading()
+                idle.readRest() shouldBe ""
+                Thread.sleep(100)
+                shouldThrow<ConnectException> { serving.connect() }
+                busy.send("GET /second HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                release.complete(Unit)
+                busy.readRest() shouldEndWith "done"
+                serving.server.inHand shouldBe 0
+            }
+        }
     })
