Forget old sends of every back end, not only of those with a cold bound

Found by reading the change: the times of requests to plain services, which have no cold bound, were kept for ever. The window is now trimmed where a send is noted.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -81,7 +81,19 @@
         var failures = 0
         var refusals = 0
         var asideUntil = Duration.ZERO
-        val sent = ArrayDeque<Duration>()
+        private val sent = ArrayDeque<Duration>()
+
+        /** How many requests were sent in the window before [now]. */
+        fun sentLately(now: Duration): Int {
+            while (sent.isNotEmpty() && now - sent.first() > COLD_WINDOW) sent.removeFirst()
+            return sent.size
+        }
+
+        fun send(now: Duration) {
+            sentLately(now)
+            sent.addLast(now)
+            inFlight++
+        }
 
         fun answered() {
             failures = 0
@@ -166,13 +178,9 @@
         dumpSection("placement") {
             entry("waiting", line.size)
             for ((id, use) in uses) {
-                entry(
-                    id.text,
-                    "in-flight=${use.inFlight} elsewhere=${peers.inFlightElsewhere(
-                        id,
-                        now,
-                    )} failures=${use.failures} aside=${use.asideUntil - now}",
-                )
+                val elsewhere = peers.inFlightElsewhere(id, now)
+                val aside = use.asideUntil - now
+                entry(id.text, "in-flight=${use.inFlight} elsewhere=$elsewhere failures=${use.failures} aside=$aside")
             }
         }
 
@@ -186,9 +194,7 @@
         val free = rested.filter { load(it, now) < mostInFlight(it, now) && bearsOneMore(it, now) }
         if (free.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${rested.size}")
         val chosen = free.minBy { score(it, now) }
-        val use = useOf(chosen)
-        use.inFlight++
-        use.sent.addLast(now)
+        useOf(chosen).send(now)
         if (need.customer != null) inFlightOf.merge(need.customer, 1, Int::plus)
         return Placement.Placed(chosen, requiredNumber(slots.held(chosen, now), need, now))
     }
@@ -235,9 +241,8 @@
     ): String {
         val all = publication.backEnds.filter { it.service == need.service }
         val without = all.count { !holdsWeights(it, need, now) }
-        return "no back end listed=${all.size} leaving=${all.count {
-            it.leaving
-        }} without-weights=$without passed-over=${need.passedOver.size}"
+        val leaving = all.count { it.leaving }
+        return "no back end listed=${all.size} leaving=$leaving without-weights=$without passed-over=${need.passedOver.size}"
     }
 
     private fun load(
@@ -273,10 +278,8 @@
         now: Duration,
     ): Boolean {
         val rate = publication.serving?.service(backEnd.service)?.coldRequestsPerSecond ?: return true
-        val use = useOf(backEnd)
-        while (use.sent.isNotEmpty() && now - use.sent.first() > COLD_WINDOW) use.sent.removeFirst()
         val most = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_SAFE_PART / peers.entryCount(now)
-        return use.sent.size + 1 <= most.coerceAtLeast(1.0)
+        return useOf(backEnd).sentLately(now) + 1 <= most.coerceAtLeast(1.0)
     }
 
     private fun score(
