Switch versions with less idle time, and bring weights back sooner after a restart

Change: the first four fifths of the back ends of a service give running requests 0.6 s to end and then break them off; they go on elsewhere with the same version, where every route of the service allows that. Turns count from the declaration of the version that is loaded. Entry daemons draw a version when it is declared. A target daemon reads the store once at its start, skips the second reading when nothing changed within 0.3 s, and gives no notice for a back end that serves nothing.

Ruled out by trials: placing requests by their expected length so that they end by the turn of their back end.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -93,6 +93,15 @@
     /** The newest version that was declared for [model]. */
     fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]?.last()
 
+    /** The declaration of [number]; null for a version that was never declared or has long been replaced. */
+    fun declaration(
+        model: ModelId,
+        number: WeightNumber,
+    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { it.number == number }
+
+    /** The newest version of each model. */
+    val newest: List<DeclaredWeights> get() = declaredByModel.values.map { it.last() }
+
     /** The newest version of [model] that was declared at [time] or before; each declaration binds from its own time on. */
     fun declaredBy(
         model: ModelId,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -2,8 +2,7 @@
  * Decides at a target daemon which weights its back end is to load, from where each piece comes, and when to switch.
  *
  * Entry daemons have wide links and draw each piece from the origin about once for all; a target daemon asks the entry
- * daemon of its region that leads a piece, then others, and the origin last. Back ends switch one after the other over a
- * few seconds, so that most of them take work at any time. Nothing is agreed: every process works out the same order.
+ * daemon of its region that leads a piece, then others, and the origin last.
  */
 package lagoonrudder.control.direct
 
@@ -18,7 +17,6 @@
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /** What a back end reports. [born] is its start; [orders] counts the orders that it accepted since then. */
 data class BackEndReport(
@@ -37,6 +35,9 @@
     val digests: List<Digest>,
 )
 
+/** When a back end starts to load: once its running requests have ended, or at once, which breaks them off. */
+enum class LoadStart { AFTER_RUNNING, AT_ONCE }
+
 sealed class OrderAnswer {
     data object Begun : OrderAnswer()
 
@@ -70,6 +71,7 @@
 class StagingController(
     private val peers: PeerController,
     private val publication: PublicationController,
+    private val turns: SwitchTurns,
     private val regions: Map<DomainId, RegionId>,
 ) {
     /** What the back end of [service] with [report] lacks; null when it has what it should. */
@@ -136,22 +138,16 @@
         return ordered(near, model, number, index).firstOrNull()?.daemon == peers.self.daemon
     }
 
-    /** When, after a version was declared, the back end at [backEnd] is to switch; null when it serves nothing and needn't wait. */
+    /** When the back end of [service] at [address] is to switch to [number]; null when it serves nothing and needn't wait. */
     fun turn(
         service: ServiceId,
-        backEnd: Address,
-        model: ModelId,
+        address: Address,
         report: BackEndReport,
-    ): Duration? {
-        val held = report.held ?: return null
-        val newest = publication.declared(model) ?: return null
-        val oldest = publication.oldestUnmet(model, held.number) ?: return null
-        val order = rendezvousOrder("${model.text} ${newest.number}", publication.backEnds.filter { it.service == service }) { it.id.text }
-        val place = order.indexOfFirst { it.address == backEnd }.coerceAtLeast(0)
-        val first = newest.since + FIRST_TURN
-        val last = (oldest.since + FIRST_TURN + TURNS_SPREAD).coerceAtLeast(first)
-        return first + (last - first) * (place.toDouble() / order.size.coerceAtLeast(1))
-    }
+        number: WeightNumber,
+    ): SwitchTurn? =
+        publication.backEnds
+            .firstOrNull { it.service == service && it.address == address }
+            ?.let { turns.turn(it, report.held, number) }
 
     private fun origin(): Address? = publication.serving?.services?.firstNotNullOfOrNull { it.origin }
 
@@ -172,11 +168,5 @@
     private companion object {
         const val NEAR_SOURCES = 2
         const val FAR_SOURCES = 1
-
-        /** A copy takes three seconds over a target's link, less when it overlaps the origin's sending. */
-        val FIRST_TURN = 3_000.milliseconds
-
-        /** The last back end closes before requests on the older version end, and finishes its work after that. */
-        val TURNS_SPREAD = 3_100.milliseconds
     }
 }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -11,8 +11,12 @@
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Published
 import lagoonrudder.model.RegionId
+import lagoonrudder.model.RequestKind
 import lagoonrudder.model.Revision
+import lagoonrudder.model.RouteId
 import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServiceShare
+import lagoonrudder.model.ServingRoute
 import lagoonrudder.model.ServingService
 import lagoonrudder.model.ServingSet
 import lagoonrudder.model.TargetId
@@ -63,6 +67,21 @@
     limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds),
 )
 
+internal fun route(kind: RequestKind) =
+    ServingRoute(
+        id = RouteId("route"),
+        host = "host",
+        prefix = "/",
+        kind = kind,
+        timeout = 6.seconds,
+        objective = 1.seconds,
+        priority = 1,
+        attempts = 2,
+        shares = listOf(ServiceShare(ENGINES, 1.0)),
+        open = true,
+        homes = emptySet(),
+    )
+
 internal fun item(
     key: String,
     revision: Long,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -12,6 +12,7 @@
 import lagoonrudder.model.Address
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.Published
+import lagoonrudder.model.RequestKind
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -83,7 +84,7 @@
             peers.heard(peer("far-entry", FAR), emptyMap(), 10.seconds)
             publication.take(listOf(item("op/config", 1, Published.Serving(servingSet(1)))), 1, 1.seconds)
             publication.take((1..8).map { registered(backEnd("b$it"), it + 1L) }, 9, 2.seconds)
-            return publication to StagingController(peers, publication, REGIONS)
+            return publication to StagingController(peers, publication, SwitchTurns(publication), REGIONS)
         }
 
         fun declare(
@@ -148,9 +149,34 @@
         test("back ends that serve switch one after the other, all within the time to spread; an empty one needn't wait") {
             val (publication, staging) = scene()
             declare(publication, 2)
-            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, MODEL, report(1)).shouldNotBeNull() }
-            turns.toSet().size shouldBe publication.backEnds.size
-            turns.filter { it > 10.seconds + 6.5.seconds }.shouldBeEmpty()
-            staging.turn(ENGINES, backEnd("b1").address, MODEL, report(null)).shouldBeNull()
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), WeightNumber(2)).shouldNotBeNull() }
+            turns.map { it.at }.toSet().size shouldBe publication.backEnds.size
+            turns.filter { it.at > 10.seconds + 6.5.seconds }.shouldBeEmpty()
+            staging.turn(ENGINES, backEnd("b1").address, report(null), WeightNumber(2)).shouldBeNull()
+        }
+
+        test("a version declared on top of another doesn't put off the turns of the first") {
+            val (publication, staging) = scene()
+            val first = WeightNumber(2)
+            declare(publication, 2)
+            val before = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), first).shouldNotBeNull().at }
+            publication.take(listOf(item("op/version/model", 23, Published.Declared(MODEL, WeightNumber(3)))), 23, 12.seconds)
+            publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), first).shouldNotBeNull().at } shouldBe before
+        }
+
+        test("the back ends that switch first hand unfinished requests to those that switch later, and the last let them end") {
+            val (publication, staging) = scene()
+            declare(publication, 2)
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), WeightNumber(2)).shouldNotBeNull() }.sortedBy { it.at }
+            turns.map { it.handover } shouldBe List(7) { Handover.GO_ON_ELSEWHERE } + List(1) { Handover.LET_END }
+        }
+
+        test("no back end breaks off requests of a service that has a route whose requests can't go on elsewhere") {
+            val (publication, staging) = scene()
+            val set = servingSet(2).copy(routes = listOf(route(RequestKind.Stream(resumable = false, longestPause = null))))
+            publication.take(listOf(item("op/config", 15, Published.Serving(set))), 15, 9.seconds)
+            declare(publication, 2)
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), WeightNumber(2)).shouldNotBeNull() }
+            turns.map { it.handover }.toSet() shouldBe setOf(Handover.LET_END)
         }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -15,6 +15,7 @@
 import lagoonrudder.control.direct.PublicationController
 import lagoonrudder.control.direct.SlotController
 import lagoonrudder.control.direct.StagingController
+import lagoonrudder.control.direct.SwitchTurns
 import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
@@ -42,7 +43,8 @@
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val slots = SlotController()
-    val staging = StagingController(peers, publication, settings.regions)
+    val turns = SwitchTurns(publication)
+    val staging = StagingController(peers, publication, turns, settings.regions)
 
     /** Logs what changed in what this process believes. */
     fun logChange(
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.Places
 import lagoonrudder.control.direct.RepeatShare
@@ -47,6 +48,7 @@
     private val peers = PeerLoop(core, client, loads = placement::inFlight, changed = ::published)
     private val pieces = PieceCache(core, PieceSources(core, client))
     private val pauses = PauseWatch(core.clock)
+    private val prepared = mutableSetOf<DeclaredWeights>()
     private var callers: HttpServer? = null
 
     @Volatile
@@ -92,6 +94,9 @@
     private fun published() {
         limits = core.publication.serving?.limits ?: DEFAULT_LIMITS
         control.published()
+        val unprepared = core.publication.newest.filterNot { it in prepared }
+        prepared += unprepared
+        unprepared.forEach { core.scope.launch { pieces.prepare(it) } }
     }
 
     private suspend fun ready() = !leaving && core.thread.decide { core.publication.confirmed }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PieceCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PieceCache.kt
@@ -10,14 +10,17 @@
 import arrow.core.flatMap
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
+import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PieceSource
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration.Companion.milliseconds
 
 class PieceCache(
     private val core: DirectCore,
@@ -54,6 +57,17 @@
         return drawn
     }
 
+    /**
+     * Draws a version that was just declared, before anybody asks for it: an origin that fails soon after has then given
+     * part of it. Goes on until the manifest is there or a newer version is declared.
+     */
+    suspend fun prepare(declared: DeclaredWeights) {
+        while (core.thread.decide { core.publication.declared(declared.model) } == declared) {
+            if (manifest(declared.model, declared.number).isRight()) return
+            delay(PREPARE_PAUSE)
+        }
+    }
+
     /** Draws the pieces that this daemon leads before they are asked for; the first call for a version does so. */
     private fun drawAhead(manifest: WeightManifest) {
         val version = manifest.model to manifest.number
@@ -106,5 +120,6 @@
         const val DRAWS_AT_ONCE = 4
         const val VERSIONS_KEPT = 2
         const val MANIFEST = -1
+        val PREPARE_PAUSE = 500.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -16,8 +16,11 @@
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
+import lagoonrudder.control.direct.Handover
+import lagoonrudder.control.direct.LoadStart
 import lagoonrudder.control.direct.OrderAnswer
 import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.control.direct.SwitchTurn
 import lagoonrudder.control.direct.WantedWeights
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.WeightNumber
@@ -35,6 +38,7 @@
     private val backEnd = SlotCalls(core.http, slot.backEnd)
     private var manifest: WeightManifest? = null
     private val sound = mutableSetOf<Int>()
+    private var verifiedAt: Duration? = null
     private var born = 0L
     private var reachable = false
 
@@ -72,6 +76,7 @@
         born = report.born
         sound.clear()
         manifest = null
+        verifiedAt = null
     }
 
     private suspend fun say(word: SlotWord) {
@@ -92,7 +97,7 @@
         }
         if (!stage(manifest)) return
         if (!awaitTurn(manifest, report)) return
-        if (verify(manifest)) order(manifest, report)
+        if (wasJustVerified() || verify(manifest)) order(manifest, report, turn(manifest, report)?.handover ?: Handover.LET_END)
     }
 
     private suspend fun manifestOf(
@@ -148,6 +153,7 @@
         val bytes = sources.piece(from, manifest, index).getOrElse { return false }
         val staged = backEnd.stage(manifest.model, index, bytes)
         if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
+        verifiedAt = null
         if (staged is Either.Right) sound += index
         return staged.isRight()
     }
@@ -161,14 +167,19 @@
     ): Boolean {
         while (isStillWanted(manifest)) {
             if (isOutdated(manifest)) return false
-            val turn = core.thread.decide { core.staging.turn(slot.service, slot.backEnd, manifest.model, report) } ?: return true
-            val wait = turn - core.clock.elapsed()
+            val turn = turn(manifest, report) ?: return true
+            val wait = turn.at - core.clock.elapsed()
             if (wait <= Duration.ZERO) return true
             delay(minOf(wait, TURN_CHECK))
         }
         return false
     }
 
+    private suspend fun turn(
+        manifest: WeightManifest,
+        report: BackEndReport,
+    ): SwitchTurn? = core.thread.decide { core.staging.turn(slot.service, slot.backEnd, report, manifest.number) }
+
     /** Whether a newer version was declared and can be drawn: then this one is passed over. */
     private suspend fun isOutdated(manifest: WeightManifest): Boolean {
         val newest = core.thread.decide { core.publication.declared(manifest.model)?.number }
@@ -185,6 +196,8 @@
         return canBeDrawn
     }
 
+    private fun wasJustVerified() = verifiedAt?.let { core.clock.elapsed() - it < VERIFIED_FOR } ?: false
+
     /** Reads every staged piece back; what isn't sound is drawn again. */
     private suspend fun verify(manifest: WeightManifest): Boolean {
         for (index in manifest.digests.indices) {
@@ -192,33 +205,49 @@
             val isSound = staged != null && digestOf(staged) == manifest.digests[index]
             if (isSound) sound += index else sound -= index
         }
-        return sound.size == manifest.digests.size
+        val isWhole = sound.size == manifest.digests.size
+        verifiedAt = core.clock.elapsed().takeIf { isWhole }
+        return isWhole
     }
 
     private suspend fun order(
         manifest: WeightManifest,
         before: BackEndReport,
+        handover: Handover,
     ) {
-        val report = close(before) ?: return
+        val report = (if (before.held == null) unchanged(before) else close(before, handover)) ?: return
+        val start =
+            when (handover) {
+                Handover.GO_ON_ELSEWHERE -> LoadStart.AT_ONCE
+                Handover.LET_END -> LoadStart.AFTER_RUNNING
+            }
         val ordered = core.clock.elapsed()
-        when (val answer = backEnd.start(manifest.model, manifest.number, report.orders)) {
+        when (val answer = backEnd.start(manifest.model, manifest.number, report.orders, start)) {
             is Either.Left -> core.log.failure("order-unanswered", answer.value, "number" to manifest.number.number)
             is Either.Right -> logOrder(manifest, answer.value, report)
         }
         awaitLoaded(manifest, ordered)
     }
 
+    /** The report of a back end that serves nothing and needs no notice; null when it restarted meanwhile. */
+    private suspend fun unchanged(before: BackEndReport): BackEndReport? = report()?.takeIf { it.born == before.born && !it.loading }
+
     /**
      * Tells the entry daemons to send nothing more and waits until the back end's queue is empty: what still waits there
-     * when the order comes would wait until the load has ended. Null when the back end restarted meanwhile.
+     * when the order comes would wait until the load has ended. Requests that are to go on elsewhere get some time to end
+     * where they are. Null when the back end restarted meanwhile.
      */
-    private suspend fun close(before: BackEndReport): BackEndReport? {
+    private suspend fun close(
+        before: BackEndReport,
+        handover: Handover,
+    ): BackEndReport? {
         val asked = core.clock.elapsed()
         var report = report() ?: return null
         while (report.born == before.born && !report.loading) {
             say(SlotWord(slot.backEnd, report.born, report.held, closed = true))
             val waited = core.clock.elapsed() - asked
-            if (waited > QUEUE_LIMIT || (report.waiting == 0 && waited > NOTICE)) return report
+            val isEmpty = report.waiting == 0 && (handover == Handover.LET_END || report.running == 0)
+            if (waited > QUEUE_LIMIT || (isEmpty && waited > NOTICE)) return report
             delay(QUEUE_CHECK)
             report = backEnd.report().getOrElse { return null }
         }
@@ -261,6 +290,9 @@
 
         /** The link of the slot also carries live requests: one piece is on its way while the one before is staged. */
         const val DRAWS_AT_ONCE = 2
+
+        /** What was read back whole so lately needs no second reading before the order. */
+        val VERIFIED_FOR = 300.milliseconds
         val IDLE_PAUSE = 400.milliseconds
         val FAILED_PAUSE = 300.milliseconds
         val TURN_CHECK = 200.milliseconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
@@ -24,7 +24,7 @@
 /** [needed] tells whether the store is to be asked now; [changed] runs on the control thread after each answer. */
 class StoreLoop(
     private val core: DirectCore,
-    private val needed: () -> Boolean,
+    private val needed: suspend () -> Boolean,
     private val changed: () -> Unit,
 ) {
     private val store = StoreClient(core.http, core.settings.store)
