Give places to requests that can still be in time, refuse the others soon, and explain a request from the logs

Change: in line, requests that can be in time go first, and the last two places of an engine are kept for them; a caller that goes on with a stream isn't late. A request waits a tenth of its objective and is decided when that is over, not at the next tick. A back end whose target daemon speaks of a later life at its address gets nothing. request-ended says late=. What a process knows of its use of one back end has a file of its own.

New: lagoonrudder trace ID FILE... prints a request's lines from the logs of several processes, each after what its process believed.

--- a/cli/src/main/kotlin/lagoonrudder/cli/Main.kt
+++ b/cli/src/main/kotlin/lagoonrudder/cli/Main.kt
@@ -1,5 +1,6 @@
 /**
- * The command-line tool: checks, seals and compares sets of objects, edits them, and asks daemons for their state.
+ * The command-line tool: checks, seals and compares sets of objects, edits them, asks daemons for their state, and explains a
+ * request from their logs.
  *
  * It edits files and never writes to the platform. Exit codes: 0 done, 1 the input has findings, 2 the input can't be
  * read, 3 a daemon did not answer.
@@ -18,7 +19,7 @@
 fun main(arguments: Array<String>) {
     val parser = ArgParser("lagoonrudder")
     val console = Console()
-    val commands = objectCommands(console) + daemonCommands(console)
+    val commands = objectCommands(console) + daemonCommands(console) + TraceCommand(console)
     parser.subcommands(*commands.toTypedArray())
     val words = if (arguments.isEmpty()) arrayOf("--help") else arguments
     parser.parse(words)
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -2,9 +2,9 @@
  * Decides which back end gets a request, and which requests wait or are refused while all are full.
  *
  * A back end's load is what this process has in flight there and what the other entry daemons say they have. A request goes
- * to the back end with the smallest share of its places taken, the own failure domain first where that costs nothing.
- * Failures set a back end aside for doubling times. Each process keeps to its part of the rate that a cold back end bears,
- * at all times, because a back end may turn cold without notice.
+ * to the back end with the smallest share of its places taken, the own failure domain first, whose loads are known best.
+ * Under overload a request that can still be in time goes before one that can't. Each process keeps to its part of the rate
+ * that a cold back end bears, at all times, because a back end may turn cold without notice.
  */
 package lagoonrudder.control.direct
 
@@ -18,14 +18,12 @@
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RegionId
-import lagoonrudder.model.RequestSize
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Where the daemons and back ends are. */
 data class Places(
@@ -41,8 +39,9 @@
 )
 
 /**
- * What a request needs of a back end. [passedOver] are back ends that it must not go to again,
- * [number] the version that began its answer, where it has begun, [size] what its caller says of its length.
+ * What a request needs of a back end. [passedOver] are back ends that it must not go to again, [number] the version that began
+ * its answer, where it has begun, [promptTokens] the length of its prompt as far as its caller says, [isLate] whether its
+ * objective had passed before it came.
  */
 data class PlacementNeed(
     val service: ServiceId,
@@ -51,7 +50,8 @@
     val homes: List<Set<RegionId>>,
     val passedOver: Set<TargetId>,
     val number: WeightNumber?,
-    val size: RequestSize?,
+    val promptTokens: Int,
+    val isLate: Boolean,
 )
 
 sealed class Placement {
@@ -67,9 +67,6 @@
     ) : Placement()
 }
 
-/** How an attempt at a back end ended. */
-enum class AttemptEnd { ANSWERED, NOT_RUN, FAILED, SILENT, UNREACHABLE, ABANDONED }
-
 class PlacementController(
     private val places: Places,
     private val bounds: PlacementBounds,
@@ -78,49 +75,6 @@
     private val slots: SlotController,
     private val random: Random,
 ) {
-    private class Use {
-        var inFlight = 0
-        var failures = 0
-        var refusals = 0
-        var asideUntil = Duration.ZERO
-        private val sent = ArrayDeque<Sent>()
-
-        /** How many requests were sent in the window before [now]. */
-        fun sentLately(now: Duration): Int {
-            while (sent.isNotEmpty() && now - sent.first().at > COLD_WINDOW) sent.removeFirst()
-            return sent.size
-        }
-
-        fun send(
-            promptTokens: Int,
-            now: Duration,
-        ) {
-            sentLately(now)
-            sent.addLast(Sent(now, promptTokens))
-            inFlight++
-        }
-
-        /** The prompt tokens that this process sent so recently that the back end may still be reading them. */
-        fun tokensInReading(now: Duration): Int {
-            var tokens = 0
-            for (index in sent.indices.reversed()) {
-                if (now - sent[index].at > READING_TIME) break
-                tokens += sent[index].promptTokens
-            }
-            return tokens
-        }
-
-        fun answered() {
-            failures = 0
-            refusals = 0
-        }
-    }
-
-    private class Sent(
-        val at: Duration,
-        val promptTokens: Int,
-    )
-
     private class Waiting(
         val need: PlacementNeed,
         val since: Duration,
@@ -129,7 +83,7 @@
         val decided = CompletableDeferred<Placement>()
     }
 
-    private val uses = mutableMapOf<TargetId, Use>()
+    private val uses = mutableMapOf<TargetId, BackEndUse>()
     private val line = mutableListOf<Waiting>()
     private val inFlightOf = mutableMapOf<CustomerId, Int>()
 
@@ -145,6 +99,16 @@
         return Waiting(need, now, now + patience).also { line += it }.decided
     }
 
+    /** The patience of a request in line is over: it gets a place now or none. */
+    fun decideNow(
+        decision: CompletableDeferred<Placement>,
+        now: Duration,
+    ) {
+        val waiting = line.firstOrNull { it.decided === decision } ?: return
+        line.remove(waiting)
+        waiting.decided.complete(attempt(waiting.need, now))
+    }
+
     /** The caller of a request in line is gone. */
     fun withdraw(decision: CompletableDeferred<Placement>) {
         line.removeAll { it.decided === decision }
@@ -157,22 +121,16 @@
         end: AttemptEnd,
         now: Duration,
     ) {
-        val use = uses.getOrPut(target) { Use() }
-        use.inFlight--
+        uses.getOrPut(target) { BackEndUse() }.ended(end, now)
         if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
-        when (end) {
-            AttemptEnd.ANSWERED -> use.answered()
-            AttemptEnd.NOT_RUN -> turnedAway(use, now)
-            AttemptEnd.FAILED, AttemptEnd.SILENT, AttemptEnd.UNREACHABLE -> failed(use, end, now)
-            AttemptEnd.ABANDONED -> Unit
-        }
         serveLine(now)
     }
 
     /** Serves and ends what is in line; called when something changed and now and then. */
     fun serveLine(now: Duration) {
         if (line.isEmpty()) return
-        line.sortWith(compareBy({ it.need.priority }, { inFlightOf[it.need.customer] ?: 0 }, { it.since }))
+        // A place serves somebody in time only if it goes to a request that can still be in time.
+        line.sortWith(compareBy({ it.need.priority }, { it.need.isLate }, { inFlightOf[it.need.customer] ?: 0 }, { it.since }))
         val entries = line.iterator()
         while (entries.hasNext()) {
             val waiting = entries.next()
@@ -211,10 +169,10 @@
         val usable = publication.backEnds.filter { it.service == need.service && isUsable(it, need, now) }
         if (usable.isEmpty()) return Placement.Refused(Refusal.NoTarget(NO_TARGET_RETRY), reasonOf(need, now))
         val rested = usable.filter { useOf(it).asideUntil <= now }.ifEmpty { listOf(usable.minBy { useOf(it).asideUntil }) }
-        val free = rested.filter { load(it, now) < mostInFlight(it, now) && bearsOneMore(it, now) }
+        val free = rested.filter { load(it, now) < mostInFlight(it, need, now) && bearsOneMore(it, now) }
         if (free.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${rested.size}")
         val chosen = free.minBy { score(it, now) }
-        useOf(chosen).send(need.size?.promptTokens ?: 0, now)
+        useOf(chosen).send(need.promptTokens, now)
         if (need.customer != null) inFlightOf.merge(need.customer, 1, Int::plus)
         return Placement.Placed(chosen, requiredNumber(slots.held(chosen, now), need, now))
     }
@@ -270,15 +228,20 @@
         now: Duration,
     ): Int = useOf(backEnd).inFlight + peers.inFlightElsewhere(backEnd.id, now)
 
-    /** A place in an engine's batch is taken for a second, one in a plain service for milliseconds. */
+    /**
+     * A place in an engine's batch is taken for a second, one in a plain service for milliseconds. The last places of an engine
+     * are kept for requests that can still be in time.
+     */
     private fun mostInFlight(
         backEnd: BackEnd,
+        need: PlacementNeed,
         now: Duration,
     ): Int {
         val isEngine = publication.serving?.service(backEnd.service)?.weights != null
         return when {
             !isEngine -> backEnd.slots + QUEUED_CALLS
             isDueSoon(backEnd, now) -> (backEnd.slots - SPARED_WHEN_DUE).coerceAtLeast(1)
+            need.isLate -> (backEnd.slots - KEPT_FROM_LATE).coerceAtLeast(1)
             else -> backEnd.slots + QUEUED_STREAMS
         }
     }
@@ -312,28 +275,7 @@
         return (load(backEnd, now) + random.nextDouble() + distance + reading) / places
     }
 
-    /** A back end that turns requests away, for example while it loads, is asked again after doubling times. */
-    private fun turnedAway(
-        use: Use,
-        now: Duration,
-    ) {
-        val doublings = use.refusals.coerceAtMost(MOST_DOUBLINGS)
-        use.refusals++
-        use.asideUntil = maxOf(use.asideUntil, now + AFTER_NOT_RUN * (1 shl doublings))
-    }
-
-    private fun failed(
-        use: Use,
-        end: AttemptEnd,
-        now: Duration,
-    ) {
-        use.failures++
-        if (use.failures < FAILURES_BEFORE_ASIDE && end != AttemptEnd.SILENT && end != AttemptEnd.UNREACHABLE) return
-        val doublings = (use.failures - 1).coerceIn(0, MOST_DOUBLINGS)
-        use.asideUntil = now + FIRST_ASIDE * (1 shl doublings)
-    }
-
-    private fun useOf(backEnd: BackEnd) = uses.getOrPut(backEnd.id) { Use() }
+    private fun useOf(backEnd: BackEnd) = uses.getOrPut(backEnd.id) { BackEndUse() }
 
     private companion object {
         /** What may wait in a back end's own queue without making answers late. */
@@ -346,10 +288,6 @@
 
         /** In requests: 1,000 tokens that are being read put a first event off by about a pass of the engine. */
         const val PENALTY_OF_READ_TOKEN = 0.002
-        const val FAILURES_BEFORE_ASIDE = 3
-        const val MOST_DOUBLINGS = 3
-        val FIRST_ASIDE = 700.milliseconds
-        val AFTER_NOT_RUN = 150.milliseconds
         val NO_TARGET_RETRY = 1_000.milliseconds
         val FULL_RETRY = 1_000.milliseconds
 
@@ -360,9 +298,8 @@
         val DUE_SOON = 1_000.milliseconds
         const val SPARED_WHEN_DUE = 3
 
-        /** Within two or three passes of an engine a prompt was read. */
-        val READING_TIME = 120.milliseconds
-        val COLD_WINDOW = 1.seconds + 100.milliseconds
+        /** Places of an engine; that many are freed in the time between two words of a neighbour. */
+        const val KEPT_FROM_LATE = 2
 
         /** The rest is left for entry daemons that this one hasn't heard of and for requests that arrive late together. */
         const val COLD_SAFE_PART = 0.9
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SlotController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SlotController.kt
@@ -49,10 +49,14 @@
         return word.held
     }
 
+    /** Whether [backEnd] takes nothing new: it loads, or a later incarnation has taken its place and it is not delisted yet. */
     fun closed(
         backEnd: BackEnd,
         now: Duration,
-    ): Boolean = wordOf(backEnd, now)?.closed ?: false
+    ): Boolean {
+        val word = freshWord(backEnd, now) ?: return false
+        return word.born > backEnd.born || (word.born == backEnd.born && word.closed)
+    }
 
     fun dump(now: Duration): DumpSection =
         dumpSection("slots") { for (each in heard.values) entry(each.word.backEnd.toString(), "${each.word} age=${now - each.at}") }
@@ -60,7 +64,12 @@
     private fun wordOf(
         backEnd: BackEnd,
         now: Duration,
-    ): SlotWord? = heard[backEnd.address]?.takeIf { now - it.at < WORD_LIFE && it.word.born == backEnd.born }?.word
+    ): SlotWord? = freshWord(backEnd, now)?.takeIf { it.born == backEnd.born }
+
+    private fun freshWord(
+        backEnd: BackEnd,
+        now: Duration,
+    ): SlotWord? = heard[backEnd.address]?.takeIf { now - it.at < WORD_LIFE }?.word
 
     private companion object {
         /** By then the registration has caught up: two beats and the store's lag. */
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -6,7 +6,6 @@
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.DomainId
-import lagoonrudder.model.EnginePace
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Published
@@ -23,7 +22,6 @@
 import lagoonrudder.model.WeightLayout
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 internal val MODEL = ModelId("model")
@@ -32,7 +30,6 @@
 internal val FAR = DomainId("far")
 internal val REGIONS = mapOf(NEAR to RegionId("near-region"), FAR to RegionId("far-region"))
 internal const val LAYERS = 16
-internal val PACE = EnginePace(step = 10.milliseconds, readPerSecond = 10_000.0)
 
 internal fun backEnd(
     name: String,
@@ -60,8 +57,8 @@
     routes = emptyList(),
     services =
         listOf(
-            ServingService(ENGINES, 100, cold, WeightLayout(listOf(MODEL), LAYERS, 2, 8), PACE, null, null),
-            ServingService(ServiceId("origin"), 100, null, null, null, Address("10.9.9.9", 80), FAR),
+            ServingService(ENGINES, 100, cold, WeightLayout(listOf(MODEL), LAYERS, 2, 8), null, null),
+            ServingService(ServiceId("origin"), 100, null, null, Address("10.9.9.9", 80), FAR),
         ),
     customers = emptyList(),
     limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds),
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -15,7 +15,6 @@
 import lagoonrudder.model.Published
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RegionId
-import lagoonrudder.model.RequestSize
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import kotlin.random.Random
@@ -49,9 +48,19 @@
         homes: List<Set<RegionId>> = emptyList(),
         passedOver: Set<TargetId> = emptySet(),
         number: Long? = null,
-        size: RequestSize? = null,
+        promptTokens: Int = 0,
+        isLate: Boolean = false,
     ) = placement.place(
-        PlacementNeed(ENGINES, customer?.let { CustomerId(it) }, 1, homes, passedOver, number?.let { WeightNumber(it) }, size),
+        PlacementNeed(
+            ENGINES,
+            customer?.let { CustomerId(it) },
+            1,
+            homes,
+            passedOver,
+            number?.let { WeightNumber(it) },
+            promptTokens,
+            isLate,
+        ),
         patience,
         now,
     )
@@ -80,12 +89,11 @@
 
         test("a back end that reads a prompt from this process is passed over while another one reads none") {
             val scene = Scene(listOf(backEnd("a"), backEnd("b")))
-            val prompt = RequestSize(promptTokens = 1_000, answerTokens = 10)
-            val first = scene.place(size = prompt).target.shouldNotBeNull()
+            val first = scene.place(promptTokens = 1_000).target.shouldNotBeNull()
             scene.placement.ended(first, null, AttemptEnd.ANSWERED, scene.now)
             val other = if (first == TargetId("a")) "b" else "a"
             scene.peers.heard(peer("other"), mapOf(TargetId(other) to 1), scene.now)
-            scene.place(size = prompt).target shouldBe TargetId(other)
+            scene.place(promptTokens = 1_000).target shouldBe TargetId(other)
         }
 
         test("what other entry daemons have in flight counts") {
@@ -116,6 +124,16 @@
                 .shouldBeInstanceOf<Refusal.Overloaded>()
         }
 
+        test("a request whose patience is over is decided at once, and the others stay in line") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(5) { scene.place() }
+            val impatient = scene.place(patience = 100.milliseconds)
+            val patient = scene.place(patience = 1.seconds)
+            scene.placement.decideNow(impatient, scene.now + 100.milliseconds)
+            impatient.getCompleted().shouldBeInstanceOf<Placement.Refused>()
+            patient.isCompleted shouldBe false
+        }
+
         test("the place of a request that was withdrawn goes to the next in line") {
             val scene = Scene(listOf(backEnd("a")))
             repeat(5) { scene.place() }
@@ -136,6 +154,28 @@
             large.isCompleted shouldBe false
         }
 
+        test("a request that can still be in time goes before one whose objective has passed") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(5) { scene.place() }
+            val late = scene.place(patience = 1.seconds, isLate = true)
+            val fresh = scene.place(patience = 1.seconds)
+            scene.placement.ended(TargetId("a"), null, AttemptEnd.ANSWERED, scene.now)
+            fresh.isCompleted shouldBe true
+            late.isCompleted shouldBe false
+        }
+
+        test("the last places of an engine are kept for requests that can still be in time") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(2) { scene.place(isLate = true).target shouldBe TargetId("a") }
+            scene
+                .place(isLate = true)
+                .getCompleted()
+                .shouldBeInstanceOf<Placement.Refused>()
+                .refusal
+                .shouldBeInstanceOf<Refusal.Overloaded>()
+            scene.place().target shouldBe TargetId("a")
+        }
+
         test("a leaving back end and an evacuated failure domain get nothing") {
             val scene = Scene(listOf(backEnd("a", leaving = true), backEnd("b"), backEnd("c", FAR)))
             scene.evacuate(NEAR)
@@ -167,6 +207,13 @@
             scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
         }
 
+        test("a back end whose daemon speaks of a later life at its address gets nothing") {
+            val replaced = backEnd("a", born = 1)
+            val scene = Scene(listOf(replaced, backEnd("b")))
+            scene.slots.heard(SlotWord(replaced.address, 2, null, closed = false), scene.now)
+            (1..3).map { scene.place().target }.toSet() shouldBe setOf(TargetId("b"))
+        }
+
         test("a back end that loads gets nothing") {
             val scene = Scene(listOf(backEnd("a"), backEnd("b")))
             val loading = backEnd("a")
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -167,7 +167,17 @@
         test("the back ends that switch first hand unfinished requests to those that switch later, and the last let them end") {
             val (publication, staging) = scene()
             declare(publication, 2)
-            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), WeightNumber(2)).shouldNotBeNull() }.sortedBy { it.at }
+            val turns =
+                publication.backEnds
+                    .map {
+                        staging
+                            .turn(
+                                ENGINES,
+                                it.address,
+                                report(1),
+                                WeightNumber(2),
+                            ).shouldNotBeNull()
+                    }.sortedBy { it.at }
             turns.map { it.handover } shouldBe List(7) { Handover.GO_ON_ELSEWHERE } + List(1) { Handover.LET_END }
         }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -141,6 +141,7 @@
             "route" to identity?.route?.id?.text,
             "customer" to identity?.customer?.id?.text,
             "revision" to identity?.revision?.number,
+            "late" to identity?.isLate,
             "outcome" to (outcome?.code ?: "caller-left"),
             "took-ms" to took.inWholeMilliseconds,
             "first-ms" to call.firstEventAfter?.inWholeMilliseconds,
--- a/model/src/main/kotlin/lagoonrudder/model/Serving.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Serving.kt
@@ -5,7 +5,6 @@
 package lagoonrudder.model
 
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /** What may be repeated on a route. */
 sealed class RequestKind {
@@ -52,27 +51,6 @@
     val homes: Set<RegionId>,
 )
 
-/** What a request brings and is expected to get, in tokens, by its caller's word. */
-data class RequestSize(
-    val promptTokens: Int,
-    val answerTokens: Int,
-)
-
-/** How fast an engine works: [step] writes one token for each request of a full batch. */
-data class EnginePace(
-    val step: Duration,
-    val readPerSecond: Double,
-) {
-    /** How long a request of [size] takes from its start to its last token beside a usual load. */
-    fun duration(size: RequestSize): Duration =
-        (size.promptTokens / readPerSecond).seconds + step * (size.answerTokens * SHARED_WITH_READING)
-
-    private companion object {
-        /** The prompts of other requests are read between steps, about a third of the time on an engine that is nearly full. */
-        const val SHARED_WITH_READING = 1.4
-    }
-}
-
 /** How the weights of a service's models are cut into pieces. */
 data class WeightLayout(
     val models: List<ModelId>,
@@ -81,16 +59,12 @@
     val pieceBytes: Int,
 )
 
-/**
- * [coldRequestsPerSecond] is what a back end bears just after its start, or null when it has no such bound; [pace] is null
- * for a service that is no engine.
- */
+/** [coldRequestsPerSecond] is what a back end bears just after its start, or null when it has no such bound. */
 data class ServingService(
     val id: ServiceId,
     val connections: Int,
     val coldRequestsPerSecond: Double?,
     val weights: WeightLayout?,
-    val pace: EnginePace?,
     val origin: Address?,
     val originDomain: DomainId?,
 )
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -13,7 +13,10 @@
 import lagoonrudder.model.TargetId
 import kotlin.time.Duration
 
-/** What the identify filter found. [endsAt] is when the caller or the route stops waiting. */
+/**
+ * What the identify filter found. [endsAt] is when the caller or the route stops waiting; [isLate] tells that the caller has
+ * waited longer than the route's objective before it sent this, for example because an earlier request was refused.
+ */
 class DirectIdentity(
     val revision: Revision,
     val route: ServingRoute,
@@ -22,6 +25,7 @@
     val endsAt: Duration,
     val priority: Int,
     val homes: List<Set<RegionId>>,
+    val isLate: Boolean,
 ) {
     /** What is left of the caller's and the route's time. */
     fun timeLeft(clock: Clock): Duration = endsAt - clock.elapsed()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -79,11 +79,18 @@
                 endsAt = call.receivedAt + limit,
                 priority = customer?.priority ?: route.priority,
                 homes = listOf(route.homes, homesOf(customer)),
+                isLate = isLate(request, route),
             ),
         )
         return null
     }
 
+    /** A caller that goes on with a stream it has begun isn't late: the stream is. */
+    private fun isLate(
+        request: CallerRequest,
+        route: ServingRoute,
+    ): Boolean = request.resumeAfter == null && request.timeLeft?.let { it < route.timeout - route.objective } ?: false
+
     private fun homesOf(customer: ServingCustomer?) = customer?.homes.orEmpty()
 
     private fun pick(route: ServingRoute): ServiceId? {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -10,11 +10,13 @@
 import lagoonrudder.model.Failure
 import lagoonrudder.model.HeaderField
 import lagoonrudder.model.RequestId
-import lagoonrudder.model.RequestSize
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 
-/** A caller's request. [timeLeft] is what the caller still waits; [fields] are passed on as they are. */
+/**
+ * A caller's request. [timeLeft] is what the caller still waits, [promptTokens] what it says of its prompt; [fields] are passed
+ * on as they are.
+ */
 class CallerRequest(
     val request: RequestId,
     val method: String,
@@ -23,7 +25,7 @@
     val key: String?,
     val timeLeft: Duration?,
     val resumeAfter: EventId?,
-    val size: RequestSize?,
+    val promptTokens: Int?,
     val fields: List<HeaderField>,
     val body: ByteArray,
 )
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -38,7 +38,7 @@
  * the back ends that may turn one request away.
  */
 data class DirectLimits(
-    val patience: Double = 0.25,
+    val patience: Double = 0.1,
     val firstEvent: Duration = 1_200.milliseconds,
     val nextEvent: Duration = 1_000.milliseconds,
     val resume: Duration = 800.milliseconds,
@@ -143,7 +143,8 @@
                 homes = identity.homes,
                 passedOver = passedOver.toSet(),
                 number = relay.number,
-                size = call.request.size,
+                promptTokens = call.request.promptTokens ?: 0,
+                isLate = identity.isLate,
             )
         val decision =
             withContext(NonCancellable) {
@@ -151,7 +152,12 @@
             }
         var taken = false
         try {
-            return decision.await().also { taken = true }
+            val placement =
+                withTimeoutOrNull(patience) { decision.await() } ?: run {
+                    control.thread.decide { control.placement.decideNow(decision, control.clock.elapsed()) }
+                    decision.await()
+                }
+            return placement.also { taken = true }
         } finally {
             call.waited += control.clock.elapsed() - asked
             if (!taken) withContext(NonCancellable) { control.thread.decide { giveBack(decision) } }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -210,7 +210,7 @@
                 emptySet(),
             )
         val limits = CallerLimits(1, 1, 1.seconds, 1.seconds)
-        val set = ServingSet(Revision(1), listOf(route), listOf(ServingService(SERVICE, 9, null, null, null, null, null)), emptyList(), limits)
+        val set = ServingSet(Revision(1), listOf(route), listOf(ServingService(SERVICE, 9, null, null, null, null)), emptyList(), limits)
         val backEnds =
             listOf("a", "b", "c").map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, 4, false, Duration.ZERO, 1, null) }
         val items =
