Keep a back end whose entry was removed and came back within one answer of the store

The first answer after it held the removals and the returned entries together.

Change: of the changes of one entry in an answer only the newest decides whether the back end is gone.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -205,7 +205,8 @@
             }
         }
         next?.let { serving = it }
-        val gone = applied.mapNotNull { removal(it, now) }
+        // An entry may be removed and come back within one answer; what counts is its newest change.
+        val gone = applied.filter { items[it.item.key] === it }.mapNotNull { removal(it, now) }
         return PublicationChange(next, joined, changed, gone, declared, changedEvacuation(), unusable)
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
@@ -1,6 +1,7 @@
 package lagoonrudder.control.direct
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.nulls.shouldBeNull
@@ -100,4 +101,16 @@
             publication.take(emptyList(), 1, start + 1.seconds)
             publication.confirmed shouldBe true
         }
+
+        test("an entry that lapsed and came back within one answer of the store stays") {
+            for (isDisturbed in listOf(true, false)) {
+                val publication = PublicationController(strictInvariants())
+                publication.take(listOf(registered(backEnd("a"), 2)), 2, 1.seconds)
+                if (isDisturbed) publication.disturbed(5.seconds)
+                val gone = publication.take(listOf(item("servers/a", 3, null), registered(backEnd("a"), 4)), 4, 6.seconds).gone
+                gone.shouldBeEmpty()
+                publication.expire(60.seconds).shouldBeEmpty()
+                publication.backEnd(TargetId("a")).shouldNotBeNull()
+            }
+        }
     })
