Let the requests of a back end end when it switches later than its turn

Cause, found by reading: the choice between breaking running requests off and letting them end was made by a back end's place among the turns. One whose pieces came late, for example over a squeezed link, would have broken streams off when no other back end held their version any more. Now the time of the order decides; the test has a back end that is late.

--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -167,18 +167,19 @@
         test("the back ends that switch first hand unfinished requests to those that switch later, and the last let them end") {
             val (publication, staging) = scene()
             declare(publication, 2)
-            val turns =
-                publication.backEnds
-                    .map {
-                        staging
-                            .turn(
-                                ENGINES,
-                                it.address,
-                                report(1),
-                                WeightNumber(2),
-                            ).shouldNotBeNull()
-                    }.sortedBy { it.at }
-            turns.map { it.handover } shouldBe List(7) { Handover.GO_ON_ELSEWHERE } + List(1) { Handover.LET_END }
+            val two = WeightNumber(2)
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), two).shouldNotBeNull() }
+            val handovers = turns.sortedBy { it.at }.map { it.handover(it.at) }
+            handovers shouldBe List(7) { Handover.GO_ON_ELSEWHERE } + List(1) { Handover.LET_END }
+        }
+
+        test("a back end that comes to its turn late, when the others have switched, lets its requests end") {
+            val (publication, staging) = scene()
+            declare(publication, 2)
+            val two = WeightNumber(2)
+            val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), two).shouldNotBeNull() }
+            val last = turns.maxOf { it.at }
+            turns.map { it.handover(last) }.toSet() shouldBe setOf(Handover.LET_END)
         }
 
         test("no back end breaks off requests of a service that has a route whose requests can't go on elsewhere") {
@@ -187,6 +188,6 @@
             publication.take(listOf(item("op/config", 15, Published.Serving(set))), 15, 9.seconds)
             declare(publication, 2)
             val turns = publication.backEnds.map { staging.turn(ENGINES, it.address, report(1), WeightNumber(2)).shouldNotBeNull() }
-            turns.map { it.handover }.toSet() shouldBe setOf(Handover.LET_END)
+            turns.map { it.handover(it.at) }.toSet() shouldBe setOf(Handover.LET_END)
         }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntry.kt
@@ -48,7 +48,7 @@
     private val peers = PeerLoop(core, client, loads = placement::inFlight, changed = ::published)
     private val pieces = PieceCache(core, PieceSources(core, client))
     private val pauses = PauseWatch(core.clock)
-    private val prepared = mutableSetOf<DeclaredWeights>()
+    private var prepared = emptyList<DeclaredWeights>()
     private var callers: HttpServer? = null
 
     @Volatile
@@ -64,10 +64,7 @@
         val endpoint = PeerEndpoint(core, pieces, placement::inFlight, ::published)
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, endpoint)
         HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, ReadyEnd { ready() })
-        callers =
-            HttpServer.start(core.loop, core.scope, listen.callers, {
-                core.publication.serving?.limits ?: DEFAULT_LIMITS
-            }, CallerEnd(chain, core.clock))
+        callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, CallerEnd(chain, core.clock))
         serveOperators(this)
         core.scope.launch { store.run() }
         core.scope.launch { peers.run() }
@@ -94,9 +91,9 @@
     private fun published() {
         limits = core.publication.serving?.limits ?: DEFAULT_LIMITS
         control.published()
-        val unprepared = core.publication.newest.filterNot { it in prepared }
-        prepared += unprepared
-        unprepared.forEach { core.scope.launch { pieces.prepare(it) } }
+        val newest = core.publication.newest
+        (newest - prepared.toSet()).forEach { core.scope.launch { pieces.prepare(it) } }
+        prepared = newest
     }
 
     private suspend fun ready() = !leaving && core.thread.decide { core.publication.confirmed }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -97,7 +97,7 @@
         }
         if (!stage(manifest)) return
         if (!awaitTurn(manifest, report)) return
-        if (wasJustVerified() || verify(manifest)) order(manifest, report, turn(manifest, report)?.handover ?: Handover.LET_END)
+        if (wasJustVerified() || verify(manifest)) order(manifest, report)
     }
 
     private suspend fun manifestOf(
@@ -213,8 +213,8 @@
     private suspend fun order(
         manifest: WeightManifest,
         before: BackEndReport,
-        handover: Handover,
     ) {
+        val handover = turn(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.LET_END
         val report = (if (before.held == null) unchanged(before) else close(before, handover)) ?: return
         val start =
             when (handover) {
