Believe a peer's word that a back end is gone while this daemon's own store is away

The store itself had been sound all along.

Change: a daemon tells peers of a removal only when it doesn't hold the entry back itself, and names the revision before it as the one up to which it is settled; what peers say is settled counts at once. A store that is away is asked every 0.4 s instead of 0.9, so that a daemon that was cut off from everybody ends its own doubt before it counts as connected again. Both tests failed to compile before, since the distinction did not exist.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -114,17 +114,31 @@
         held: WeightNumber?,
     ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }
 
-    /** Takes changes up to the revision [upTo] from the store or a peer. */
+    /** Takes changes up to the revision [upTo] from the store. */
     fun take(
         changes: List<ReadItem>,
         upTo: Long,
         now: Duration,
+    ): PublicationChange = take(changes, upTo, now, removalsMayLapse = now < disturbedUntil)
+
+    /** Takes changes that a peer has settled: an entry that it says is gone doesn't come back, however this process's store is. */
+    fun takeSettled(
+        changes: List<ReadItem>,
+        upTo: Long,
+        now: Duration,
+    ): PublicationChange = take(changes, upTo, now, removalsMayLapse = false)
+
+    private fun take(
+        changes: List<ReadItem>,
+        upTo: Long,
+        now: Duration,
+        removalsMayLapse: Boolean,
     ): PublicationChange {
         val first = confirmedAt == null
         val applied = changes.filter { replace(it) }
         at = maxOf(at, upTo)
         confirmedAt = now
-        return publish(applied, now, first)
+        return publish(applied, now, first, removalsMayLapse)
     }
 
     /** Takes all items that the store held at the revision [upTo]; an answer older than what is known is passed over. */
@@ -142,8 +156,16 @@
         return take(all + removed, upTo, now)
     }
 
-    /** What changed after the revision [after], for a peer. */
-    fun changesSince(after: Long): List<StoreItem> = items.values.map { it.item }.filter { it.revision > after }
+    /** The revision up to which nothing is in doubt: an entry that may have lapsed with the store is told to peers once it is gone. */
+    val settledAt: Long get() = lapsingItems().minOfOrNull { it.revision - 1 } ?: at
+
+    /** What changed after the revision [after] and isn't in doubt, for a peer. */
+    fun changesSince(after: Long): List<StoreItem> = items.values.map { it.item }.filter { it.revision > after } - lapsingItems().toSet()
+
+    private fun lapsingItems(): List<StoreItem> =
+        if (lapsing.isEmpty()) emptyList() else items.values.map { it.item }.filter { it.value == null && targetOf(it.key) in lapsing }
+
+    private fun targetOf(key: String) = TargetId(key.substringAfterLast('/'))
 
     /** The store was away until [now]: entries that lapsed meanwhile may come back. */
     fun disturbed(now: Duration) {
@@ -189,6 +211,7 @@
         applied: List<ReadItem>,
         now: Duration,
         first: Boolean,
+        removalsMayLapse: Boolean,
     ): PublicationChange {
         val joined = mutableListOf<BackEnd>()
         val changed = mutableListOf<BackEnd>()
@@ -206,7 +229,7 @@
         }
         next?.let { serving = it }
         // An entry may be removed and come back within one answer; what counts is its newest change.
-        val gone = applied.filter { items[it.item.key] === it }.mapNotNull { removal(it, now) }
+        val gone = applied.filter { items[it.item.key] === it }.mapNotNull { removal(it, removalsMayLapse) }
         return PublicationChange(next, joined, changed, gone, declared, changedEvacuation(), unusable)
     }
 
@@ -230,11 +253,11 @@
     /** Returns the back end that [change] takes away at once; one that may come back stays until its grace ends. */
     private fun removal(
         change: ReadItem,
-        now: Duration,
+        mayLapse: Boolean,
     ): TargetId? {
         if (change.published is Published.Registered) return null
         val id = backEndsById.keys.firstOrNull { change.item.key.endsWith("/${it.text}") } ?: return null
-        if (now < disturbedUntil && change.item.value == null) {
+        if (mayLapse && change.item.value == null) {
             lapsing[id] = disturbedUntil
             return null
         }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PublicationControllerTest.kt
@@ -113,4 +113,24 @@
                 publication.backEnd(TargetId("a")).shouldNotBeNull()
             }
         }
+
+        test("an entry that a peer with a sound store says is gone goes at once, although this process's own store is away") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 2)), 2, 1.seconds)
+            publication.disturbed(5.seconds)
+            publication.takeSettled(listOf(item("servers/a", 3, null)), 3, 5.seconds).gone shouldContainExactly listOf(TargetId("a"))
+            publication.backEnd(TargetId("a")).shouldBeNull()
+        }
+
+        test("an entry that may have lapsed with the store is told to peers only once it is gone") {
+            val publication = PublicationController(strictInvariants())
+            publication.take(listOf(registered(backEnd("a"), 2), registered(backEnd("b"), 3)), 3, 1.seconds)
+            publication.disturbed(5.seconds)
+            publication.take(listOf(item("servers/a", 4, null), registered(backEnd("b"), 5)), 5, 5.seconds)
+            publication.settledAt shouldBe 3
+            publication.changesSince(3).map { it.key } shouldContainExactly listOf("servers/b")
+            publication.expire(60.seconds)
+            publication.settledAt shouldBe 5
+            publication.changesSince(3).map { it.key }.sorted() shouldContainExactly listOf("servers/a", "servers/b")
+        }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -72,7 +72,7 @@
         }
         return WordReply(
             self = core.self.toMessage(),
-            at = core.publication.at,
+            at = core.publication.settledAt,
             loads = loads().toMessages(),
             sightings = if (message.wantsPeers) core.peers.sightings(now).map { it.toMessage() } else emptyList(),
             items = if (message.wantsItems) core.publication.changesSince(message.at).map { it.toMessage() } else emptyList(),
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerLoop.kt
@@ -146,7 +146,7 @@
                 val brings = items.isNotEmpty() || (!core.publication.confirmed && core.publication.serving != null && !behind)
                 if (!brings) return@decide null
                 behindSince = null
-                core.publication.take(items, reply.at, now).also { changed() }
+                core.publication.takeSettled(items, reply.at, now).also { changed() }
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreLoop.kt
@@ -126,6 +126,6 @@
         val WATCH_WAIT = 8.seconds
         val NOT_NEEDED_PAUSE = 300.milliseconds
         val FIRST_PAUSE = 150.milliseconds
-        val LONGEST_PAUSE = 900.milliseconds
+        val LONGEST_PAUSE = 400.milliseconds
     }
 }
