--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -78,21 +78,17 @@
     }
 
     /** The live entry daemons that this one has heard of. */
-    fun sightings(now: Duration): List<PeerSighting> =
-        known.values
-            .filter { it.peer.role == DaemonRole.ENTRY && now - it.heardAt < ALIVE_FOR }
-            .map { PeerSighting(it.peer, now - it.heardAt) }
+    fun sightings(now: Duration): List<PeerSighting> = aliveEntries(now).map { PeerSighting(it.peer, now - it.heardAt) }
 
     /** The entry daemons to exchange with, and the seeds that are none of them. */
     fun partners(now: Duration): List<Address> {
         forget(now)
-        val entries = known.values.filter { it.peer.role == DaemonRole.ENTRY }.mapNotNull { it.peer.address }
-        return (entries + seeds).distinct() - listOfNotNull(self.address).toSet()
+        return (knownEntries().mapNotNull { it.peer.address } + seeds).distinct() - listOfNotNull(self.address).toSet()
     }
 
     /** The live entry daemons, with this one if it is one. */
     fun liveEntries(now: Duration): List<PeerDaemon> {
-        val others = known.values.filter { it.peer.role == DaemonRole.ENTRY && now - it.heardAt < ALIVE_FOR }.map { it.peer }
+        val others = aliveEntries(now).map { it.peer }
         return if (self.role == DaemonRole.ENTRY) others + self else others
     }
 
@@ -102,7 +98,7 @@
      */
     fun entryCount(now: Duration): Int {
         val first = startedAt ?: now.also { startedAt = it }
-        val heardOf = 1 + known.values.count { it.peer.role == DaemonRole.ENTRY }
+        val heardOf = 1 + knownEntries().size
         return if (now - first < ACQUAINTANCE) maxOf(heardOf, ASSUMED_ENTRIES) else heardOf
     }
 
@@ -118,6 +114,10 @@
             for (each in known.values) entry(each.peer.daemon.text, "${each.peer.address} heard=${now - each.heardAt}")
         }
 
+    private fun knownEntries(): List<Known> = known.values.filter { it.peer.role == DaemonRole.ENTRY }
+
+    private fun aliveEntries(now: Duration): List<Known> = knownEntries().filter { now - it.heardAt < ALIVE_FOR }
+
     private fun forget(now: Duration) {
         known.values.removeIf { now - it.heardAt > FORGET_AFTER }
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -94,7 +94,7 @@
         now: Duration,
     ): CompletableDeferred<Placement> {
         val placement = attempt(need, now)
-        val waits = placement is Placement.Refused && placement.refusal is Refusal.Overloaded && line.size < LONGEST_LINE
+        val waits = mayWait(placement) && line.size < LONGEST_LINE
         if (!waits || patience <= Duration.ZERO) return CompletableDeferred(placement)
         return Waiting(need, now, now + patience).also { line += it }.decided
     }
@@ -121,7 +121,7 @@
         end: AttemptEnd,
         now: Duration,
     ) {
-        uses.getOrPut(target) { BackEndUse() }.ended(end, now)
+        useOf(target).ended(end, now)
         if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
         serveLine(now)
     }
@@ -135,8 +135,7 @@
         while (entries.hasNext()) {
             val waiting = entries.next()
             val placement = attempt(waiting.need, now)
-            val stays = placement is Placement.Refused && placement.refusal is Refusal.Overloaded && now < waiting.until
-            if (stays) continue
+            if (mayWait(placement) && now < waiting.until) continue
             entries.remove()
             waiting.decided.complete(placement)
         }
@@ -162,17 +161,20 @@
             }
         }
 
+    /** Whether all that keeps a request from a back end is that their places are taken. */
+    private fun mayWait(placement: Placement) = placement is Placement.Refused && placement.refusal is Refusal.Overloaded
+
     private fun attempt(
         need: PlacementNeed,
         now: Duration,
     ): Placement {
         val usable = publication.backEnds.filter { it.service == need.service && isUsable(it, need, now) }
         if (usable.isEmpty()) return Placement.Refused(Refusal.NoTarget(NO_TARGET_RETRY), reasonOf(need, now))
-        val rested = usable.filter { useOf(it).asideUntil <= now }.ifEmpty { listOf(usable.minBy { useOf(it).asideUntil }) }
+        val rested = usable.filter { useOf(it.id).asideUntil <= now }.ifEmpty { listOf(usable.minBy { useOf(it.id).asideUntil }) }
         val free = rested.filter { load(it, now) < mostInFlight(it, need, now) && bearsOneMore(it, now) }
         if (free.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${rested.size}")
         val chosen = free.minBy { score(it, now) }
-        useOf(chosen).send(need.promptTokens, now)
+        useOf(chosen.id).send(need.promptTokens, now)
         if (need.customer != null) inFlightOf.merge(need.customer, 1, Int::plus)
         return Placement.Placed(chosen, requiredNumber(slots.held(chosen, now), need, now))
     }
@@ -226,7 +228,7 @@
     private fun load(
         backEnd: BackEnd,
         now: Duration,
-    ): Int = useOf(backEnd).inFlight + peers.inFlightElsewhere(backEnd.id, now)
+    ): Int = useOf(backEnd.id).inFlight + peers.inFlightElsewhere(backEnd.id, now)
 
     /**
      * A place in an engine's batch is taken for a second, one in a plain service for milliseconds. The last places of an engine
@@ -262,7 +264,7 @@
     ): Boolean {
         val rate = publication.serving?.service(backEnd.service)?.coldRequestsPerSecond ?: return true
         val most = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_SAFE_PART / peers.entryCount(now)
-        return useOf(backEnd).sentLately(now) + 1 <= most.coerceAtLeast(1.0)
+        return useOf(backEnd.id).sentLately(now) + 1 <= most.coerceAtLeast(1.0)
     }
 
     private fun score(
@@ -271,11 +273,11 @@
     ): Double {
         val places = backEnd.slots.coerceAtLeast(1)
         val distance = if (backEnd.domain == this.places.domain) 0.0 else DISTANCE_PENALTY
-        val reading = useOf(backEnd).tokensInReading(now) * PENALTY_OF_READ_TOKEN
+        val reading = useOf(backEnd.id).tokensInReading(now) * PENALTY_OF_READ_TOKEN
         return (load(backEnd, now) + random.nextDouble() + distance + reading) / places
     }
 
-    private fun useOf(backEnd: BackEnd) = uses.getOrPut(backEnd.id) { BackEndUse() }
+    private fun useOf(target: TargetId) = uses.getOrPut(target) { BackEndUse() }
 
     private companion object {
         /** What may wait in a back end's own queue without making answers late. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -69,8 +69,14 @@
     private val invariants: Invariants,
     private val ageAtStart: Duration = 5.seconds,
 ) {
+    /** A back end whose entry was taken away by [change] and may come back [until] then. */
+    private class Lapse(
+        val change: StoreItem,
+        val until: Duration,
+    )
+
     private val items = mutableMapOf<String, ReadItem>()
-    private val lapsing = mutableMapOf<TargetId, Duration>()
+    private val lapsing = mutableMapOf<TargetId, Lapse>()
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
     private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
@@ -157,15 +163,13 @@
     }
 
     /** The revision up to which nothing is in doubt: an entry that may have lapsed with the store is told to peers once it is gone. */
-    val settledAt: Long get() = lapsingItems().minOfOrNull { it.revision - 1 } ?: at
+    val settledAt: Long get() = lapsing.values.minOfOrNull { it.change.revision - 1 } ?: at
 
     /** What changed after the revision [after] and isn't in doubt, for a peer. */
-    fun changesSince(after: Long): List<StoreItem> = items.values.map { it.item }.filter { it.revision > after } - lapsingItems().toSet()
-
-    private fun lapsingItems(): List<StoreItem> =
-        if (lapsing.isEmpty()) emptyList() else items.values.map { it.item }.filter { it.value == null && targetOf(it.key) in lapsing }
-
-    private fun targetOf(key: String) = TargetId(key.substringAfterLast('/'))
+    fun changesSince(after: Long): List<StoreItem> {
+        val inDoubt = lapsing.values.mapTo(mutableSetOf()) { it.change }
+        return items.values.map { it.item }.filter { it.revision > after && it !in inDoubt }
+    }
 
     /** The store was away until [now]: entries that lapsed meanwhile may come back. */
     fun disturbed(now: Duration) {
@@ -174,7 +178,7 @@
 
     /** Ends the grace of back ends that did not come back. */
     fun expire(now: Duration): List<TargetId> {
-        val over = lapsing.filterValues { it <= now }.keys.toList()
+        val over = lapsing.filterValues { it.until <= now }.keys.toList()
         for (id in over) {
             lapsing -= id
             backEndsById -= id
@@ -258,7 +262,7 @@
         if (change.published is Published.Registered) return null
         val id = backEndsById.keys.firstOrNull { change.item.key.endsWith("/${it.text}") } ?: return null
         if (mayLapse && change.item.value == null) {
-            lapsing[id] = disturbedUntil
+            lapsing[id] = Lapse(change.item, disturbedUntil)
             return null
         }
         backEndsById -= id
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -7,13 +7,13 @@
 package lagoonrudder.control.direct
 
 import lagoonrudder.model.Address
-import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.Digest
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServingService
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
@@ -35,9 +35,6 @@
     val digests: List<Digest>,
 )
 
-/** When a back end starts to load: once its running requests have ended, or at once, which breaks them off. */
-enum class LoadStart { AFTER_RUNNING, AT_ONCE }
-
 sealed class OrderAnswer {
     data object Begun : OrderAnswer()
 
@@ -54,7 +51,6 @@
 data class WantedWeights(
     val model: ModelId,
     val number: WeightNumber?,
-    val origin: Address?,
 )
 
 /** Where a piece or a manifest can be drawn. */
@@ -84,7 +80,7 @@
         val declared = publication.declared(model)
         val held = report.held?.takeIf { it.model == model && it.layers >= layout.layers }
         val satisfied = held != null && (declared == null || held.number >= declared.number)
-        return if (satisfied) null else WantedWeights(model, declared?.number, origin())
+        return if (satisfied) null else WantedWeights(model, declared?.number)
     }
 
     /**
@@ -120,7 +116,7 @@
         index: Int,
         now: Duration,
     ): List<PieceSource> {
-        val entries = peers.liveEntries(now).filter { it.role == DaemonRole.ENTRY }
+        val entries = peers.liveEntries(now)
         val nearOrigin = entries.filter { it.region == originRegion() }.ifEmpty { entries }
         val lead = ordered(nearOrigin, model, number, index).firstOrNull()
         val fromLead = lead?.takeIf { it.daemon != peers.self.daemon }?.address?.let { PieceSource.Entry(it) }
@@ -149,14 +145,11 @@
             .firstOrNull { it.service == service && it.address == address }
             ?.let { turns.turn(it, report.held, number) }
 
-    private fun origin(): Address? = publication.serving?.services?.firstNotNullOfOrNull { it.origin }
+    private fun originService(): ServingService? = publication.serving?.services?.firstOrNull { it.origin != null }
+
+    private fun origin(): Address? = originService()?.origin
 
-    private fun originRegion(): RegionId? =
-        publication.serving
-            ?.services
-            ?.firstOrNull { it.origin != null }
-            ?.originDomain
-            ?.let { regions[it] }
+    private fun originRegion(): RegionId? = originService()?.originDomain?.let { regions[it] }
 
     private fun ordered(
         candidates: List<PeerDaemon>,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -43,8 +43,7 @@
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val slots = SlotController()
-    val turns = SwitchTurns(publication)
-    val staging = StagingController(peers, publication, turns, settings.regions)
+    val staging = StagingController(peers, publication, SwitchTurns(publication), settings.regions)
 
     /** Logs what changed in what this process believes. */
     fun logChange(
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -17,7 +17,6 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
 import lagoonrudder.control.direct.Handover
-import lagoonrudder.control.direct.LoadStart
 import lagoonrudder.control.direct.OrderAnswer
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.SwitchTurn
@@ -216,13 +215,8 @@
     ) {
         val handover = turn(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.LET_END
         val report = (if (before.held == null) unchanged(before) else close(before, handover)) ?: return
-        val start =
-            when (handover) {
-                Handover.GO_ON_ELSEWHERE -> LoadStart.AT_ONCE
-                Handover.LET_END -> LoadStart.AFTER_RUNNING
-            }
         val ordered = core.clock.elapsed()
-        when (val answer = backEnd.start(manifest.model, manifest.number, report.orders, start)) {
+        when (val answer = backEnd.start(manifest.model, manifest.number, report.orders, handover)) {
             is Either.Left -> core.log.failure("order-unanswered", answer.value, "number" to manifest.number.number)
             is Either.Right -> logOrder(manifest, answer.value, report)
         }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -43,6 +43,23 @@
     }
 }
 
+/** Runs [block] with an idle connection and a busy one, whose request is answered with "done" when the last argument completes. */
+private fun whileAnswering(block: (Serving, ScriptedConnection, ScriptedConnection, CompletableDeferred<Unit>) -> Unit) {
+    val release = CompletableDeferred<Unit>()
+    val handler =
+        HttpHandler { exchange ->
+            release.await()
+            exchange.respond(200, emptyList(), "done".encodeToByteArray())
+        }
+    Serving(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+        val idle = serving.connect()
+        val busy = serving.connect()
+        busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        Thread.sleep(100)
+        block(serving, idle, busy, release)
+    }
+}
+
 class HttpServerTest :
     FunSpec({
         test("requests on one connection are answered in their order, sent ahead or not") {
@@ -167,17 +184,7 @@
         }
 
         test("a retiring server answers what is in hand, closes with notice, and closes idle connections") {
-            val release = CompletableDeferred<Unit>()
-            val handler =
-                HttpHandler { exchange ->
-                    release.await()
-                    exchange.respond(200, emptyList(), "done".encodeToByteArray())
-                }
-            Serving(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
-                val idle = serving.connect()
-                val busy = serving.connect()
-                busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-                Thread.sleep(100)
+            whileAnswering { serving, idle, busy, release ->
                 serving.server.retire()
                 idle.readRest() shouldBe ""
                 release.complete(Unit)
@@ -189,17 +196,7 @@
         }
 
         test("a server that has stopped reading ends what is in hand and takes nothing more, on no connection") {
-            val release = CompletableDeferred<Unit>()
-            val handler =
-                HttpHandler { exchange ->
-                    release.await()
-                    exchange.respond(200, emptyList(), "done".encodeToByteArray())
-                }
-            Serving(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
-                val idle = serving.connect()
-                val busy = serving.connect()
-                busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
-                Thread.sleep(100)
+            whileAnswering { serving, idle, busy, release ->
                 serving.server.stopReading()
                 idle.readRest() shouldBe ""
                 Thread.sleep(100)
