Hold nothing in doubt for a back end that is gone

With the change kept beside the time of a lapse, an entry that can no longer be read while it lapsed would have held back the revision told to peers for up to 2.5 s; before, it did not. It ends the doubt now, and the back end is not logged as gone twice.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PublicationController.kt
@@ -265,6 +265,7 @@
             lapsing[id] = Lapse(change.item, disturbedUntil)
             return null
         }
+        lapsing -= id
         backEndsById -= id
         return id
     }
