Tell late copies, stalled streams and endless bytes from a response

A copy whose first bytes came with the response stayed in the decoder and broke the next request on that connection. - Any byte counted as progress of a stream, so comments or parts of an event kept a stalled stream alive until its deadline. The time allowed between events was a constant of one second, which cut streams that callers still wait for. - Blank lines, informational responses and responses to other requests could go on without end until the deadline. An event without an end that arrived in small pieces was examined anew from its start for each of them.

Change: a head without an id is accepted only on a connection that carried no request before. A connection with undecoded or unsolicited bytes isn't reused. Progress of a stream is a new event; half of the caller's patience (from the route's objective and pause) is the time without one after which another back end takes over. At most 128 KB may precede the head of a response. Events are scanned once.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -13,7 +13,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import kotlinx.coroutines.suspendCancellableCoroutine
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.model.Address
@@ -54,19 +54,19 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
 
     /**
-     * Sends [request] on a connection that was idle for at most [maxIdleTime], or on a new one. Responses whose head [matches]
-     * rejects are skipped. A [Failure.Unreachable] means that nothing was sent.
+     * Sends [request] on a connection that was idle for at most [maxIdleTime], or on a new one. [ownerOf] tells whose
+     * request a response answers; those to other requests are skipped. A [Failure.Unreachable] means that nothing was sent.
      */
     suspend fun send(
         address: Address,
         request: HttpRequest,
         peer: Peer,
         maxIdleTime: Duration = idleTimeout,
-        matches: (HttpResponseHead) -> Boolean = { true },
+        ownerOf: (HttpResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
     ): Either<Failure, HttpCall> {
         val connection = takeIdle(address, maxIdleTime) ?: open(address)
         if (connection == null || !connection.reusable) return Failure.Unreachable(Step.CONNECT, peer, "no connection to $address").left()
-        return connection.send(request, matches) { release(address, it) }.right()
+        return connection.send(request, ownerOf) { release(address, it) }.right()
     }
 
     /** Sends [request] and reads the complete response of at most [maxBytes] within [timeout]. */
@@ -144,9 +144,10 @@
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    val connection = HttpConnection(channel, address)
+                    val decoder = ResponseDecoder()
+                    val connection = HttpConnection(channel, address, decoder)
                     created = connection
-                    channel.pipeline().addLast(HttpClientCodec(), connection)
+                    channel.pipeline().addLast(ReadNotifier(connection::onBytesReceived), decoder, HttpRequestEncoder(), connection)
                 }
             }
         val connected =
--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -46,6 +46,15 @@
     ) : HttpEvent()
 }
 
+/** Whose request the head of a response answers. */
+enum class ResponseOwner {
+    THIS_REQUEST,
+    OTHER_REQUEST,
+
+    /** The head names no request, so it may be a late copy of an earlier response on the same connection. */
+    UNKNOWN,
+}
+
 /** A request in progress. All functions must be called on the event loop thread. */
 interface HttpCall {
     suspend fun next(): HttpEvent
@@ -57,9 +66,11 @@
 internal class HttpConnection(
     private val channel: SocketChannel,
     private val address: Address,
+    private val decoder: ResponseDecoder,
 ) : ChannelInboundHandlerAdapter() {
     private var call: OpenCall? = null
     private var closed = false
+    private var carriedRequest = false
 
     /** How long the server keeps the connection open while it is idle. */
     var keepAlive: Duration = DEFAULT_KEEP_ALIVE
@@ -68,10 +79,13 @@
     /** Whether another request may be sent on this connection. */
     val reusable: Boolean get() = call == null && !closed && channel.isActive
 
-    /** Sends [request]. A response whose head [matches] rejects is skipped, because it belongs to an earlier request. */
+    /**
+     * Sends [request]. A response to another request is skipped. One that names no request is accepted only if this connection
+     * has carried none before, because it can't be a late copy then.
+     */
     fun send(
         request: HttpRequest,
-        matches: (HttpResponseHead) -> Boolean,
+        ownerOf: (HttpResponseHead) -> ResponseOwner,
         onRelease: (HttpConnection) -> Unit,
     ): HttpCall {
         val message =
@@ -88,7 +102,9 @@
         ) {
             message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
-        val opened = OpenCall(matches, onRelease)
+        decoder.expectsBody = request.method != "HEAD"
+        val opened = OpenCall(ownerOf, onRelease, mayHoldEarlierResponses = carriedRequest)
+        carriedRequest = true
         call = opened
         channel
             .writeAndFlush(
@@ -102,6 +118,12 @@
         channel.close()
     }
 
+    /** Called with the size of every read, before its bytes are decoded. Bytes between two responses belong to no request. */
+    fun onBytesReceived(size: Int) {
+        val open = call
+        if (open == null) close() else open.onBytesReceived(size)
+    }
+
     override fun channelRead(
         context: ChannelHandlerContext,
         message: Any,
@@ -128,13 +150,16 @@
     }
 
     private inner class OpenCall(
-        private val matches: (HttpResponseHead) -> Boolean,
+        private val ownerOf: (HttpResponseHead) -> ResponseOwner,
         private val onRelease: (HttpConnection) -> Unit,
+        private val mayHoldEarlierResponses: Boolean,
     ) : HttpCall {
         // Not a coroutine channel, which can lose an event that arrives while its receiver is being cancelled.
         private val events = ArrayDeque<HttpEvent>()
         private var reader: CancellableContinuation<Unit>? = null
         private var unreadBytes = 0
+        private var bytesBeforeHead = 0L
+        private var hasHead = false
         private var skipping = false
         private var ended = false
         private var persistent = true
@@ -162,6 +187,15 @@
             close()
         }
 
+        /** Fails the call when the server keeps sending without ever starting the response to this request. */
+        fun onBytesReceived(size: Int) {
+            if (hasHead || ended) return
+            bytesBeforeHead += size
+            if (bytesBeforeHead > MAX_BYTES_BEFORE_HEAD) {
+                fail("$bytesBeforeHead bytes from $address without the head of a response to this request, limit $MAX_BYTES_BEFORE_HEAD")
+            }
+        }
+
         fun read(message: Any) {
             if (ended) return
             if (message is HttpResponse && !readHead(message)) return
@@ -174,15 +208,27 @@
                 return false
             }
             val head = headOf(response)
-            skipping = head.status < FIRST_FINAL_STATUS || !matches(head)
+            skipping = head.status < FIRST_FINAL_STATUS || !isOwn(head)
+            if (ended) return false
             persistent = HttpUtil.isKeepAlive(response) && (head.length != null || HttpUtil.isTransferEncodingChunked(response))
             if (!skipping) {
+                hasHead = true
                 keepAlive = keepAliveOf(head)
                 deliver(HttpEvent.Head(head))
             }
             return true
         }
 
+        private fun isOwn(head: HttpResponseHead): Boolean =
+            when (ownerOf(head)) {
+                ResponseOwner.THIS_REQUEST -> true
+                ResponseOwner.OTHER_REQUEST -> false
+                ResponseOwner.UNKNOWN -> {
+                    if (mayHoldEarlierResponses) fail("response from $address names no request, on a connection that carried others before")
+                    true
+                }
+            }
+
         private fun readContent(content: HttpContent) {
             if (content.decoderResult().isFailure) return fail("invalid response body from $address: ${content.decoderResult().cause()}")
             val bytes = ByteBufUtil.getBytes(content.content())
@@ -202,7 +248,7 @@
             ended = true
             deliver(HttpEvent.End)
             detach()
-            if (persistent && written) onRelease(this@HttpConnection) else close()
+            if (persistent && written && !decoder.holdsBytes) onRelease(this@HttpConnection) else close()
         }
 
         private fun deliver(event: HttpEvent) {
@@ -243,6 +289,9 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** Far above the informational and late responses that a sound server may send before the expected one. */
+        const val MAX_BYTES_BEFORE_HEAD = 131_072L
+
         /** The number of unread bytes of a response above which reading from the socket is suspended. */
         const val READ_WINDOW_BYTES = 32_768
         val DEFAULT_KEEP_ALIVE = 4.seconds
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -8,8 +8,6 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
-import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.WriteBufferWaterMark
@@ -146,7 +144,7 @@
                 .setMaxHeaderSize(limits.headerBytes)
                 .setMaxChunkSize(CHUNK_BYTES)
         val connection = ServerConnection(channel, limits, this)
-        channel.pipeline().addLast(ReadNotifier(connection), HttpServerCodec(decoder), connection)
+        channel.pipeline().addLast(ReadNotifier { connection.onBytesReceived() }, HttpServerCodec(decoder), connection)
     }
 
     companion object {
@@ -156,16 +154,3 @@
         val LINGER = 500.milliseconds
     }
 }
-
-/** Notifies a connection of received bytes before they are decoded. */
-private class ReadNotifier(
-    private val connection: ServerConnection,
-) : ChannelInboundHandlerAdapter() {
-    override fun channelRead(
-        context: ChannelHandlerContext,
-        message: Any,
-    ) {
-        connection.onBytesReceived()
-        context.fireChannelRead(message)
-    }
-}
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -5,6 +5,7 @@
 package lagoonrudder.model
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The retry semantics of the requests on a route. */
 sealed class RequestKind {
@@ -18,7 +19,24 @@
     data class Stream(
         val resumable: Boolean,
         val maxEventGap: Duration?,
-    ) : RequestKind()
+    ) : RequestKind() {
+        /**
+         * Returns how long a back end may go without a new event before another one takes over, on a route with
+         * [latencyObjective]. It is half of the time after which callers abandon a stream, so that the other half is left to
+         * the second back end.
+         */
+        fun progressTimeout(latencyObjective: Duration): Duration {
+            val gap = maxEventGap ?: Duration.ZERO
+            return maxOf(MIN_CALLER_PATIENCE, latencyObjective * PATIENCE_IN_OBJECTIVES, gap * PATIENCE_IN_EVENT_GAPS) / 2
+        }
+
+        private companion object {
+            /** Callers abandon a stream after the longest of these gaps, also before its first event. */
+            val MIN_CALLER_PATIENCE = 2.seconds
+            const val PATIENCE_IN_OBJECTIVES = 4
+            const val PATIENCE_IN_EVENT_GAPS = 8
+        }
+    }
 
     /** Whether the request may be retried on another back end although the first one may have run it. */
     val retryable: Boolean
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -32,6 +32,13 @@
     var receivedAny = false
         private set
 
+    /**
+     * The time of the last progress of the current attempt: its start, a new event of a stream, or bytes of another response.
+     * The head of a stream, a comment or a part of an event is no progress.
+     */
+    var progressAt = clock.elapsed()
+        private set
+
     /** The last event that was forwarded. */
     var lastEvent: EventId? = null
         private set
@@ -43,6 +50,7 @@
     val holdsErrorResponse: Boolean get() = errorResponse != null && !started
 
     fun startAttempt() {
+        progressAt = clock.elapsed()
         receivedAny = false
         head = null
         buffered = ByteArrayOutputStream(0)
@@ -87,8 +95,10 @@
         if (kind is RequestKind.Stream && current.isSuccess) return onStreamBytes(data, current)
         if (started) {
             forward(data)
+            progressAt = clock.elapsed()
             return null
         }
+        progressAt = clock.elapsed()
         buffered.write(data)
         if (buffered.size() > MAX_BUFFERED_BYTES) {
             startResponse(current)
@@ -115,7 +125,10 @@
             if (!started) startResponse(current.withoutLength())
             number = current.number ?: number
             forward(event.bytes)
-            if (id != null) lastEvent = id
+            if (id != null) {
+                lastEvent = id
+                progressAt = clock.elapsed()
+            }
         }
         return if (splitter.overflowed) DirectAttemptResult.Lost("unterminated event exceeds the size limit") else null
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -35,13 +35,13 @@
 
 /**
  * Limits of one request. [maxWait] is the fraction of a route's latency objective that a request may spend in the queue, and
- * [resume] is the time that a started stream may spend there. [firstEvent] and [nextEvent] are the timeouts for events of a
- * back end whose request may be retried elsewhere. [rejections] is the maximum number of back ends that may reject one request.
+ * [resume] is the time that a started stream may spend there. [progress] is the time without progress after which a response
+ * that is not a stream is given up at a back end if it may be retried elsewhere; that of a stream depends on its route.
+ * [rejections] is the maximum number of back ends that may reject one request.
  */
 data class DirectLimits(
     val maxWait: Double = 0.1,
-    val firstEvent: Duration = 1_200.milliseconds,
-    val nextEvent: Duration = 1_000.milliseconds,
+    val progress: Duration = 1_200.milliseconds,
     val resume: Duration = 800.milliseconds,
     val rejections: Int = 4,
     val retryAfter: Duration = 1.seconds,
@@ -246,7 +246,7 @@
 
     private suspend fun awaitEvent(open: OpenAttempt): Next {
         val mayRetry = kind.retryable && runs + 1 < context.route.attempts
-        val limit = if (relay.started) limits.nextEvent else limits.firstEvent
+        val limit = relay.progressAt + progressTimeout() - control.clock.elapsed()
         if (mayRetry && limit < context.timeLeft(control.clock)) {
             withTimeoutOrNull(limit) { open.next() }?.let { return Next.Event(it) }
             if (takeRetry()) return Next.Timeout
@@ -255,6 +255,12 @@
         return if (event == null) Next.OutOfTime else Next.Event(event)
     }
 
+    private fun progressTimeout(): Duration =
+        when (kind) {
+            RequestKind.Idempotent, RequestKind.AtMostOnce -> limits.progress
+            is RequestKind.Stream -> kind.progressTimeout(context.route.latencyObjective)
+        }
+
     private fun timedOut(backEnd: BackEnd): DirectAttemptResult {
         client.discardIdleConnections(backEnd)
         return DirectAttemptResult.Lost("silent", timedOut = true)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
@@ -12,44 +12,53 @@
 )
 
 class EventSplitter {
-    private var pending = ByteArray(0)
+    private var buffer = ByteArray(0)
+    private var size = 0
+
+    /** The position in [buffer] up to which no event ends, so that no byte is examined twice. */
+    private var scanned = 0
+    private var lineStart = 0
 
     /** Whether an incomplete event is buffered. */
-    val hasPartialEvent: Boolean get() = pending.isNotEmpty()
+    val hasPartialEvent: Boolean get() = size > 0
 
     /** Whether the incomplete event exceeds the size limit of an event. */
-    val overflowed: Boolean get() = pending.size > MAX_EVENT_BYTES
+    val overflowed: Boolean get() = size > MAX_EVENT_BYTES
 
     /** Appends [data] and returns the events that it completes. */
     fun feed(data: ByteArray): List<StreamEvent> {
-        val all = if (pending.isEmpty()) data else pending + data
+        append(data)
         val events = mutableListOf<StreamEvent>()
         var start = 0
-        var end = endOfEvent(all, start)
-        while (end > 0) {
-            val bytes = all.copyOfRange(start, end)
+        while (scanned < size) {
+            val index = scanned++
+            if (buffer[index] != LINE_FEED) continue
+            val length = index - lineStart
+            val blank = length == 0 || (length == 1 && buffer[lineStart] == CARRIAGE_RETURN)
+            val endsEvent = blank && lineStart > start
+            lineStart = scanned
+            if (!endsEvent) continue
+            val bytes = buffer.copyOfRange(start, scanned)
             events += StreamEvent(bytes, idOf(bytes))
-            start = end
-            end = endOfEvent(all, start)
+            start = scanned
         }
-        pending = if (start == 0) all else all.copyOfRange(start, all.size)
+        discard(start)
         return events
     }
 
-    /** Returns the position after the blank line that terminates the event at [start], or -1. */
-    private fun endOfEvent(
-        bytes: ByteArray,
-        start: Int,
-    ): Int {
-        var lineStart = start
-        for (index in start until bytes.size) {
-            if (bytes[index] != LINE_FEED) continue
-            val length = index - lineStart
-            val blank = length == 0 || (length == 1 && bytes[lineStart] == CARRIAGE_RETURN)
-            if (blank && lineStart > start) return index + 1
-            lineStart = index + 1
-        }
-        return -1
+    private fun append(data: ByteArray) {
+        if (size + data.size > buffer.size) buffer = buffer.copyOf(maxOf(size + data.size, 2 * buffer.size))
+        data.copyInto(buffer, size)
+        size += data.size
+    }
+
+    /** Removes the first [count] bytes, which belong to complete events. */
+    private fun discard(count: Int) {
+        if (count == 0) return
+        if (count == size) buffer = ByteArray(0) else buffer.copyInto(buffer, 0, count, size)
+        size -= count
+        scanned -= count
+        lineStart -= count
     }
 
     private fun idOf(event: ByteArray): EventId? {
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import lagoonrudder.model.EventId
+import kotlin.time.Duration.Companion.seconds
 
 class EventSplitterTest :
     FunSpec({
@@ -30,6 +31,12 @@
             splitter.overflowed shouldBe true
         }
 
+        // Examining all earlier bytes again for each new one would take minutes of processor time.
+        test("an unterminated event that arrives a byte at a time costs no more than its size").config(timeout = 5.seconds) {
+            val splitter = EventSplitter()
+            while (!splitter.overflowed) splitter.feed(byteArrayOf('x'.code.toByte()))
+        }
+
         test("an incomplete event is held back") {
             val splitter = EventSplitter()
             splitter.feed("id: 1\ndata: a\n\nid: 2\nda".encodeToByteArray()).map { it.id } shouldContainExactly listOf(EventId(1))
