Share the last free places between entry daemons, and predict waits and returns

Cause: entry daemons learn of each other's requests a tenth of a second or more later. A request waited a tenth of its objective whatever the queue, and all that were refused returned together after one second. A placement summed over all peers for every back end.

Change: control/direct/admission holds the policies, each beside its baseline: claims (once a quarter or less of a back end's places is free, a daemon takes its share of them and what its own requests release), waits (as long as a place is predicted in time for the objective, else as long as the caller waits if places are left over, else none) and returns (one after another as places become free; spread below the longest time that callers honour if none is predicted). A queue for each service; reports of peers are summed when they arrive.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -32,6 +32,26 @@
     var ejectedUntil = Duration.ZERO
         private set
 
+    private var claimEpoch = Duration.ZERO
+    private var claims = 0
+
+    /**
+     * Returns whether this process may take one of [free] places that all of [contenders] daemons see. Since each learns only
+     * later that another took a place, each claims its share of them at a time, rounded by [fraction], and any that it releases.
+     */
+    fun mayClaim(
+        free: Int,
+        contenders: Int,
+        fraction: Double,
+        now: Duration,
+    ): Boolean {
+        if (now - claimEpoch >= CLAIM_INTERVAL) {
+            claimEpoch = now
+            claims = (free.toDouble() / contenders + fraction).toInt()
+        }
+        return claims > 0
+    }
+
     /** Returns the number of requests sent within the cold rate window that ends at [now]. */
     fun recentRequests(now: Duration): Int {
         while (sent.isNotEmpty() && now - sent.first().at > COLD_RATE_WINDOW) sent.removeFirst()
@@ -55,6 +75,7 @@
         recentRequests(now)
         sent.addLast(Sent(now, promptTokens))
         inFlight++
+        claims--
     }
 
     fun recordOutcome(
@@ -62,6 +83,7 @@
         now: Duration,
     ) {
         inFlight--
+        claims++
         when (outcome) {
             AttemptOutcome.ANSWERED -> onSuccess()
             AttemptOutcome.NOT_RUN -> onRejected(now)
@@ -97,6 +119,9 @@
         const val FAILURES_BEFORE_EJECTION = 3
         const val MAX_DOUBLINGS = 3
 
+        /** The age of the reports by which daemons learn of each other's requests. */
+        val CLAIM_INTERVAL = 100.milliseconds
+
         /** A back end takes slightly longer than this to restart; with three doublings it covers most restarts. */
         val BASE_EJECTION_TIME = 700.milliseconds
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -46,6 +46,11 @@
     )
 
     private val knownPeers = mutableMapOf<DaemonId, KnownPeer>()
+
+    /** The sum of the unexpired reports of all peers, kept up to date so that a placement costs the same with any number of peers. */
+    private val inFlightTotals = mutableMapOf<TargetId, Int>()
+    private var reporters = 0
+    private var nextExpiry = Duration.INFINITE
     private var startedAt: Duration? = null
 
     /** The addresses from which discovery starts; a reload of the settings may change them. */
@@ -61,8 +66,9 @@
         val entry = knownPeers.getOrPut(peer.daemon) { KnownPeer(peer, now) }
         entry.peer = peer
         entry.lastContactAt = now
-        entry.inFlight = inFlight
+        replaceReport(entry, inFlight)
         entry.inFlightAt = now
+        nextExpiry = minOf(nextExpiry, now + IN_FLIGHT_TTL)
     }
 
     /** Merges the peers that another daemon knows about. */
@@ -106,7 +112,32 @@
     fun inFlightElsewhere(
         target: TargetId,
         now: Duration,
-    ): Int = knownPeers.values.sumOf { if (now - it.inFlightAt < IN_FLIGHT_TTL) it.inFlight[target] ?: 0 else 0 }
+    ): Int {
+        if (now >= nextExpiry) expireReports(now)
+        return inFlightTotals[target] ?: 0
+    }
+
+    /** Returns the number of peers with an unexpired report of requests in flight. */
+    fun reporterCount(now: Duration): Int {
+        if (now >= nextExpiry) expireReports(now)
+        return reporters
+    }
+
+    private fun expireReports(now: Duration) {
+        val (expired, fresh) = knownPeers.values.filter { it.inFlight.isNotEmpty() }.partition { now - it.inFlightAt >= IN_FLIGHT_TTL }
+        expired.forEach { replaceReport(it, emptyMap()) }
+        nextExpiry = fresh.minOfOrNull { it.inFlightAt + IN_FLIGHT_TTL } ?: Duration.INFINITE
+    }
+
+    private fun replaceReport(
+        peer: KnownPeer,
+        inFlight: Map<TargetId, Int>,
+    ) {
+        for ((target, count) in peer.inFlight) inFlightTotals.merge(target, -count) { sum, change -> (sum + change).takeIf { it != 0 } }
+        for ((target, count) in inFlight) inFlightTotals.merge(target, count) { sum, change -> (sum + change).takeIf { it != 0 } }
+        if (peer.inFlight.isEmpty() != inFlight.isEmpty()) reporters += if (inFlight.isEmpty()) -1 else 1
+        peer.inFlight = inFlight
+    }
 
     fun dump(now: Duration): DumpSection =
         dumpSection("peers") {
@@ -119,7 +150,9 @@
     private fun liveKnownEntries(now: Duration): List<KnownPeer> = knownEntries().filter { now - it.lastContactAt < LIVENESS_TIMEOUT }
 
     private fun removeExpired(now: Duration) {
-        knownPeers.values.removeIf { now - it.lastContactAt > REMOVAL_TIMEOUT }
+        val removed = knownPeers.values.filter { now - it.lastContactAt > REMOVAL_TIMEOUT }
+        removed.forEach { replaceReport(it, emptyMap()) }
+        knownPeers.values.removeAll(removed.toSet())
     }
 
     private companion object {
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -10,6 +10,13 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import lagoonrudder.control.DumpSection
+import lagoonrudder.control.direct.admission.ClaimPolicy
+import lagoonrudder.control.direct.admission.OverloadController
+import lagoonrudder.control.direct.admission.OverloadPolicies
+import lagoonrudder.control.direct.admission.PlacementQueue
+import lagoonrudder.control.direct.admission.QueuedRequest
+import lagoonrudder.control.direct.admission.WaitDecision
+import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.control.dumpSection
 import lagoonrudder.control.entry
 import lagoonrudder.model.BackEnd
@@ -42,7 +49,7 @@
 )
 
 /**
- * The requirements of a request on its back end. [excluded] are the back ends that it must not be sent to again, [number] is
+ * The requirements of a request on its back end. [wait] limits how long it may be queued, and its caller waits for [timeLeft]. [excluded] are the back ends that it must not be sent to again, [number] is
  * the version that produced the start of its response, if any, [promptTokens] the length of its prompt as stated by the caller,
  * and [isLate] is set if its latency objective had passed before it arrived.
  */
@@ -55,6 +62,20 @@
     val number: WeightNumber?,
     val promptTokens: Int,
     val isLate: Boolean,
+    val wait: WaitLimit,
+    val timeLeft: Duration,
+)
+
+/** A request for a back end that was accepted for a decision; [result] completes within [wait]. */
+class PlacementTicket(
+    val result: CompletableDeferred<Placement>,
+    val wait: Duration,
+)
+
+/** How long an attempt occupied its back end, and when the first event of its response came; null if none came. */
+data class AttemptTimes(
+    val held: Duration,
+    val firstEvent: Duration?,
 )
 
 sealed class Placement {
@@ -77,29 +98,31 @@
     private val peers: PeerController,
     private val backEndStates: BackEndStateController,
     private val random: Random,
+    private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
-    private class QueuedRequest(
-        val request: PlacementRequest,
-        val queuedAt: Duration,
-        val deadline: Duration,
-    ) {
-        val result = CompletableDeferred<Placement>()
-    }
-
+    private val overload = OverloadController(random, policies)
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
-    private val queue = mutableListOf<QueuedRequest>()
+    private val queues = mutableMapOf<ServiceId, PlacementQueue>()
     private val inFlightOf = mutableMapOf<CustomerId, Int>()
 
-    /** Assigns a back end to the request now, or queues the request for at most [maxWait] and completes the result later. */
+    /** Assigns a back end to the request now, refuses it, or queues it for as long as the prediction of its wait allows. */
     fun place(
         request: PlacementRequest,
-        maxWait: Duration,
         now: Duration,
-    ): CompletableDeferred<Placement> {
-        val placement = tryPlace(request, now)
-        val queues = mayQueue(placement) && queue.size < MAX_QUEUE_LENGTH
-        if (!queues || maxWait <= Duration.ZERO) return CompletableDeferred(placement)
-        return QueuedRequest(request, now, now + maxWait).also { queue += it }.result
+    ): PlacementTicket {
+        if (!request.isLate) overload.recordArrival(request.service, now)
+        val placement = tryPlace(request, request.isLate, now)
+        val queue = queueOf(request.service)
+        if (!mayQueue(placement) || queue.size >= MAX_QUEUE_LENGTH) return decided(placement)
+        return when (val decision = overload.decide(request.service, request.wait, queue.lengths, now)) {
+            is WaitDecision.Refuse -> decided(refused(request, "no place predicted within ${decision.predicted}", now))
+            is WaitDecision.Wait -> {
+                if (decision.limit <= Duration.ZERO) return decided(placement)
+                val queued = QueuedRequest(request, decision.inTime && !request.isLate, now, now + decision.limit)
+                queue.add(queued)
+                PlacementTicket(queued.result, decision.limit)
+            }
+        }
     }
 
     /** Ends the wait of a queued request: it is placed now or refused. */
@@ -107,14 +130,13 @@
         decision: CompletableDeferred<Placement>,
         now: Duration,
     ) {
-        val queued = queue.firstOrNull { it.result === decision } ?: return
-        queue.remove(queued)
-        queued.result.complete(tryPlace(queued.request, now))
+        val queue = queues.values.firstOrNull { it.find(decision) != null } ?: return
+        queue.find(decision)?.let { endWait(queue, it, now) }
     }
 
     /** Removes a queued request whose caller has disconnected. */
     fun withdraw(decision: CompletableDeferred<Placement>) {
-        queue.removeAll { it.result === decision }
+        for (queue in queues.values) queue.find(decision)?.let { queue.remove(it) }
     }
 
     /** Releases the slot of an attempt that has ended and dispatches queued requests. */
@@ -123,27 +145,65 @@
         customer: CustomerId?,
         outcome: AttemptOutcome,
         now: Duration,
+        times: AttemptTimes? = null,
     ) {
         statsOf(target).recordOutcome(outcome, now)
         if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
-        dispatchQueued(now)
+        val service = storeView.backEnd(target)?.service ?: return
+        val answered = outcome == AttemptOutcome.ANSWERED
+        if (times != null) overload.recordRelease(service, times.held, times.firstEvent, answered, now)
+        dispatchQueued(service, now)
     }
 
-    /** Dispatches queued requests and refuses those whose wait is over; called after changes and periodically. */
-    fun dispatchQueued(now: Duration) {
-        if (queue.isEmpty()) return
-        // A slot helps to meet a latency objective only if it goes to a request that can still meet its own.
-        queue.sortWith(compareBy({ it.request.priority }, { it.request.isLate }, { inFlightOf[it.request.customer] ?: 0 }, { it.queuedAt }))
-        val iterator = queue.iterator()
-        while (iterator.hasNext()) {
-            val queued = iterator.next()
-            val placement = tryPlace(queued.request, now)
-            if (mayQueue(placement) && now < queued.deadline) continue
-            iterator.remove()
-            queued.result.complete(placement)
+    /** Dispatches the queued requests of all services and refuses those whose wait is over; called after changes and periodically. */
+    fun dispatchQueued(now: Duration) = queues.keys.forEach { dispatchQueued(it, now) }
+
+    private fun dispatchQueued(
+        service: ServiceId,
+        now: Duration,
+    ) {
+        val queue = queues[service] ?: return
+        if (queue.size == 0) return
+        queue.expired(now).forEach { endWait(queue, it, now) }
+        var unplaceable = 0
+        for (queued in queue.inOrder { inFlightOf[it] ?: 0 }) {
+            val placement = tryPlace(queued.request, late = !queued.inTime, now)
+            if (mayQueue(placement)) {
+                // Requests differ in the back ends that they may use, but mostly what is full for some is full for the others.
+                if (++unplaceable >= MAX_UNPLACEABLE) return
+            } else {
+                queue.remove(queued)
+                queued.result.complete(placement)
+            }
         }
     }
 
+    private fun endWait(
+        queue: PlacementQueue,
+        queued: QueuedRequest,
+        now: Duration,
+    ) {
+        queue.remove(queued)
+        val placement = tryPlace(queued.request, queued.request.isLate, now)
+        val waited = now - queued.queuedAt
+        queued.result.complete(if (mayQueue(placement)) refused(queued.request, "no place within $waited", now) else placement)
+    }
+
+    private fun decided(placement: Placement) = PlacementTicket(CompletableDeferred(placement), Duration.ZERO)
+
+    private fun refused(
+        request: PlacementRequest,
+        reason: String,
+        now: Duration,
+    ) = Placement.Refused(Refusal.Overloaded(retryAfter(request, now)), reason)
+
+    private fun retryAfter(
+        request: PlacementRequest,
+        now: Duration,
+    ): Duration = overload.retryAfter(request.service, request.timeLeft, queueOf(request.service).lengths, now)
+
+    private fun queueOf(service: ServiceId) = queues.getOrPut(service) { PlacementQueue() }
+
     /** Removes the statistics of back ends that are no longer registered. */
     fun removeStaleStats() {
         statsByTarget.keys.removeIf { storeView.backEnd(it) == null && (statsByTarget[it]?.inFlight ?: 0) == 0 }
@@ -152,11 +212,11 @@
     /** Returns the number of requests that this process has in flight at each back end. */
     fun inFlight(): Map<TargetId, Int> = statsByTarget.filterValues { it.inFlight > 0 }.mapValues { it.value.inFlight }
 
-    fun queueLength(): Int = queue.size
+    fun queueLength(): Int = queues.values.sumOf { it.size }
 
     fun dump(now: Duration): DumpSection =
         dumpSection("placement") {
-            entry("waiting", queue.size)
+            for ((service, queue) in queues) entry("waiting ${service.text}", queue.lengths)
             for ((id, stats) in statsByTarget) {
                 val inFlightElsewhere = peers.inFlightElsewhere(id, now)
                 val ejectedFor = stats.ejectedUntil - now
@@ -167,18 +227,20 @@
     /** Returns whether a request may wait, which is the case if back ends are only at capacity. */
     private fun mayQueue(placement: Placement) = placement is Placement.Refused && placement.refusal is Refusal.Overloaded
 
+    /** Places [request] at the best back end with a free place; the last places of an engine are kept from a [late] one. */
     private fun tryPlace(
         request: PlacementRequest,
+        late: Boolean,
         now: Duration,
     ): Placement {
-        val eligible = storeView.backEnds.filter { it.service == request.service && isEligible(it, request, now) }
-        if (eligible.isEmpty()) return Placement.Refused(Refusal.NoTarget(NO_TARGET_RETRY), reasonOf(request, now))
+        val eligible = storeView.backEndsOf(request.service).filter { isEligible(it, request, now) }
+        if (eligible.isEmpty()) return Placement.Refused(Refusal.NoTarget(retryAfter(request, now)), reasonOf(request, now))
         val candidates =
             eligible
                 .filter { statsOf(it.id).ejectedUntil <= now }
                 .ifEmpty { listOf(eligible.minBy { statsOf(it.id).ejectedUntil }) }
-        val available = candidates.filter { load(it, now) < maxInFlight(it, request, now) && isWithinColdRate(it, now) }
-        if (available.isEmpty()) return Placement.Refused(Refusal.Overloaded(FULL_RETRY), "full back-ends=${candidates.size}")
+        val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) }
+        if (available.isEmpty()) return refused(request, "full back-ends=${candidates.size}", now)
         val chosen = available.minBy { score(it, now) }
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
@@ -228,12 +290,32 @@
         request: PlacementRequest,
         now: Duration,
     ): String {
-        val all = storeView.backEnds.filter { it.service == request.service }
+        val all = storeView.backEndsOf(request.service)
         val withoutWeights = all.count { !holdsWeights(it, request, now) }
         val leaving = all.count { it.leaving }
         return "no back end listed=${all.size} leaving=$leaving without-weights=$withoutWeights passed-over=${request.excluded.size}"
     }
 
+    private fun hasPlace(
+        backEnd: BackEnd,
+        late: Boolean,
+        now: Duration,
+    ): Boolean {
+        val limit = maxInFlight(backEnd, late, now)
+        val free = limit - load(backEnd, now)
+        return free > 0 &&
+            when (policies.claims) {
+                ClaimPolicy.All -> true
+                ClaimPolicy.Share -> free > limit * AMPLE_SHARE || mayClaim(backEnd, free, now)
+            }
+    }
+
+    private fun mayClaim(
+        backEnd: BackEnd,
+        free: Int,
+        now: Duration,
+    ): Boolean = statsOf(backEnd.id).mayClaim(free, contenders = peers.reporterCount(now) + 1, random.nextDouble(), now)
+
     private fun load(
         backEnd: BackEnd,
         now: Duration,
@@ -246,14 +328,14 @@
      */
     private fun maxInFlight(
         backEnd: BackEnd,
-        request: PlacementRequest,
+        late: Boolean,
         now: Duration,
     ): Int {
         val isEngine = storeView.serving?.service(backEnd.service)?.weights != null
         return when {
             !isEngine -> backEnd.slots + QUEUED_CALLS
             isNearSwitchDeadline(backEnd, now) -> (backEnd.slots - RESERVED_NEAR_DEADLINE).coerceAtLeast(1)
-            request.isLate -> (backEnd.slots - RESERVED_FROM_LATE).coerceAtLeast(1)
+            late -> (backEnd.slots - RESERVED_FROM_LATE).coerceAtLeast(1)
             else -> backEnd.slots + QUEUED_STREAMS
         }
     }
@@ -300,8 +382,9 @@
 
         /** In requests: 1,000 tokens in prefill delay a first event by about one batch iteration of the engine. */
         const val PREFILL_TOKEN_PENALTY = 0.002
-        val NO_TARGET_RETRY = 1_000.milliseconds
-        val FULL_RETRY = 1_000.milliseconds
+
+        /** How many queued requests in a row may find no place before the others are taken to find none either. */
+        const val MAX_UNPLACEABLE = 8
 
         /** Requests sent within this margin may still wait in a back end's own queue at the switch deadline. */
         val SWITCH_MARGIN = 1_200.milliseconds
@@ -313,8 +396,10 @@
         val DEADLINE_NOTICE = 1_000.milliseconds
         const val RESERVED_NEAR_DEADLINE = 3
 
-        /** Slots of an engine: that many become free between two gossip messages of a peer nearby. */
-        const val RESERVED_FROM_LATE = 2
+        /** The share of free places above which daemons that don't yet know of each other's last requests can't overload a back end. */
+        const val AMPLE_SHARE = 0.25
+
+        const val RESERVED_FROM_LATE = 1
 
         /** The remainder is left to entry daemons that this one has not discovered and to requests that are delayed and arrive together. */
         const val COLD_RATE_SAFETY_FACTOR = 0.9
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -14,6 +14,7 @@
 import lagoonrudder.model.Invariant
 import lagoonrudder.model.Invariants
 import lagoonrudder.model.ModelId
+import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingConfiguration
 import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
@@ -94,8 +95,15 @@
 
     val backEnds: Collection<BackEnd> get() = backEndsById.values
 
+    private var backEndsByService: Map<ServiceId, List<BackEnd>>? = null
+
     fun backEnd(id: TargetId): BackEnd? = backEndsById[id]
 
+    fun backEndsOf(service: ServiceId): List<BackEnd> {
+        val grouped = backEndsByService ?: backEndsById.values.groupBy { it.service }.also { backEndsByService = it }
+        return grouped[service].orEmpty()
+    }
+
     /** Returns the newest version that was declared for [model]. */
     fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]?.last()
 
@@ -186,6 +194,7 @@
             pendingRemovals -= id
             backEndsById -= id
         }
+        if (expired.isNotEmpty()) backEndsByService = null
         return expired
     }
 
@@ -236,6 +245,7 @@
         }
         next?.let { serving = it }
         // A registration may be removed and renewed within one response; only its newest change counts.
+        if (applied.isNotEmpty()) backEndsByService = null
         val removed = applied.filter { items[it.item.key] === it }.mapNotNull { removal(it, holdRemovals) }
         return StoreViewChange(next, added, changed, removed, declared, changedEvacuation(), unusable)
     }
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
@@ -0,0 +1,48 @@
+/**
+ * The requests that wait for a place at the back ends of one service.
+ *
+ * Within a priority those that can still meet their latency objective go first, since a place then serves one caller in time
+ * instead of one late.
+ */
+package lagoonrudder.control.direct.admission
+
+import kotlinx.coroutines.CompletableDeferred
+import lagoonrudder.control.direct.Placement
+import lagoonrudder.control.direct.PlacementRequest
+import lagoonrudder.model.CustomerId
+import kotlin.time.Duration
+
+/** A request that waits until [deadline]; [inTime] is set while it is predicted to meet its latency objective. */
+internal class QueuedRequest(
+    val request: PlacementRequest,
+    val inTime: Boolean,
+    val queuedAt: Duration,
+    val deadline: Duration,
+) {
+    val result = CompletableDeferred<Placement>()
+}
+
+internal class PlacementQueue {
+    private val requests = mutableListOf<QueuedRequest>()
+
+    val size: Int get() = requests.size
+
+    val lengths: QueueLengths get() = requests.count { it.inTime }.let { QueueLengths(it, requests.size - it) }
+
+    fun add(queued: QueuedRequest) {
+        requests += queued
+    }
+
+    fun remove(queued: QueuedRequest) {
+        requests -= queued
+    }
+
+    fun find(decision: CompletableDeferred<Placement>): QueuedRequest? = requests.firstOrNull { it.result === decision }
+
+    /** Returns the requests whose wait is over. */
+    fun expired(now: Duration): List<QueuedRequest> = requests.filter { now >= it.deadline }
+
+    /** Returns the requests in the order in which they get places; [inFlightOf] makes customers with fewer requests go first. */
+    fun inOrder(inFlightOf: (CustomerId?) -> Int): List<QueuedRequest> =
+        requests.sortedWith(compareBy({ it.request.priority }, { !it.inTime }, { inFlightOf(it.request.customer) }, { it.queuedAt }))
+}
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -62,6 +62,25 @@
             peers.onGossipReceived(peer("other"), mapOf(target to 3), 10.seconds)
             peers.inFlightElsewhere(target, 10.5.seconds) shouldBe 3
             peers.inFlightElsewhere(target, 15.seconds) shouldBe 0
+            peers.reporterCount(15.seconds) shouldBe 0
+        }
+
+        test("the requests in flight elsewhere are the sum of the last reports of all peers") {
+            val peers = PeerController(peer("self"), emptyList())
+            val (first, second) = listOf(backEnd("a").id, backEnd("b").id)
+            for (round in 1..3) {
+                for (name in 1..4) {
+                    peers.onGossipReceived(
+                        peer("other-$name"),
+                        mapOf(first to round, second to name),
+                        10.seconds + 100.milliseconds * round,
+                    )
+                }
+            }
+            peers.onGossipReceived(peer("other-4"), emptyMap(), 10.4.seconds)
+            peers.inFlightElsewhere(first, 10.5.seconds) shouldBe 3 * 3
+            peers.inFlightElsewhere(second, 10.5.seconds) shouldBe 1 + 2 + 3
+            peers.reporterCount(10.5.seconds) shouldBe 3
         }
     })
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -20,6 +20,7 @@
         "readers" to ::measureReaders,
         "control" to ::measureControl,
         "configuration" to ::measureConfiguration,
+        "overload" to ::measureOverload,
     )
 
 fun main(arguments: Array<String>) {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -12,6 +12,7 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.WeightNumber
 import java.io.ByteArrayOutputStream
+import kotlin.time.Duration
 
 internal class DirectRelay(
     private val call: DirectCall,
@@ -39,6 +40,10 @@
     var progressAt = clock.elapsed()
         private set
 
+    /** The time of the first progress of the current attempt after its start; null if it made none. */
+    var firstProgressAt: Duration? = null
+        private set
+
     /** The last event that was forwarded. */
     var lastEvent: EventId? = null
         private set
@@ -51,6 +56,7 @@
 
     fun startAttempt() {
         progressAt = clock.elapsed()
+        firstProgressAt = null
         receivedAny = false
         head = null
         buffered = ByteArrayOutputStream(0)
@@ -95,10 +101,10 @@
         if (kind is RequestKind.Stream && current.isSuccess) return onStreamBytes(data, current)
         if (started) {
             forward(data)
-            progressAt = clock.elapsed()
+            recordProgress()
             return null
         }
-        progressAt = clock.elapsed()
+        recordProgress()
         buffered.write(data)
         if (buffered.size() > MAX_BUFFERED_BYTES) {
             startResponse(current)
@@ -127,7 +133,7 @@
             forward(event.bytes)
             if (id != null) {
                 lastEvent = id
-                progressAt = clock.elapsed()
+                recordProgress()
             }
         }
         return if (splitter.overflowed) DirectAttemptResult.Lost("unterminated event exceeds the size limit") else null
@@ -145,6 +151,11 @@
         return DirectAttemptResult.Completed(forwarded + buffered.size())
     }
 
+    private fun recordProgress() {
+        progressAt = clock.elapsed()
+        if (firstProgressAt == null) firstProgressAt = progressAt
+    }
+
     private suspend fun startResponse(head: ResponseHead) {
         started = true
         call.timeToFirstEvent = clock.elapsed() - call.receivedAt
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -15,8 +15,10 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.AttemptOutcome
+import lagoonrudder.control.direct.AttemptTimes
 import lagoonrudder.control.direct.Placement
 import lagoonrudder.control.direct.PlacementRequest
+import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
@@ -34,13 +36,11 @@
 import lagoonrudder.traffic.Next as NextFilter
 
 /**
- * Limits of one request. [maxWait] is the fraction of a route's latency objective that a request may spend in the queue, and
- * [resume] is the time that a started stream may spend there. [progress] is the time without progress after which a response
+ * Limits of one request. [resume] is the time that a started stream may spend in the queue. [progress] is the time without progress after which a response
  * that is not a stream is given up at a back end if it may be retried elsewhere; that of a stream depends on its route.
  * [rejections] is the maximum number of back ends that may reject one request.
  */
 data class DirectLimits(
-    val maxWait: Double = 0.1,
     val progress: Duration = 1_200.milliseconds,
     val resume: Duration = 800.milliseconds,
     val rejections: Int = 4,
@@ -134,7 +134,6 @@
         val startedAt = control.clock.elapsed()
         val timeLeft = context.timeLeft(control.clock)
         if (timeLeft <= Duration.ZERO) return Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
-        val maxWait = minOf(maxWait(), timeLeft)
         val priority = if (relay.started) RESUME_PRIORITY else context.priority
         val request =
             PlacementRequest(
@@ -145,16 +144,19 @@
                 excluded = excluded.toSet(),
                 number = relay.number,
                 promptTokens = call.request.promptTokens ?: 0,
-                isLate = context.isLate,
+                isLate = context.isLate && !relay.started,
+                wait = waitLimit(timeLeft),
+                timeLeft = timeLeft,
             )
-        val decision =
+        val ticket =
             withContext(NonCancellable) {
-                control.thread.decide { control.placement.place(request, maxWait, control.clock.elapsed()) }
+                control.thread.decide { control.placement.place(request, control.clock.elapsed()) }
             }
+        val decision = ticket.result
         var received = false
         try {
             val placement =
-                withTimeoutOrNull(maxWait) { decision.await() } ?: run {
+                withTimeoutOrNull(minOf(ticket.wait, timeLeft)) { decision.await() } ?: run {
                     control.thread.decide { control.placement.onWaitTimeout(decision, control.clock.elapsed()) }
                     decision.await()
                 }
@@ -165,11 +167,22 @@
         }
     }
 
-    private fun maxWait(): Duration =
+    private fun waitLimit(timeLeft: Duration): WaitLimit =
         when {
-            relay.started -> limits.resume
-            call.attempts.isEmpty() -> context.route.latencyObjective * limits.maxWait
-            else -> RETRY_MAX_WAIT
+            relay.started -> WaitLimit.Within(limits.resume)
+            call.attempts.isNotEmpty() -> WaitLimit.Within(RETRY_MAX_WAIT)
+            else -> {
+                val objective = context.route.latencyObjective
+                val objectiveLeft = if (context.isLate) Duration.ZERO else objective - (control.clock.elapsed() - call.receivedAt)
+                WaitLimit.ForObjective(objective, objectiveLeft, callerPatience(), timeLeft)
+            }
+        }
+
+    /** Returns how long the caller waits for the first event of a response. */
+    private fun callerPatience(): Duration =
+        when (kind) {
+            RequestKind.Idempotent, RequestKind.AtMostOnce -> Duration.INFINITE
+            is RequestKind.Stream -> kind.callerPatience(context.route.latencyObjective)
         }
 
     /** Releases the slot of a request whose coroutine was cancelled while it waited; runs on the control thread. */
@@ -186,12 +199,15 @@
         attempt: suspend () -> DirectAttemptResult,
     ): DirectAttemptResult {
         var outcome = AttemptOutcome.ABANDONED
+        val startedAt = control.clock.elapsed()
         try {
             return attempt().also { outcome = attemptOutcomeOf(it) }
         } finally {
             withContext(NonCancellable) {
                 control.thread.decide {
-                    control.placement.onAttemptEnded(backEnd.id, context.customer?.id, outcome, control.clock.elapsed())
+                    val now = control.clock.elapsed()
+                    val times = AttemptTimes(held = now - startedAt, firstEvent = relay.firstProgressAt?.let { it - startedAt })
+                    control.placement.onAttemptEnded(backEnd.id, context.customer?.id, outcome, now, times)
                 }
             }
         }
