Let one entry daemon of each failure domain read the store, and gossip sums between domains

Cause: every entry daemon held a watch that returned at every change of every worker, and exchanged with every other entry daemon, so calls, messages and processor time grew with the square of the fleet.

Change: the first of a failure domain in a hash order watches the store, the others get changes from it at once when gossip shows that they are behind; a daemon reads the store itself while it hears of no better ranked one in its domain that does. Changes within 250 ms share a call. Inside a domain one side of each pair exchanges, ten times a second; between domains one random member at a time, with the sum of its domain.

Tests: DomainGossipTest; the tests of stand-ins, cli and the modules below them pass.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -2,7 +2,9 @@
  * Tracks which other daemons are alive and sums the requests that entry daemons have in flight.
  *
  * Discovery starts from the seed addresses; daemons then learn about each other through gossip. A daemon counts as alive
- * while its last contact is recent, and is removed long after that.
+ * while its last contact is recent, and is removed long after that. Entry daemons of one failure domain exchange their own
+ * requests in flight often; between failure domains one member at a time exchanges the sum of its domain. So the gossip of a
+ * daemon grows with the members of its domain and the number of domains, not with the number of daemons.
  */
 package lagoonrudder.control.direct
 
@@ -15,6 +17,7 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.TargetId
+import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -34,21 +37,44 @@
     val age: Duration,
 )
 
+/** Requests in flight by back end, at one entry daemon or in all of a failure domain; [daemons] is how many they are the sum of. */
+data class LoadReport(
+    val inFlight: Map<TargetId, Int>,
+    val daemons: Int,
+)
+
 class PeerController(
     val self: PeerDaemon,
     seeds: List<Address>,
 ) {
+    /** [lastContactAt] may come from a third daemon, [lastExchangeAt] and [storeContactAt] come from the peer itself. */
     private class KnownPeer(
         var peer: PeerDaemon,
         var lastContactAt: Duration,
-        var inFlight: Map<TargetId, Int> = emptyMap(),
-        var inFlightAt: Duration = Duration.ZERO,
+        var lastExchangeAt: Duration? = null,
+        var storeContactAt: Duration? = null,
+    )
+
+    private sealed class ReportSource {
+        data class Daemon(
+            val daemon: DaemonId,
+        ) : ReportSource()
+
+        data class Domain(
+            val domain: DomainId,
+        ) : ReportSource()
+    }
+
+    private class ReceivedReport(
+        val load: LoadReport,
+        val receivedAt: Duration,
     )
 
     private val knownPeers = mutableMapOf<DaemonId, KnownPeer>()
 
     /** The sum of the unexpired reports of all peers, kept up to date so that a placement costs the same with any number of peers. */
     private val inFlightTotals = mutableMapOf<TargetId, Int>()
+    private val reports = mutableMapOf<ReportSource, ReceivedReport>()
     private var reporters = 0
     private var nextExpiry = Duration.INFINITE
     private var startedAt: Duration? = null
@@ -56,21 +82,89 @@
     /** The addresses from which discovery starts; a reload of the settings may change them. */
     var seeds: List<Address> = seeds
 
-    /** Records a gossip message or reply from [peer]; [inFlight] is its number of requests in flight at each back end. */
+    /**
+     * Records a gossip message or reply from [peer]. [load] is its own load if it is in this failure domain, otherwise that of its
+     * domain. [storeContactAge] is the time since the platform's store last answered it; null if that is unknown.
+     */
     fun onGossipReceived(
         peer: PeerDaemon,
-        inFlight: Map<TargetId, Int>,
+        load: LoadReport,
+        storeContactAge: Duration?,
         now: Duration,
     ) {
         if (peer.daemon == self.daemon) return
         val entry = knownPeers.getOrPut(peer.daemon) { KnownPeer(peer, now) }
         entry.peer = peer
         entry.lastContactAt = now
-        replaceReport(entry, inFlight)
-        entry.inFlightAt = now
-        nextExpiry = minOf(nextExpiry, now + IN_FLIGHT_TTL)
+        entry.lastExchangeAt = now
+        entry.storeContactAt = storeContactAge?.let { now - it }
+        if (peer.role != DaemonRole.ENTRY) return
+        val isNear = peer.domain == self.domain
+        // A peer that doesn't know this daemon yet sends the load of their common domain, of which other members report too.
+        if (isNear && load.daemons > 1) return
+        replaceReport(if (isNear) ReportSource.Daemon(peer.daemon) else ReportSource.Domain(peer.domain), ReceivedReport(load, now))
     }
 
+    /** Returns the load to report to [peer]: [own], or the sum of this failure domain to a daemon of another one. */
+    fun loadFor(
+        peer: PeerDaemon?,
+        own: Map<TargetId, Int>,
+        now: Duration,
+    ): LoadReport {
+        if (peer?.domain == self.domain) return LoadReport(own, 1)
+        if (now >= nextExpiry) expireReports(now)
+        val near = reports.filterKeys { it is ReportSource.Daemon }.values.map { it.load }
+        val sum = own.toMutableMap()
+        for (load in near) for ((target, count) in load.inFlight) sum.merge(target, count, Int::plus)
+        return LoadReport(sum, 1 + near.size)
+    }
+
+    /** Returns the known daemon at [address]. */
+    fun peerAt(address: Address): PeerDaemon? =
+        knownPeers.values
+            .firstOrNull { it.peer.address == address }
+            ?.peer
+
+    /**
+     * Returns how long to wait before an exchange with the entry daemon at [address], where one of every pair exchanges after
+     * [interval] and the other only if it has not been contacted for some time longer.
+     */
+    fun timeToExchange(
+        address: Address,
+        interval: Duration,
+        now: Duration,
+    ): Duration {
+        val known = knownPeers.values.firstOrNull { it.peer.address == address } ?: return Duration.ZERO
+        val last = known.lastExchangeAt ?: return Duration.ZERO
+        val initiates = self.daemon.text < known.peer.daemon.text
+        return last + (if (initiates) interval else interval * RESPONDER_FACTOR) - now
+    }
+
+    /**
+     * Returns the members of this failure domain that are ranked before this daemon, among those that are heard from directly
+     * and that the store has answered within [storeContactLimit]; the rank is that of [rendezvousOrder] for [key].
+     */
+    fun betterRankedStoreReaders(
+        key: String,
+        storeContactLimit: Duration,
+        now: Duration,
+    ): List<DaemonId> {
+        val readers =
+            knownEntries().filter {
+                it.peer.domain == self.domain &&
+                    isWithin(it.lastExchangeAt, DIRECT_CONTACT_TIMEOUT, now) &&
+                    isWithin(it.storeContactAt, storeContactLimit, now)
+            }
+        val order = rendezvousOrder(key, readers.map { it.peer.daemon } + self.daemon) { it.text }
+        return order.takeWhile { it != self.daemon }
+    }
+
+    private fun isWithin(
+        time: Duration?,
+        limit: Duration,
+        now: Duration,
+    ) = time != null && now - time < limit
+
     /** Merges the peers that another daemon knows about. */
     fun mergeLivePeers(
         livePeers: List<LivePeer>,
@@ -86,12 +180,26 @@
     /** Returns the live entry daemons other than this one. */
     fun livePeers(now: Duration): List<LivePeer> = liveKnownEntries(now).map { LivePeer(it.peer, now - it.lastContactAt) }
 
-    /** Returns the addresses to gossip with: those of all known entry daemons and the seeds. */
-    fun gossipAddresses(now: Duration): List<Address> {
+    /**
+     * Returns the addresses with which to exchange all the time: those of the known entry daemons of this failure domain, and the
+     * seeds that are not known yet.
+     */
+    fun nearAddresses(now: Duration): List<Address> {
         removeExpired(now)
-        return (knownEntries().mapNotNull { it.peer.address } + seeds).distinct() - listOfNotNull(self.address).toSet()
+        val near = knownEntries().filter { it.peer.domain == self.domain }.mapNotNull { it.peer.address }
+        val known = knownEntries().mapNotNullTo(mutableSetOf()) { it.peer.address }
+        return (near + seeds.filter { it !in known }).distinct() - listOfNotNull(self.address).toSet()
     }
 
+    /** Returns the known entry daemons of each other failure domain, the live ones if there are any. */
+    fun farAddresses(now: Duration): Map<DomainId, List<Address>> =
+        knownEntries()
+            .filter { it.peer.domain != self.domain }
+            .groupBy { it.peer.domain }
+            .mapValues { (_, members) -> members.filter { now - it.lastContactAt < LIVENESS_TIMEOUT }.ifEmpty { members } }
+            .mapValues { (_, members) -> members.mapNotNull { it.peer.address } }
+            .filterValues { it.isNotEmpty() }
+
     /** Returns the live entry daemons, including this one if it has that role. */
     fun liveEntries(now: Duration): List<PeerDaemon> {
         val others = liveKnownEntries(now).map { it.peer }
@@ -117,26 +225,39 @@
         return inFlightTotals[target] ?: 0
     }
 
-    /** Returns the number of peers with an unexpired report of requests in flight. */
+    /** Returns the number of other entry daemons whose requests in flight are reported. */
     fun reporterCount(now: Duration): Int {
         if (now >= nextExpiry) expireReports(now)
         return reporters
     }
 
     private fun expireReports(now: Duration) {
-        val (expired, fresh) = knownPeers.values.filter { it.inFlight.isNotEmpty() }.partition { now - it.inFlightAt >= IN_FLIGHT_TTL }
-        expired.forEach { replaceReport(it, emptyMap()) }
-        nextExpiry = fresh.minOfOrNull { it.inFlightAt + IN_FLIGHT_TTL } ?: Duration.INFINITE
+        val expired = reports.filterValues { now - it.receivedAt >= IN_FLIGHT_TTL }.keys
+        expired.forEach { replaceReport(it, null) }
+        nextExpiry = reports.values.minOfOrNull { it.receivedAt + IN_FLIGHT_TTL } ?: Duration.INFINITE
     }
 
     private fun replaceReport(
-        peer: KnownPeer,
-        inFlight: Map<TargetId, Int>,
+        source: ReportSource,
+        report: ReceivedReport?,
+    ) {
+        val before = if (report == null) reports.remove(source) else reports.put(source, report)
+        before?.let { addToTotals(it.load, -1) }
+        report?.let { addToTotals(it.load, 1) }
+        if (report != null) nextExpiry = minOf(nextExpiry, report.receivedAt + IN_FLIGHT_TTL)
+    }
+
+    private fun addToTotals(
+        load: LoadReport,
+        sign: Int,
     ) {
-        for ((target, count) in peer.inFlight) inFlightTotals.merge(target, -count) { sum, change -> (sum + change).takeIf { it != 0 } }
-        for ((target, count) in inFlight) inFlightTotals.merge(target, count) { sum, change -> (sum + change).takeIf { it != 0 } }
-        if (peer.inFlight.isEmpty() != inFlight.isEmpty()) reporters += if (inFlight.isEmpty()) -1 else 1
-        peer.inFlight = inFlight
+        if (load.inFlight.isNotEmpty()) reporters += sign * load.daemons
+        for ((target, count) in load.inFlight) {
+            inFlightTotals.merge(
+                target,
+                sign * count,
+            ) { sum, change -> (sum + change).takeIf { it != 0 } }
+        }
     }
 
     fun dump(now: Duration): DumpSection =
@@ -150,9 +271,7 @@
     private fun liveKnownEntries(now: Duration): List<KnownPeer> = knownEntries().filter { now - it.lastContactAt < LIVENESS_TIMEOUT }
 
     private fun removeExpired(now: Duration) {
-        val removed = knownPeers.values.filter { now - it.lastContactAt > REMOVAL_TIMEOUT }
-        removed.forEach { replaceReport(it, emptyMap()) }
-        knownPeers.values.removeAll(removed.toSet())
+        knownPeers.values.removeIf { now - it.lastContactAt > REMOVAL_TIMEOUT }
     }
 
     private companion object {
@@ -164,6 +283,12 @@
         /** The time within which every reachable daemon has been discovered. */
         val DISCOVERY_TIME = 3.seconds
         const val ASSUMED_ENTRY_DAEMONS = 10
+
+        /** Gossip within a failure domain comes several times in this time. */
+        val DIRECT_CONTACT_TIMEOUT = 500.milliseconds
+
+        /** Longer than an exchange takes, so that both sides of a pair rarely exchange at once. */
+        const val RESPONDER_FACTOR = 1.6
         val IN_FLIGHT_TTL = 1_500.milliseconds
     }
 }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -94,3 +94,10 @@
     name: String,
     domain: DomainId = NEAR,
 ) = PeerDaemon(DaemonId(name), DaemonRole.ENTRY, domain, REGIONS.getValue(domain), Address("10.1.0.${name.hashCode().mod(200) + 1}", 70))
+
+/** Records the requests in flight that [peer] reports for itself. */
+internal fun PeerController.onGossipReceived(
+    peer: PeerDaemon,
+    inFlight: Map<TargetId, Int>,
+    now: Duration,
+) = onGossipReceived(peer, LoadReport(inFlight, 1), storeContactAge = null, now)
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -53,7 +53,7 @@
         test("daemons discover each other through gossip") {
             val peers = PeerController(peer("self"), listOf(Address("10.1.0.250", 70)))
             peers.mergeLivePeers(listOf(LivePeer(peer("third"), 500.milliseconds)), 10.seconds)
-            peers.gossipAddresses(10.seconds) shouldContain peer("third").address.shouldNotBeNull()
+            peers.nearAddresses(10.seconds) shouldContain peer("third").address.shouldNotBeNull()
         }
 
         test("an expired report of requests in flight is ignored") {
@@ -84,6 +84,81 @@
         }
     })
 
+/** Gossip between failure domains: sums instead of the loads of all daemons, and one reader of the store in each domain. */
+class DomainGossipTest :
+    FunSpec({
+        val target = backEnd("a").id
+
+        fun peersOf(
+            self: PeerDaemon,
+            near: List<PeerDaemon>,
+            readers: Set<PeerDaemon> = near.toSet(),
+            heardAt: kotlin.time.Duration = 10.seconds,
+        ) = PeerController(self, emptyList()).apply {
+            for (peer in near - self) {
+                onGossipReceived(peer, LoadReport(mapOf(target to 2), 1), 100.milliseconds.takeIf { peer in readers }, heardAt)
+            }
+        }
+
+        test("a daemon of another failure domain is told the sum of this one, and each daemon is counted once") {
+            val near = (1..4).map { peer("near-$it") }
+            val sum = peersOf(near.first(), near).loadFor(peer("far", FAR), mapOf(target to 1), 10.1.seconds)
+            sum shouldBe LoadReport(mapOf(target to 7), 4)
+            val far = PeerController(peer("far", FAR), emptyList())
+            repeat(3) { far.onGossipReceived(near[it], sum, null, 10.1.seconds) }
+            far.inFlightElsewhere(target, 10.2.seconds) shouldBe 7
+            far.reporterCount(10.2.seconds) shouldBe 4
+        }
+
+        test("a daemon that is new to its own failure domain is not counted with the others there") {
+            val peers = peersOf(peer("self"), listOf(peer("first")))
+            peers.onGossipReceived(peer("second"), LoadReport(mapOf(target to 9), 3), null, 10.1.seconds)
+            peers.inFlightElsewhere(target, 10.2.seconds) shouldBe 2
+        }
+
+        test("one side of a pair exchanges, the other one only after some time without contact") {
+            val (first, second) = listOf(peer("entry-1"), peer("entry-2"))
+            val interval = 100.milliseconds
+            val waits =
+                listOf(first to second, second to first).map { (self, other) ->
+                    peersOf(self, listOf(other)).timeToExchange(other.address.shouldNotBeNull(), interval, 10.seconds)
+                }
+            waits.first() shouldBe interval
+            (waits.last() > interval * 1.2) shouldBe true
+        }
+
+        test("of the live daemons of a failure domain exactly one reads the store") {
+            val near = (1..9).map { peer("near-$it") }
+            val storeView = StoreViewController(strictInvariants())
+            storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, 9.seconds)
+            near.count { StoreReaderController(peersOf(it, near), storeView).mustRead(10.1.seconds) } shouldBe 1
+        }
+
+        test("when the reader stops, freezes or loses the store, another one reads it within half a second") {
+            val near = (1..9).map { peer("near-$it") }
+            val storeView = StoreViewController(strictInvariants())
+            storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, 9.seconds)
+            val reader = near.single { StoreReaderController(peersOf(it, near), storeView).mustRead(10.1.seconds) }
+            val others = near - reader
+            // It lost the store and says so.
+            others.count { StoreReaderController(peersOf(it, near, readers = others.toSet()), storeView).mustRead(10.1.seconds) } shouldBe 1
+            // It is silent, and no other one reads yet.
+            val silent =
+                others.count { self ->
+                    val peers = peersOf(self, near, readers = setOf(reader))
+                    (others - self).forEach { peers.onGossipReceived(it, LoadReport(emptyMap(), 1), null, 10.5.seconds) }
+                    StoreReaderController(peers, storeView).mustRead(10.5.seconds)
+                }
+            silent shouldBe others.size
+        }
+
+        test("a daemon whose configuration is not confirmed reads the store, whoever else does") {
+            val near = (1..9).map { peer("near-$it") }
+            val storeView = StoreViewController(strictInvariants())
+            near.all { StoreReaderController(peersOf(it, near), storeView).mustRead(10.1.seconds) } shouldBe true
+        }
+    })
+
 class StagingControllerTest :
     FunSpec({
         fun report(number: Long?) =
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
+import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
 import lagoonrudder.model.Outcome
@@ -44,8 +45,16 @@
     private val control =
         DirectControl(core.thread, core.clock, core.storeView, core.peers, placement, RetryBudgetShare(settings.bounds.retryBudget))
     private val client = PeerClient(core.http)
-    private val store = StoreSyncLoop(core, isNeeded = { true }, onChange = ::onStoreViewChanged)
-    private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
+    private val storeReaders = StoreReaderController(core.peers, core.storeView)
+    private val store = StoreSyncLoop(core, isNeeded = ::mustReadStore, onChange = ::onStoreViewChanged)
+    private val peers =
+        GossipLoop(
+            core,
+            client,
+            loads = placement::inFlight,
+            storeContactAt = { store.lastContactAt },
+            onChange = ::onStoreViewChanged,
+        )
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
     private val pauseDetector = PauseDetector(core.clock)
     private var prefetchedVersions = emptyList<DeclaredWeights>()
@@ -61,7 +70,7 @@
     override suspend fun start() {
         val listen = checkNotNull(settings.listen)
         val chain = FilterChain(directFilters(control, BackEndHttpClient(core.http), random, ::recordRequestEnd))
-        val endpoint = PeerEndpoint(core, chunks, placement::inFlight, ::onStoreViewChanged)
+        val endpoint = PeerEndpoint(core, chunks, peers, ::onStoreViewChanged)
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, endpoint)
         HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, ReadinessRequestHandler { isReady() })
         callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, CallerRequestHandler(chain, core.clock))
@@ -96,6 +105,8 @@
         prefetchedVersions = newest
     }
 
+    private suspend fun mustReadStore() = core.thread.decide { storeReaders.mustRead(core.clock.elapsed()) }
+
     private suspend fun isReady() = !isShuttingDown && core.thread.decide { core.storeView.confirmed }
 
     private suspend fun runTicks() {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -10,7 +10,7 @@
 ) : DirectDaemon(core),
     DirectDiagnostics {
     private val client = PeerClient(core.http)
-    private val peers = GossipLoop(core, client, loads = { emptyMap() }, onChange = {})
+    private val peers = GossipLoop(core, client, loads = { emptyMap() }, storeContactAt = { null }, onChange = {})
     private val store = StoreSyncLoop(core, isNeeded = { !peers.hasRecentReply() || !isConfirmed() }, onChange = {})
 
     override suspend fun start() {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -10,6 +10,8 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.LoadReport
+import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.model.Address
 import lagoonrudder.model.DaemonRole
@@ -18,9 +20,11 @@
 import lagoonrudder.platform.readItem
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
+import lagoonrudder.wire.messages.STORE_CONTACT_UNKNOWN
+import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
-import lagoonrudder.wire.messages.toLoads
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toPeer
@@ -29,19 +33,19 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target; [onChange] runs on the
- * control thread after a reply changed the published state.
+ * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target, [storeContactAt] when the store
+ * last answered this process; [onChange] runs on the control thread after a reply changed the published state.
  */
 class GossipLoop(
     private val core: DirectCore,
     private val client: PeerClient,
     private val loads: () -> Map<TargetId, Int>,
+    private val storeContactAt: () -> Duration?,
     private val onChange: () -> Unit,
 ) {
     private val exchanges = mutableMapOf<Address, Job>()
-    private var behindSince: Duration? = null
     private var lastReplyAt: Duration? = null
-    private var sameRegionPeers: Set<Address> = emptySet()
+    private var catchingUp = false
 
     /** State of the back end in this daemon's slot, or null at an entry daemon. */
     @Volatile
@@ -64,12 +68,12 @@
     }
 
     private suspend fun exchangeWithAll() {
+        core.scope.launch { exchangeWithOtherDomains() }
         while (currentCoroutineContext().isActive) {
-            val gossipAddresses = core.thread.decide { core.peers.gossipAddresses(core.clock.elapsed()) }
-            val removed = exchanges.keys - gossipAddresses.toSet()
+            val addresses = core.thread.decide { core.peers.nearAddresses(core.clock.elapsed()) }
+            val removed = exchanges.keys - addresses.toSet()
             removed.forEach { exchanges.remove(it)?.cancel() }
-            for (address in gossipAddresses) exchanges.getOrPut(address) { core.scope.launch { exchangePeriodically(address) } }
-            sameRegionPeers = core.thread.decide { sameRegionAddresses() }
+            for (address in addresses) exchanges.getOrPut(address) { core.scope.launch { exchangePeriodically(address) } }
             delay(MEMBERSHIP_CHECK_INTERVAL)
         }
     }
@@ -78,19 +82,49 @@
         var failures = 0
         var round = 0
         while (currentCoroutineContext().isActive) {
+            val wait = core.thread.decide { core.peers.timeToExchange(address, EXCHANGE_INTERVAL, core.clock.elapsed()) }
+            if (wait > Duration.ZERO) {
+                delay(wait)
+                continue
+            }
             val replied = exchange(address, peersRequested = round++ % ROUNDS_PER_PEER_LIST == 0)
             failures = if (replied) 0 else failures + 1
-            val interval = if (address in sameRegionPeers) EXCHANGE_INTERVAL else CROSS_REGION_EXCHANGE_INTERVAL
-            delay(if (replied) interval else (RETRY_DELAY * failures).coerceAtMost(MAX_RETRY_DELAY))
+            if (!replied) delay((RETRY_DELAY * failures).coerceAtMost(MAX_RETRY_DELAY))
         }
     }
 
-    private fun sameRegionAddresses(): Set<Address> =
-        core.peers
-            .liveEntries(core.clock.elapsed())
-            .filter { it.region == core.self.region }
-            .mapNotNull { it.address }
-            .toSet()
+    /** Exchanges with one random member of each other failure domain at a time. */
+    private suspend fun exchangeWithOtherDomains() {
+        var round = 0
+        while (currentCoroutineContext().isActive) {
+            val membersByDomain = core.thread.decide { core.peers.farAddresses(core.clock.elapsed()) }
+            val peersRequested = round++ % ROUNDS_PER_FAR_PEER_LIST == 0
+            for (members in membersByDomain.values) core.scope.launch { exchange(members.random(), peersRequested) }
+            delay(CROSS_DOMAIN_EXCHANGE_INTERVAL)
+        }
+    }
+
+    /** Requests the items that [peer] has and this daemon has not, unless a request for items is under way. */
+    suspend fun catchUp(peer: PeerDaemon) {
+        val address = peer.address ?: return
+        if (catchingUp) return
+        catchingUp = true
+        core.scope.launch {
+            try {
+                exchange(address, peersRequested = false, itemsRequested = true)
+            } finally {
+                catchingUp = false
+            }
+        }
+    }
+
+    /** Returns the load to report to [peer]. Runs on the control thread. */
+    fun loadFor(
+        peer: PeerDaemon?,
+        now: Duration,
+    ): LoadReport = core.peers.loadFor(peer, loads(), now)
+
+    fun storeContactMilliseconds(now: Duration): Long = storeContactAt()?.let { (now - it).inWholeMilliseconds } ?: STORE_CONTACT_UNKNOWN
 
     /** Exchanges with one entry daemon at a time, preferably of this region, and with the next one when that fails. */
     private suspend fun exchangeWithOne() {
@@ -112,8 +146,9 @@
     private suspend fun exchange(
         address: Address,
         peersRequested: Boolean,
+        itemsRequested: Boolean = false,
     ): Boolean {
-        val message = core.thread.decide { gossipMessage(peersRequested) }
+        val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested) }
         return when (val reply = client.gossip(address, message)) {
             is Either.Left -> false
             is Either.Right -> {
@@ -124,16 +159,22 @@
         }
     }
 
-    private fun gossipMessage(peersRequested: Boolean): GossipMessage {
-        val isLagging = behindSince?.let { core.clock.elapsed() - it > MAX_STORE_LAG } ?: false
-        val itemsRequested = isLagging || !core.storeView.confirmed || core.self.role == DaemonRole.TARGET
+    private fun gossipMessage(
+        address: Address,
+        peersRequested: Boolean,
+        itemsRequested: Boolean,
+    ): GossipMessage {
+        val now = core.clock.elapsed()
+        val load = loadFor(core.peers.peerAt(address), now)
         return GossipMessage(
             core.self.toMessage(),
             core.storeView.at,
-            itemsRequested,
-            loads().toMessages(),
+            itemsRequested || !core.storeView.confirmed || core.self.role == DaemonRole.TARGET,
+            load.inFlight.toMessages(),
             slot?.toMessage(),
             peersRequested,
+            load.daemons,
+            storeContactMilliseconds(now),
         )
     }
 
@@ -142,44 +183,39 @@
         address: Address,
     ) {
         val items = reply.items.map { readItem(it.toItem()) }
-        val change =
+        val peer = reply.self.toPeer()
+        val (change, isBehind) =
             core.thread.decide {
                 val now = core.clock.elapsed()
-                core.peers.onGossipReceived(reply.self.toPeer(), reply.loads.toLoads(), now)
+                core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
-                if (!isBehind) {
-                    behindSince = null
-                } else if (behindSince == null) {
-                    behindSince = now
-                }
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
-                if (!isUpdate) return@decide null
-                behindSince = null
-                core.storeView.applySettledChanges(items, reply.at, now).also { onChange() }
+                if (!isUpdate) return@decide null to isBehind
+                core.storeView.applySettledChanges(items, reply.at, now).also { onChange() } to false
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
+        if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
     }
 
     private companion object {
         /**
-         * Entry daemons of one region send most of their requests to the same back ends, about twelve a second each, so
+         * Entry daemons of one failure domain send most of their requests to the same back ends, about twelve a second each, so
          * each needs the others' loads promptly.
          */
         val EXCHANGE_INTERVAL = 100.milliseconds
 
-        /** Longer than within a region: each exchange updates both sides, and links between regions have little bandwidth. */
-        val CROSS_REGION_EXCHANGE_INTERVAL = 450.milliseconds
+        /** Longer than within a domain: each exchange updates both sides, and links between regions have little bandwidth. */
+        val CROSS_DOMAIN_EXCHANGE_INTERVAL = 450.milliseconds
         val TARGET_EXCHANGE_INTERVAL = 400.milliseconds
         val RETRY_DELAY = 300.milliseconds
         val MAX_RETRY_DELAY = 2.seconds
         val MEMBERSHIP_CHECK_INTERVAL = 500.milliseconds
 
-        /** A working watch on the store delivers a change within this time; after that, items are requested from peers. */
-        val MAX_STORE_LAG = 200.milliseconds
         val RECENT_REPLY_WINDOW = 2.seconds
 
         /** The list of live peers is requested once in this many exchanges. */
         const val ROUNDS_PER_PEER_LIST = 4
+        const val ROUNDS_PER_FAR_PEER_LIST = 2
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -9,7 +9,6 @@
 import lagoonrudder.http.NO_BYTES
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
-import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
@@ -17,8 +16,9 @@
 import lagoonrudder.wire.messages.ManifestMessage
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
+import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.toGossipSlot
-import lagoonrudder.wire.messages.toLoads
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toPeer
@@ -26,7 +26,7 @@
 class PeerEndpoint(
     private val core: DirectCore,
     private val chunks: ChunkCache,
-    private val loads: () -> Map<TargetId, Int>,
+    private val gossip: GossipLoop,
     private val onSlotChanged: () -> Unit,
 ) : HttpHandler {
     override suspend fun handle(exchange: HttpExchange) {
@@ -36,14 +36,14 @@
                 .drop(1)
         val path = "/" + segments.take(2).joinToString("/")
         when {
-            path == PeerPaths.GOSSIP -> gossip(exchange)
+            path == PeerPaths.GOSSIP -> respondToGossip(exchange)
             path == PeerPaths.MANIFEST && segments.size == MANIFEST_PATH_SEGMENTS -> manifest(exchange, segments)
             path == PeerPaths.CHUNK && segments.size == CHUNK_PATH_SEGMENTS -> chunk(exchange, segments)
             else -> exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
         }
     }
 
-    private suspend fun gossip(exchange: HttpExchange) {
+    private suspend fun respondToGossip(exchange: HttpExchange) {
         val message =
             try {
                 decodeMessage(GossipMessage.serializer(), exchange.request.body)
@@ -52,13 +52,15 @@
                 exchange.respond(BAD_REQUEST, emptyList(), NO_BYTES)
                 return
             }
-        val reply = core.thread.decide { replyTo(message) }
+        val (reply, isBehind) = core.thread.decide { replyTo(message) to (message.at > core.storeView.at) }
+        if (isBehind) gossip.catchUp(message.self.toPeer())
         exchange.respond(OK, emptyList(), encodeMessage(GossipReply.serializer(), reply))
     }
 
     private fun replyTo(message: GossipMessage): GossipReply {
         val now = core.clock.elapsed()
-        core.peers.onGossipReceived(message.self.toPeer(), message.loads.toLoads(), now)
+        val peer = message.self.toPeer()
+        core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
         val slot = message.slot?.toGossipSlot()
         if (slot != null && core.slots.onGossipReceived(slot, now)) {
             core.log.info(
@@ -70,10 +72,13 @@
             )
             onSlotChanged()
         }
+        val load = gossip.loadFor(peer, now)
         return GossipReply(
             self = core.self.toMessage(),
             at = core.storeView.settledRevision,
-            loads = loads().toMessages(),
+            loads = load.inFlight.toMessages(),
+            loadDaemons = load.daemons,
+            storeContactMilliseconds = gossip.storeContactMilliseconds(now),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
             items = if (message.itemsRequested) core.storeView.changesSince(message.at).map { it.toMessage() } else emptyList(),
         )
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
+import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.model.Failure
 import lagoonrudder.platform.StoreClient
@@ -19,7 +20,6 @@
 import lagoonrudder.platform.readItem
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Runs the reads and watches of the store while [isNeeded] returns true. [onChange] runs on the control thread after each
@@ -39,6 +39,11 @@
     private var lostSince: Duration? = null
     private var failures = 0
 
+    /** When the store last answered this process; null before the first answer and after a failure. */
+    @Volatile
+    var lastContactAt: Duration? = null
+        private set
+
     /** Cancels a pending watch and requests the store immediately, for example after a pause of the process. */
     fun pollNow() {
         pollRequested = true
@@ -48,6 +53,8 @@
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
             if (!isNeeded()) {
+                lostSince = null
+                lastContactAt = null
                 delay(NEED_CHECK_INTERVAL)
                 continue
             }
@@ -62,7 +69,7 @@
     /** Sends one read or watch and applies the response; returns null when [pollNow] cancelled it. */
     private suspend fun readOrWatch(): Either<Failure, Unit>? =
         coroutineScope {
-            val wait = if (pollRequested || lostSince != null) Duration.ZERO else WATCH_TIMEOUT
+            val wait = if (pollRequested || lostSince != null) Duration.ZERO else StoreReaderController.WATCH_TIMEOUT
             pollRequested = false
             val request = async { if (needsFullRead) readAll() else watch(wait) }
             pendingRequest = request
@@ -88,6 +95,7 @@
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items.map { readItem(it) }
                     applyUpdate { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) }
+                    if (items.isNotEmpty()) delay(CHANGE_BATCH_INTERVAL)
                 }
                 StoreWatchResult.HistoryLost -> {
                     core.log.warning("store-history-lost", "after" to after)
@@ -104,6 +112,7 @@
 
     private suspend fun onFailure(failure: Failure) {
         val now = core.clock.elapsed()
+        lastContactAt = null
         if (lostSince == null) {
             lostSince = now
             core.log.failure("store-lost", failure)
@@ -114,6 +123,7 @@
     }
 
     private suspend fun onSuccess() {
+        lastContactAt = core.clock.elapsed()
         val since = lostSince ?: return
         val outage = core.clock.elapsed() - since
         lostSince = null
@@ -125,12 +135,9 @@
     val isLost: Boolean get() = lostSince != null
 
     private companion object {
-        /**
-         * The store sends a change immediately; this only bounds how long a dead connection goes unnoticed while no peer has
-         * newer items.
-         */
-        val WATCH_TIMEOUT = 8.seconds
-        val NEED_CHECK_INTERVAL = 300.milliseconds
+        /** Changes that come within this time share one call; back ends renew their registrations all the time. */
+        val CHANGE_BATCH_INTERVAL = 250.milliseconds
+        val NEED_CHECK_INTERVAL = 200.milliseconds
         val INITIAL_RETRY_DELAY = 150.milliseconds
         val MAX_RETRY_DELAY = 400.milliseconds
     }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -13,6 +13,7 @@
 import lagoonrudder.control.direct.AttemptTimes
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.DecodedItem
+import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.Placement
@@ -304,7 +305,15 @@
     private fun gossip() {
         for (from in entries) {
             val inFlight = from.placement.inFlight()
-            schedule(GOSSIP_DELAY) { for (to in entries) if (to !== from) to.peers.onGossipReceived(from.peer, inFlight, now) }
+            schedule(GOSSIP_DELAY) {
+                for (to in entries) {
+                    if (to !==
+                        from
+                    ) {
+                        to.peers.onGossipReceived(from.peer, LoadReport(inFlight, 1), null, now)
+                    }
+                }
+            }
         }
         for (entry in entries) entry.placement.dispatchQueued(now)
         schedule(GOSSIP_INTERVAL) { gossip() }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoNumber
 import lagoonrudder.control.direct.LivePeer
+import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.StoreItem
@@ -24,6 +25,7 @@
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.addressOrNull
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 @Serializable
@@ -66,9 +68,13 @@
     @ProtoNumber(4) val value: ByteArray,
 )
 
+/** The time since the store last answered a daemon that does not know it. */
+const val STORE_CONTACT_UNKNOWN = -1L
+
 /**
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
- * after it, [peersRequested] for the live peers.
+ * after it, [peersRequested] for the live peers. [loads] are the requests in flight of [loadDaemons] daemons, and the store last
+ * answered the sender [storeContactMilliseconds] ago.
  */
 @Serializable
 data class GossipMessage(
@@ -78,6 +84,8 @@
     @ProtoNumber(4) val loads: List<InFlightMessage> = emptyList(),
     @ProtoNumber(5) val slot: SlotMessage? = null,
     @ProtoNumber(6) val peersRequested: Boolean = false,
+    @ProtoNumber(7) val loadDaemons: Int = 1,
+    @ProtoNumber(8) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 @Serializable
@@ -87,6 +95,8 @@
     @ProtoNumber(3) val loads: List<InFlightMessage> = emptyList(),
     @ProtoNumber(4) val livePeers: List<LivePeerMessage> = emptyList(),
     @ProtoNumber(5) val items: List<ItemMessage> = emptyList(),
+    @ProtoNumber(6) val loadDaemons: Int = 1,
+    @ProtoNumber(7) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 @Serializable
@@ -113,7 +123,17 @@
 
 fun Map<TargetId, Int>.toMessages() = map { InFlightMessage(it.key.text, it.value) }
 
-fun List<InFlightMessage>.toLoads(): Map<TargetId, Int> = associate { TargetId(it.target) to it.inFlight }
+private fun List<InFlightMessage>.toLoads(): Map<TargetId, Int> = associate { TargetId(it.target) to it.inFlight }
+
+val GossipMessage.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons)
+
+val GossipReply.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons)
+
+val GossipMessage.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
+
+val GossipReply.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
+
+private fun storeContactAge(milliseconds: Long): Duration? = milliseconds.takeIf { it != STORE_CONTACT_UNKNOWN }?.milliseconds
 
 fun SlotWord.toMessage() =
     SlotMessage(backEnd.toString(), born, held?.model?.text.orEmpty(), held?.number?.number ?: 0, held?.layers ?: 0, closed)
