Keep two slots from late requests again, and claim places by the age of the reports

Change: two slots are reserved again; places of other failure domains, of which reports are older, are claimed less often; late requests wait only for places that are left over.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -37,15 +37,17 @@
 
     /**
      * Returns whether this process may take one of [free] places that all of [contenders] daemons see. Since each learns only
-     * later that another took a place, each claims its share of them at a time, rounded by [fraction], and any that it releases.
+     * later that another took a place, each claims its share of them in every [interval], rounded by [fraction], and any that it
+     * releases.
      */
     fun mayClaim(
         free: Int,
         contenders: Int,
         fraction: Double,
+        interval: Duration,
         now: Duration,
     ): Boolean {
-        if (now - claimEpoch >= CLAIM_INTERVAL) {
+        if (now - claimEpoch >= interval) {
             claimEpoch = now
             claims = (free.toDouble() / contenders + fraction).toInt()
         }
@@ -119,9 +121,6 @@
         const val FAILURES_BEFORE_EJECTION = 3
         const val MAX_DOUBLINGS = 3
 
-        /** The age of the reports by which daemons learn of each other's requests. */
-        val CLAIM_INTERVAL = 100.milliseconds
-
         /** A back end takes slightly longer than this to restart; with three doublings it covers most restarts. */
         val BASE_EJECTION_TIME = 700.milliseconds
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -314,7 +314,10 @@
         backEnd: BackEnd,
         free: Int,
         now: Duration,
-    ): Boolean = statsOf(backEnd.id).mayClaim(free, contenders = peers.reporterCount(now) + 1, random.nextDouble(), now)
+    ): Boolean {
+        val interval = if (backEnd.domain == topology.domain) NEAR_REPORT_AGE else FAR_REPORT_AGE
+        return statsOf(backEnd.id).mayClaim(free, contenders = peers.reporterCount(now) + 1, random.nextDouble(), interval, now)
+    }
 
     private fun load(
         backEnd: BackEnd,
@@ -399,7 +402,11 @@
         /** The share of free places above which daemons that don't yet know of each other's last requests can't overload a back end. */
         const val AMPLE_SHARE = 0.25
 
-        const val RESERVED_FROM_LATE = 1
+        /** The age of the reports about requests at the back ends of this failure domain and of the others. */
+        val NEAR_REPORT_AGE = 100.milliseconds
+        val FAR_REPORT_AGE = 450.milliseconds
+
+        const val RESERVED_FROM_LATE = 2
 
         /** The remainder is left to entry daemons that this one has not discovered and to requests that are delayed and arrive together. */
         const val COLD_RATE_SAFETY_FACTOR = 0.9
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
@@ -53,7 +53,7 @@
     fun timeToSparePlace(
         position: Int,
         now: Duration,
-    ): Duration = timeFor(position, releases.perSecond(now) * SPARE_ALLOWANCE - arrivals.perSecond(now))
+    ): Duration = timeFor(position, releases.perSecond(now) - arrivals.perSecond(now))
 
     private fun timeFor(
         places: Int,
@@ -85,9 +85,6 @@
         /** Long enough to hold several requests of one entry daemon, short enough to follow a burst. */
         val WINDOW = 2.seconds
         const val SMOOTHING = 0.1
-
-        /** While as many requests arrive as leave, chance still leaves about a tenth of the places to others. */
-        const val SPARE_ALLOWANCE = 1.1
         const val DEVIATIONS = 2
         val INITIAL_HOLD = 500.milliseconds
         val INITIAL_FIRST_EVENT = 100.milliseconds
