Fetch weights through one path at a time, and at once when a lost source is back

Change: a source that answers that it has no chunk yet is asked again instead of the next; requests for a chunk that is being fetched are held for 0.8 s; an entry daemon goes on fetching until the chunk is there; a lost source is asked by one fetch at a time, with pauses of 50 to 200 ms, and logged once when it is lost and once when it is back. Target daemons ask the origin only if no entry daemon is alive.

Tests: WeightSourceControllerTest, StagingControllerTest, DirectSiteTest pass. The test of the sources expects the origin no longer as the last one but as the only one without entry daemons.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -97,16 +97,21 @@
         return number >= newest || staged * 2 >= total
     }
 
-    /** Returns the sources from which a target daemon fetches chunk [index], in order of preference. */
+    /**
+     * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
+     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends.
+     */
     fun sources(
         model: ModelId,
         number: WeightNumber?,
         index: Int,
         now: Duration,
+        attempts: Int = 0,
     ): List<WeightSource> {
         val (nearby, remote) = peers.liveEntries(now).filter { it.address != null }.partition { it.region == peers.self.region }
         val entries = ranked(nearby, model, number, index).take(LOCAL_SOURCES) + ranked(remote, model, number, index).take(REMOTE_SOURCES)
-        return entries.mapNotNull { it.address }.map { WeightSource.Entry(it) } + listOfNotNull(origin()).map { WeightSource.Origin(it) }
+        if (entries.isEmpty()) return listOfNotNull(origin()).map { WeightSource.Origin(it) }
+        return afterAttempts(entries.mapNotNull { it.address }.map { WeightSource.Entry(it) }, attempts)
     }
 
     /** Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin. */
@@ -115,12 +120,23 @@
         number: WeightNumber?,
         index: Int,
         now: Duration,
+        attempts: Int = 0,
     ): List<WeightSource> {
         val entries = peers.liveEntries(now)
         val inOriginRegion = entries.filter { it.region == originRegion() }.ifEmpty { entries }
         val primary = ranked(inOriginRegion, model, number, index).firstOrNull()
         val fromPrimary = primary?.takeIf { it.daemon != peers.self.daemon }?.address?.let { WeightSource.Entry(it) }
-        return listOfNotNull(fromPrimary, origin()?.let { WeightSource.Origin(it) })
+        return afterAttempts(listOfNotNull(fromPrimary, origin()?.let { WeightSource.Origin(it) }), attempts)
+    }
+
+    /** Moves on to the next source when one has answered several times that it has not got the data yet, for example while cut off. */
+    private fun afterAttempts(
+        sources: List<WeightSource>,
+        attempts: Int,
+    ): List<WeightSource> {
+        if (sources.isEmpty()) return sources
+        val first = attempts / ATTEMPTS_AT_A_SOURCE % sources.size
+        return sources.drop(first) + sources.take(first)
     }
 
     /** Returns whether this entry daemon is the first that the target daemons of its region ask for chunk [index]. */
@@ -159,6 +175,7 @@
     ) = rendezvousOrder("${model.text} ${number?.number} $index", candidates) { it.daemon.text }
 
     private companion object {
+        const val ATTEMPTS_AT_A_SOURCE = 2
         const val LOCAL_SOURCES = 2
         const val REMOTE_SOURCES = 1
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -1,24 +1,33 @@
 /**
  * Cache of chunks of weights at an entry daemon, which serves the target daemons of its region.
  *
- * Concurrent requests for a chunk share one fetch, and each chunk is verified against its digest when it arrives. The
- * newest versions of each model are kept. Everything runs on the traffic thread.
+ * Concurrent requests for a chunk share one fetch, which goes on until the chunk has arrived or its version is evicted, so that
+ * the chunks flow as soon as a lost source is back. Each chunk is verified against its digest when it arrives. The newest
+ * versions of each model are kept. Everything runs on the traffic thread.
  */
 package lagoonrudder.daemon.direct
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightSource
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
+import lagoonrudder.model.Peer
+import lagoonrudder.model.Step
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -37,7 +46,7 @@
         val number: WeightNumber?,
     )
 
-    private val chunks = mutableMapOf<ChunkKey, Deferred<Either<Failure, ByteArray>>>()
+    private val chunks = mutableMapOf<ChunkKey, Deferred<ByteArray>>()
     private val manifests = mutableMapOf<ManifestKey, Deferred<Either<Failure, WeightManifest>>>()
     private val prefetched = mutableSetOf<Pair<ModelId, WeightNumber>>()
     private val fetchPermits = Semaphore(MAX_CONCURRENT_FETCHES)
@@ -64,7 +73,7 @@
     suspend fun prefetch(declared: DeclaredWeights) {
         while (core.thread.decide { core.storeView.declared(declared.model) } == declared) {
             if (manifest(declared.model, declared.number).isRight()) return
-            delay(PREFETCH_RETRY_DELAY)
+            delay(RETRY_DELAY)
         }
     }
 
@@ -84,29 +93,46 @@
         }
     }
 
+    /** Returns a chunk; [Failure.TimedOut] if it has not arrived within [CHUNK_WAIT], in which case it is still being fetched. */
     suspend fun chunk(
         model: ModelId,
         number: WeightNumber,
         index: Int,
     ): Either<Failure, ByteArray> {
         evictOldVersions(model, number)
-        val key = ChunkKey(model, number, index)
-        val fetching = chunks.getOrPut(key) { core.scope.async { fetchPermits.withPermit { fetch(model, number, index) } } }
-        return fetching.await().also { if (it is Either.Left) chunks.remove(key, fetching) }
+        val fetching = chunks.getOrPut(ChunkKey(model, number, index)) { core.scope.async { fetch(model, number, index) } }
+        val chunk =
+            try {
+                withTimeoutOrNull(CHUNK_WAIT) { fetching.await() }
+            } catch (evicted: CancellationException) {
+                currentCoroutineContext().ensureActive()
+                null
+            }
+        return chunk?.right() ?: Failure.TimedOut(Step.DRAW_CHUNK, Peer.SELF, CHUNK_WAIT).left()
     }
 
     private suspend fun fetch(
         model: ModelId,
         number: WeightNumber,
         index: Int,
-    ): Either<Failure, ByteArray> =
-        manifest(model, number).flatMap { manifest -> fetcher.chunk(upstreamSources(model, number, index), manifest, index) }
+    ): ByteArray {
+        var attempts = 0
+        while (true) {
+            val fetched =
+                fetchPermits.withPermit {
+                    manifest(model, number).flatMap { fetcher.chunk(upstreamSources(model, number, index, attempts++), it, index) }
+                }
+            if (fetched is Either.Right) return fetched.value
+            delay(RETRY_DELAY)
+        }
+    }
 
     private suspend fun upstreamSources(
         model: ModelId,
         number: WeightNumber?,
         index: Int,
-    ): List<WeightSource> = core.thread.decide { core.staging.upstreamSources(model, number, index, core.clock.elapsed()) }
+        attempts: Int = 0,
+    ): List<WeightSource> = core.thread.decide { core.staging.upstreamSources(model, number, index, core.clock.elapsed(), attempts) }
 
     /** Evicts all but the two newest versions of a model. */
     private fun evictOldVersions(
@@ -115,7 +141,8 @@
     ) {
         val retained =
             (chunks.keys.filter { it.model == model }.map { it.number } + newest).distinct().sortedDescending().take(RETAINED_VERSIONS)
-        chunks.keys.removeIf { it.model == model && it.number !in retained }
+        val evicted = chunks.keys.filter { it.model == model && it.number !in retained }
+        evicted.forEach { chunks.remove(it)?.cancel() }
     }
 
     private companion object {
@@ -123,6 +150,9 @@
         const val MAX_CONCURRENT_FETCHES = 4
         const val RETAINED_VERSIONS = 2
         const val MANIFEST_INDEX = -1
-        val PREFETCH_RETRY_DELAY = 500.milliseconds
+        val RETRY_DELAY = 60.milliseconds
+
+        /** How long a request for a chunk that is still being fetched is held, so that it is answered when the chunk arrives. */
+        val CHUNK_WAIT = 800.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.SwitchSchedule
+import lagoonrudder.control.direct.WeightSourceController
 import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
@@ -43,6 +44,7 @@
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val slots = BackEndStateController()
+    val weightSources = WeightSourceController()
     val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
 
     /** Logs a change of the published state, which came from [source] at store revision [at]. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -6,14 +6,11 @@
 
 import arrow.core.Either
 import arrow.core.getOrElse
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
-import kotlinx.coroutines.sync.Semaphore
-import kotlinx.coroutines.sync.withPermit
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
 import lagoonrudder.control.direct.Handover
@@ -125,37 +122,47 @@
     }
 
     /**
-     * Fetches and stages the missing chunks; returns false when another version has become the wanted one or a chunk could
-     * not be fetched or staged.
+     * Fetches and stages the missing chunks. One that can't be had yet is asked for again after the others, for as long as the
+     * version is wanted; returns false when another version has become the wanted one.
      */
     private suspend fun stage(manifest: WeightManifest): Boolean {
         val started = core.clock.elapsed()
-        val missing = manifest.digests.indices.filter { it !in stagedChunks }
+        val missing = ArrayDeque(manifest.digests.indices.filter { it !in stagedChunks })
         if (missing.isEmpty()) return true
-        val fetchPermits = Semaphore(MAX_CONCURRENT_FETCHES)
-        val staged =
-            coroutineScope {
-                missing
-                    .map { index -> async { fetchPermits.withPermit { isStillWanted(manifest) && stageChunk(manifest, index) } } }
-                    .awaitAll()
-            }
-        val complete = staged.all { it }
+        val total = missing.size
+        coroutineScope { repeat(MAX_CONCURRENT_FETCHES) { launch { stageAll(manifest, missing) } } }
         core.log.info(
             "staged",
             "number" to manifest.number.number,
-            "drawn" to staged.count { it },
-            "missing" to staged.count { !it },
+            "drawn" to total - missing.size,
+            "missing" to missing.size,
             "took" to core.clock.elapsed() - started,
         )
-        if (!complete) delay(RETRY_DELAY)
-        return complete
+        return missing.isEmpty()
+    }
+
+    private suspend fun stageAll(
+        manifest: WeightManifest,
+        missing: ArrayDeque<Int>,
+    ) {
+        val attempts = mutableMapOf<Int, Int>()
+        while (true) {
+            val index = missing.removeFirstOrNull() ?: return
+            val attempt = attempts.merge(index, 1, Int::plus) ?: 1
+            val staged = isStillWanted(manifest) && stageChunk(manifest, index, attempt - 1)
+            if (staged) continue
+            missing.addLast(index)
+            if (!isStillWanted(manifest) || isOutdated(manifest)) return
+            delay(CHUNK_RETRY_DELAY)
+        }
     }
 
     private suspend fun stageChunk(
         manifest: WeightManifest,
         index: Int,
+        attempts: Int,
     ): Boolean {
-        val sources = core.thread.decide { core.staging.sources(manifest.model, manifest.number, index, core.clock.elapsed()) }
+        val sources = core.thread.decide { core.staging.sources(manifest.model, manifest.number, index, core.clock.elapsed(), attempts) }
         val bytes = fetcher.chunk(sources, manifest, index).getOrElse { return false }
         val staged = backEnd.stage(manifest.model, index, bytes)
         if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
@@ -295,7 +302,8 @@
         /** Chunks that were all verified this recently are not read back again before the order. */
         val VERIFICATION_VALIDITY = 300.milliseconds
         val IDLE_POLL_INTERVAL = 400.milliseconds
-        val RETRY_DELAY = 300.milliseconds
+        val RETRY_DELAY = 150.milliseconds
+        val CHUNK_RETRY_DELAY = 60.milliseconds
         val SCHEDULE_CHECK_INTERVAL = 200.milliseconds
 
         /** A chunk that an entry daemon of the region has cached arrives within a few round trips. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -1,6 +1,8 @@
 /**
- * Fetches manifests and chunks of weights from a list of sources, falling back to the next source on a failure, and
- * verifies chunks against their digests.
+ * Fetches manifests and chunks of weights from a list of sources, and verifies chunks against their digests.
+ *
+ * The next source is asked if one does not answer. A source that answers that it has no data yet is asked again later instead,
+ * since it fetches them itself, and a second copy would only take bandwidth from the first.
  */
 package lagoonrudder.daemon.direct
 
@@ -8,6 +10,8 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.withContext
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightSource
 import lagoonrudder.model.Failure
@@ -67,17 +71,55 @@
         what: String,
         fetch: suspend (WeightSource) -> Either<Failure, T>,
     ): Either<Failure, T> {
-        var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what")
+        var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what answers")
         for (source in sources) {
-            when (val fetched = fetch(source)) {
-                is Either.Right -> return fetched
-                is Either.Left -> failure = fetched.value
-            }
-            core.log.failure("draw-failed", failure, "what" to what)
+            if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
+            val fetched = fetchRecorded(source, fetch)
+            if (fetched is Either.Right || (fetched is Either.Left && fetched.value is Failure.Declined)) return fetched
+            if (fetched is Either.Left) failure = fetched.value
         }
         return failure.left()
     }
 
+    /** Fetches from [source] and records whether it answered. */
+    private suspend fun <T> fetchRecorded(
+        source: WeightSource,
+        fetch: suspend (WeightSource) -> Either<Failure, T>,
+    ): Either<Failure, T> {
+        var fetched: Either<Failure, T>? = null
+        try {
+            return fetch(source).also { fetched = it }
+        } finally {
+            withContext(NonCancellable) { record(source, fetched) }
+        }
+    }
+
+    private suspend fun record(
+        source: WeightSource,
+        fetched: Either<Failure, *>?,
+    ) {
+        val failure = (fetched as? Either.Left)?.value
+        when {
+            fetched == null -> core.thread.decide { core.weightSources.onCancelled(source) }
+            failure == null || failure is Failure.Declined || failure is Failure.Damaged -> {
+                if (failure is Failure.Damaged) core.log.failure("draw-damaged", failure)
+                val recovery = core.thread.decide { core.weightSources.onAnswer(source, core.clock.elapsed()) }
+                if (recovery != null) {
+                    core.log.info(
+                        "weight-source-regained",
+                        "peer" to peerOf(source),
+                        "failed" to recovery.fetches,
+                        "away" to recovery.lasted,
+                    )
+                }
+            }
+            else -> {
+                val isNew = core.thread.decide { core.weightSources.onFailure(source, core.clock.elapsed()) }
+                if (isNew) core.log.failure("weight-source-lost", failure)
+            }
+        }
+    }
+
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
