--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
@@ -11,6 +11,7 @@
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.model.CustomerId
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A request that waits until [deadline]; [inTime] is set while it is predicted to meet its latency objective. */
 internal class QueuedRequest(
@@ -24,6 +25,7 @@
 
 internal class PlacementQueue {
     private val requests = mutableListOf<QueuedRequest>()
+    private var lastShortageAt: Duration? = null
 
     val size: Int get() = requests.size
 
@@ -33,6 +35,14 @@
         requests += queued
     }
 
+    /** Records that a request which could have been in time found no place. */
+    fun onShortage(now: Duration) {
+        lastShortageAt = now
+    }
+
+    /** Whether requests that could have been in time found no place lately, so that other daemons probably look for places too. */
+    fun isContended(now: Duration): Boolean = lastShortageAt?.let { now - it < SHORTAGE_MEMORY } ?: false
+
     fun remove(queued: QueuedRequest) {
         requests -= queued
     }
@@ -45,4 +55,8 @@
     /** Returns the requests in the order in which they get places; [inFlightOf] makes customers with fewer requests go first. */
     fun inOrder(inFlightOf: (CustomerId?) -> Int): List<QueuedRequest> =
         requests.sortedWith(compareBy({ it.request.priority }, { !it.inTime }, { inFlightOf(it.request.customer) }, { it.queuedAt }))
+
+    private companion object {
+        val SHORTAGE_MEMORY = 500.milliseconds
+    }
 }
