Take up a time to return only for refusals that callers get, and keep the own release of a place

Change: choosing a back end has a result of its own (chosen, full, none eligible), which becomes a refusal only when a caller gets it. Released places are counted beside the share and lapse after 0.45 s. A daemon that no longer reads the store forgets earlier failures.

OverloadTest passes.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -34,6 +34,8 @@
 
     private var claimEpoch = Duration.ZERO
     private var claims = 0
+    private var released = 0
+    private var releasedAt = Duration.ZERO
 
     /**
      * Returns whether this process may take one of [free] places that all of [contenders] daemons see. Since each learns only
@@ -51,7 +53,7 @@
             claimEpoch = now
             claims = (free.toDouble() / contenders + fraction).toInt()
         }
-        return claims > 0
+        return claims > 0 || (released > 0 && now - releasedAt < interval)
     }
 
     /** Returns the number of requests sent within the cold rate window that ends at [now]. */
@@ -77,7 +79,7 @@
         recentRequests(now)
         sent.addLast(Sent(now, promptTokens))
         inFlight++
-        claims--
+        if (released > 0) released-- else claims--
     }
 
     fun recordOutcome(
@@ -85,7 +87,9 @@
         now: Duration,
     ) {
         inFlight--
-        claims++
+        if (now - releasedAt > RELEASE_MEMORY) released = 0
+        released++
+        releasedAt = now
         when (outcome) {
             AttemptOutcome.ANSWERED -> onSuccess()
             AttemptOutcome.NOT_RUN -> onRejected(now)
@@ -121,6 +125,9 @@
         const val FAILURES_BEFORE_EJECTION = 3
         const val MAX_DOUBLINGS = 3
 
+        /** After this time other daemons have heard of a place that was released. */
+        val RELEASE_MEMORY = 450.milliseconds
+
         /** A back end takes slightly longer than this to restart; with three doublings it covers most restarts. */
         val BASE_EJECTION_TIME = 700.milliseconds
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -111,15 +111,15 @@
         now: Duration,
     ): PlacementTicket {
         if (!request.isLate) overload.recordArrival(request.service, now)
-        val placement = tryPlace(request, request.isLate, now)
+        val choice = choose(request, request.isLate, now)
+        if (choice !is Choice.Full) return decided(placementOf(request, choice, now))
         val queue = queueOf(request.service)
-        if (!mayQueue(placement)) return decided(placement)
         if (!request.isLate) queue.onShortage(now)
-        if (queue.size >= MAX_QUEUE_LENGTH) return decided(placement)
+        if (queue.size >= MAX_QUEUE_LENGTH) return decided(placementOf(request, choice, now))
         return when (val decision = overload.decide(request.service, request.wait, queue.lengths, now)) {
-            is WaitDecision.Refuse -> decided(refused(request, "no place predicted within ${decision.predicted}", now))
+            is WaitDecision.Refuse -> decided(overloaded(request, "no place predicted within ${decision.predicted}", now))
             is WaitDecision.Wait -> {
-                if (decision.limit <= Duration.ZERO) return decided(placement)
+                if (decision.limit <= Duration.ZERO) return decided(placementOf(request, choice, now))
                 val queued = QueuedRequest(request, decision.inTime && !request.isLate, now, now + decision.limit)
                 queue.add(queued)
                 PlacementTicket(queued.result, decision.limit)
@@ -169,13 +169,13 @@
         queue.expired(now).forEach { endWait(queue, it, now) }
         var unplaceable = 0
         for (queued in queue.inOrder { inFlightOf[it] ?: 0 }) {
-            val placement = tryPlace(queued.request, late = !queued.inTime, now)
-            if (mayQueue(placement)) {
+            val choice = choose(queued.request, late = !queued.inTime, now)
+            if (choice is Choice.Full) {
                 // Requests differ in the back ends that they may use, but mostly what is full for some is full for the others.
                 if (++unplaceable >= MAX_UNPLACEABLE) return
             } else {
                 queue.remove(queued)
-                queued.result.complete(placement)
+                queued.result.complete(placementOf(queued.request, choice, now))
             }
         }
     }
@@ -186,14 +186,31 @@
         now: Duration,
     ) {
         queue.remove(queued)
-        val placement = tryPlace(queued.request, queued.request.isLate, now)
+        val choice = choose(queued.request, queued.request.isLate, now)
         val waited = now - queued.queuedAt
-        queued.result.complete(if (mayQueue(placement)) refused(queued.request, "no place within $waited", now) else placement)
+        val placement =
+            when (choice) {
+                is Choice.Full -> overloaded(queued.request, "no place within $waited", now)
+                is Choice.Chosen, is Choice.NoneEligible -> placementOf(queued.request, choice, now)
+            }
+        queued.result.complete(placement)
     }
 
     private fun decided(placement: Placement) = PlacementTicket(CompletableDeferred(placement), Duration.ZERO)
 
-    private fun refused(
+    /** Decides for [choice] without a wait. A refusal takes up a time to return, so this is called only for what callers get. */
+    private fun placementOf(
+        request: PlacementRequest,
+        choice: Choice,
+        now: Duration,
+    ): Placement =
+        when (choice) {
+            is Choice.Chosen -> choice.placed
+            is Choice.Full -> overloaded(request, "full back-ends=${choice.backEnds}", now)
+            is Choice.NoneEligible -> Placement.Refused(Refusal.NoTarget(retryAfter(request, now)), choice.reason)
+        }
+
+    private fun overloaded(
         request: PlacementRequest,
         reason: String,
         now: Duration,
@@ -226,27 +243,40 @@
             }
         }
 
-    /** Returns whether a request may wait, which is the case if back ends are only at capacity. */
-    private fun mayQueue(placement: Placement) = placement is Placement.Refused && placement.refusal is Refusal.Overloaded
+    /** The result of looking for a back end. */
+    private sealed class Choice {
+        data class Chosen(
+            val placed: Placement.Placed,
+        ) : Choice()
+
+        /** All of [backEnds] that could serve the request are at capacity, so it may wait. */
+        data class Full(
+            val backEnds: Int,
+        ) : Choice()
+
+        data class NoneEligible(
+            val reason: String,
+        ) : Choice()
+    }
 
-    /** Places [request] at the best back end with a free place; the last places of an engine are kept from a [late] one. */
-    private fun tryPlace(
+    /** Takes a place for [request] at the best back end that has one; the last places of an engine are kept from a [late] one. */
+    private fun choose(
         request: PlacementRequest,
         late: Boolean,
         now: Duration,
-    ): Placement {
+    ): Choice {
         val eligible = storeView.backEndsOf(request.service).filter { isEligible(it, request, now) }
-        if (eligible.isEmpty()) return Placement.Refused(Refusal.NoTarget(retryAfter(request, now)), reasonOf(request, now))
+        if (eligible.isEmpty()) return Choice.NoneEligible(reasonOf(request, now))
         val candidates =
             eligible
                 .filter { statsOf(it.id).ejectedUntil <= now }
                 .ifEmpty { listOf(eligible.minBy { statsOf(it.id).ejectedUntil }) }
         val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) }
-        if (available.isEmpty()) return refused(request, "full back-ends=${candidates.size}", now)
+        if (available.isEmpty()) return Choice.Full(candidates.size)
         val chosen = available.minBy { score(it, now) }
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
-        return Placement.Placed(chosen, requiredNumber(backEndStates.held(chosen, now), request, now))
+        return Choice.Chosen(Placement.Placed(chosen, requiredNumber(backEndStates.held(chosen, now), request, now)))
     }
 
     private fun isEligible(
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -209,6 +209,20 @@
             waiting.target shouldBe TargetId("a")
         }
 
+        test("looking for a place for those that wait takes up no times to return") {
+            val scene = Scene(listOf(backEnd("a")))
+            repeat(40) {
+                val target = scene.place(isLate = true).target.shouldNotBeNull()
+                scene.placement.onAttemptEnded(target, null, AttemptOutcome.ANSWERED, scene.now, AttemptTimes(50.milliseconds, null))
+            }
+            repeat(2) { scene.place(isLate = true) }
+            val waiting = scene.place(maxWait = 5.seconds, isLate = true)
+            repeat(100) { scene.placement.dispatchQueued(scene.now) }
+            waiting.isCompleted shouldBe false
+            val refused = scene.place(isLate = true).getCompleted().shouldBeInstanceOf<Placement.Refused>()
+            (refused.refusal.retryAfter.shouldNotBeNull() < 300.milliseconds) shouldBe true
+        }
+
         test("a leaving back end and an evacuated failure domain get no requests") {
             val scene = Scene(listOf(backEnd("a", leaving = true), backEnd("b"), backEnd("c", FAR)))
             scene.evacuate(NEAR)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -55,6 +55,7 @@
             if (!isNeeded()) {
                 lostSince = null
                 lastContactAt = null
+                failures = 0
                 delay(NEED_CHECK_INTERVAL)
                 continue
             }
