Read the back end's report again while chunks are awaited

Cause, found by reading: since fetches go on while a source is lost, a target daemon could stage for as long as the origin is away without a look at its back end, so a restart went unnoticed and its status expired at the entry daemons.

Change: staging ends after 1.5 s without the missing chunks, and goes on after the report. Attempts are counted over these passes.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -3,7 +3,7 @@
  *
  * Discovery starts from the seed addresses; daemons then learn about each other through gossip. A daemon counts as alive
  * while its last contact is recent, and is removed long after that. Entry daemons of one failure domain exchange their own
- * requests in flight often; between failure domains one member at a time exchanges the sum of its domain. So the gossip of a
+ * requests in flight often; between failure domains one random member at a time gets the sum of the domain. So the gossip of a
  * daemon grows with the members of its domain and the number of domains, not with the number of daemons.
  */
 package lagoonrudder.control.direct
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -35,6 +35,7 @@
     private val backEnd = SlotClient(core.http, slot.backEnd)
     private var manifest: WeightManifest? = null
     private val stagedChunks = mutableSetOf<Int>()
+    private val attemptsByChunk = mutableMapOf<Int, Int>()
     private var verifiedAt: Duration? = null
     private var born = 0L
     private var reachable = false
@@ -82,6 +83,7 @@
     private fun onRestart(report: BackEndReport) {
         born = report.born
         stagedChunks.clear()
+        attemptsByChunk.clear()
         manifest = null
         verifiedAt = null
     }
@@ -121,6 +123,7 @@
         val fetched = fetcher.manifest(sources, weightsToLoad.model, weightsToLoad.number).getOrElse { return null }
         manifest = fetched
         stagedChunks.clear()
+        attemptsByChunk.clear()
         verify(fetched)
         core.log.info(
             "staging",
@@ -133,15 +136,15 @@
     }
 
     /**
-     * Fetches and stages the missing chunks. One that can't be had yet is asked for again after the others, for as long as the
-     * version is wanted; returns false when another version has become the wanted one.
+     * Fetches and stages the missing chunks. One that can't be had yet is asked for again after the others. Returns false if some
+     * are still missing: when another version has become the wanted one, or after a time in which the back end may have restarted.
      */
     private suspend fun stage(manifest: WeightManifest): Boolean {
         val started = core.clock.elapsed()
         val missing = ArrayDeque(manifest.digests.indices.filter { it !in stagedChunks })
         if (missing.isEmpty()) return true
         val total = missing.size
-        coroutineScope { repeat(MAX_CONCURRENT_FETCHES) { launch { stageAll(manifest, missing) } } }
+        coroutineScope { repeat(MAX_CONCURRENT_FETCHES) { launch { stageAll(manifest, missing, started) } } }
         core.log.info(
             "staged",
             "number" to manifest.number.number,
@@ -155,15 +158,15 @@
     private suspend fun stageAll(
         manifest: WeightManifest,
         missing: ArrayDeque<Int>,
+        started: Duration,
     ) {
-        val attempts = mutableMapOf<Int, Int>()
         while (true) {
             val index = missing.removeFirstOrNull() ?: return
-            val attempt = attempts.merge(index, 1, Int::plus) ?: 1
-            val staged = isStillWanted(manifest) && stageChunk(manifest, index, attempt - 1)
-            if (staged) continue
+            val attempts = attemptsByChunk[index] ?: 0
+            if (isStillWanted(manifest) && stageChunk(manifest, index, attempts)) continue
+            attemptsByChunk[index] = attempts + 1
             missing.addLast(index)
-            if (!isStillWanted(manifest) || isOutdated(manifest)) return
+            if (core.clock.elapsed() - started > STAGE_LIMIT || !isStillWanted(manifest) || isOutdated(manifest)) return
             delay(CHUNK_RETRY_DELAY)
         }
     }
@@ -315,6 +318,9 @@
         val IDLE_POLL_INTERVAL = 400.milliseconds
         val RETRY_DELAY = 150.milliseconds
         val CHUNK_RETRY_DELAY = 60.milliseconds
+
+        /** How long chunks that can't be had are waited for before the back end's report is read again. */
+        val STAGE_LIMIT = 1_500.milliseconds
         val SCHEDULE_CHECK_INTERVAL = 200.milliseconds
 
         /** A chunk that an entry daemon of the region has cached arrives within a few round trips. */
