--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -0,0 +1,96 @@
+/**
+ * Decides which back ends may get a request, whatever their load: by state, failure domain, home regions and weights.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.HeldWeights
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class BackEndEligibility(
+    private val topology: Topology,
+    private val bounds: PlacementBounds,
+    private val storeView: StoreViewController,
+    private val backEndStates: BackEndStateController,
+) {
+    /** Returns whether [request] may be sent to [backEnd]. */
+    fun isEligible(
+        backEnd: BackEnd,
+        request: PlacementRequest,
+        now: Duration,
+    ): Boolean {
+        val region = topology.regions[backEnd.domain]
+        val inHomeRegions = request.homeRegions.all { it.isEmpty() || region in it }
+        val isOpen =
+            !backEnd.leaving &&
+                backEnd.domain !in storeView.evacuated &&
+                !backEndStates.closed(backEnd, now) &&
+                backEnd.id !in request.excluded
+        return isOpen && inHomeRegions && holdsWeights(backEnd, request, now)
+    }
+
+    private fun holdsWeights(
+        backEnd: BackEnd,
+        request: PlacementRequest,
+        now: Duration,
+    ): Boolean {
+        val layout = storeView.serving?.service(backEnd.service)?.weights ?: return true
+        val held = backEndStates.held(backEnd, now) ?: return false
+        if (held.layers < layout.layers) return false
+        val pinned = request.number
+        if (pinned != null && held.number != pinned) return false
+        val required = requiredNumber(held, request, now) ?: return true
+        return held.number >= required
+    }
+
+    /** Returns the version that [backEnd] must hold if [request] may not run on an older one. */
+    fun requiredNumber(
+        backEnd: BackEnd,
+        request: PlacementRequest,
+        now: Duration,
+    ): WeightNumber? = requiredNumber(backEndStates.held(backEnd, now), request, now)
+
+    /** Returns the version that a request must start on: the declared one once its rollout time is nearly over. */
+    private fun requiredNumber(
+        held: HeldWeights?,
+        request: PlacementRequest,
+        now: Duration,
+    ): WeightNumber? {
+        val declared = held?.let { storeView.declaredAsOf(it.model, now - bounds.versionLimit + SWITCH_MARGIN) }
+        return declared?.number ?: request.number
+    }
+
+    /** Describes why no back end is eligible for [request]. */
+    fun describeNone(
+        request: PlacementRequest,
+        now: Duration,
+    ): String {
+        val all = storeView.backEndsOf(request.service)
+        val withoutWeights = all.count { !holdsWeights(it, request, now) }
+        val leaving = all.count { it.leaving }
+        return "no back end listed=${all.size} leaving=$leaving without-weights=$withoutWeights passed-over=${request.excluded.size}"
+    }
+
+    /** Returns whether [backEnd] is close to its switch deadline, so that a request in its own queue could start too late. */
+    fun isNearSwitchDeadline(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean {
+        val held = backEndStates.held(backEnd, now) ?: return false
+        val declared = storeView.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
+        return held.number < declared.number
+    }
+
+    private companion object {
+        /** Requests sent within this margin may still wait in a back end's own queue at the switch deadline. */
+        val SWITCH_MARGIN = 1_200.milliseconds
+
+        /**
+         * For this long before the margin, a back end with the older version gets no more than it can start immediately,
+         * because the reports about its load may be stale.
+         */
+        val DEADLINE_NOTICE = 1_000.milliseconds
+    }
+}
--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -6,6 +6,7 @@
  */
 package lagoonrudder.control.direct
 
+import lagoonrudder.control.direct.admission.PlaceClaims
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,29 +33,8 @@
     var ejectedUntil = Duration.ZERO
         private set
 
-    private var claimEpoch = Duration.ZERO
-    private var claims = 0
-    private var released = 0
-    private var releasedAt = Duration.ZERO
-
-    /**
-     * Returns whether this process may take one of [free] places that all of [contenders] daemons see. Since each learns only
-     * later that another took a place, each claims its share of them in every [interval], rounded by [fraction], and any that it
-     * releases.
-     */
-    fun mayClaim(
-        free: Int,
-        contenders: Int,
-        fraction: Double,
-        interval: Duration,
-        now: Duration,
-    ): Boolean {
-        if (now - claimEpoch >= interval) {
-            claimEpoch = now
-            claims = (free.toDouble() / contenders + fraction).toInt()
-        }
-        return claims > 0 || (released > 0 && now - releasedAt < interval)
-    }
+    /** What this process may take of the last free places. */
+    val claims = PlaceClaims()
 
     /** Returns the number of requests sent within the cold rate window that ends at [now]. */
     fun recentRequests(now: Duration): Int {
@@ -79,7 +59,7 @@
         recentRequests(now)
         sent.addLast(Sent(now, promptTokens))
         inFlight++
-        if (released > 0) released-- else claims--
+        claims.onTaken()
     }
 
     fun recordOutcome(
@@ -87,9 +67,7 @@
         now: Duration,
     ) {
         inFlight--
-        if (now - releasedAt > RELEASE_MEMORY) released = 0
-        released++
-        releasedAt = now
+        claims.onReleased(now)
         when (outcome) {
             AttemptOutcome.ANSWERED -> onSuccess()
             AttemptOutcome.NOT_RUN -> onRejected(now)
@@ -125,9 +103,6 @@
         const val FAILURES_BEFORE_EJECTION = 3
         const val MAX_DOUBLINGS = 3
 
-        /** After this time other daemons have heard of a place that was released. */
-        val RELEASE_MEMORY = 450.milliseconds
-
         /** A back end takes slightly longer than this to restart; with three doublings it covers most restarts. */
         val BASE_EJECTION_TIME = 700.milliseconds
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -16,90 +16,27 @@
 import lagoonrudder.control.direct.admission.PlacementQueue
 import lagoonrudder.control.direct.admission.QueuedRequest
 import lagoonrudder.control.direct.admission.WaitDecision
-import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.control.dumpSection
 import lagoonrudder.control.entry
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CustomerId
-import lagoonrudder.model.DomainId
-import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.Refusal
-import lagoonrudder.model.RegionId
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
-import lagoonrudder.model.WeightNumber
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** The failure domain of this daemon, and the region of each failure domain. */
-data class Topology(
-    val domain: DomainId,
-    val regions: Map<DomainId, RegionId>,
-)
-
-/**
- * The limits of the deployment. [versionLimit] bounds how long back ends may serve an older version after a newer one was
- * declared; [coldRatio] and [coldAllowance] scale and extend the request rate of a cold back end.
- */
-data class PlacementBounds(
-    val versionLimit: Duration,
-    val coldRatio: Double,
-    val coldAllowance: Double,
-)
-
-/**
- * The requirements of a request on its back end. [wait] limits how long it may be queued, and its caller waits for [timeLeft]. [excluded] are the back ends that it must not be sent to again, [number] is
- * the version that produced the start of its response, if any, [promptTokens] the length of its prompt as stated by the caller,
- * and [isLate] is set if its latency objective had passed before it arrived.
- */
-data class PlacementRequest(
-    val service: ServiceId,
-    val customer: CustomerId?,
-    val priority: Int,
-    val homeRegions: List<Set<RegionId>>,
-    val excluded: Set<TargetId>,
-    val number: WeightNumber?,
-    val promptTokens: Int,
-    val isLate: Boolean,
-    val wait: WaitLimit,
-    val timeLeft: Duration,
-)
-
-/** A request for a back end that was accepted for a decision; [result] completes within [wait]. */
-class PlacementTicket(
-    val result: CompletableDeferred<Placement>,
-    val wait: Duration,
-)
-
-/** How long an attempt occupied its back end, and when the first event of its response came; null if none came. */
-data class AttemptTimes(
-    val held: Duration,
-    val firstEvent: Duration?,
-)
-
-sealed class Placement {
-    /** [number] is the version that the back end must hold if the request may not run on an older one. */
-    data class Placed(
-        val backEnd: BackEnd,
-        val number: WeightNumber?,
-    ) : Placement()
-
-    data class Refused(
-        val refusal: Refusal,
-        val reason: String,
-    ) : Placement()
-}
-
 class PlacementController(
     private val topology: Topology,
     private val bounds: PlacementBounds,
     private val storeView: StoreViewController,
     private val peers: PeerController,
-    private val backEndStates: BackEndStateController,
+    backEndStates: BackEndStateController,
     private val random: Random,
     private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
+    private val eligibility = BackEndEligibility(topology, bounds, storeView, backEndStates)
     private val overload = OverloadController(random, policies)
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
@@ -265,8 +202,8 @@
         late: Boolean,
         now: Duration,
     ): Choice {
-        val eligible = storeView.backEndsOf(request.service).filter { isEligible(it, request, now) }
-        if (eligible.isEmpty()) return Choice.NoneEligible(reasonOf(request, now))
+        val eligible = storeView.backEndsOf(request.service).filter { eligibility.isEligible(it, request, now) }
+        if (eligible.isEmpty()) return Choice.NoneEligible(eligibility.describeNone(request, now))
         val candidates =
             eligible
                 .filter { statsOf(it.id).ejectedUntil <= now }
@@ -276,56 +213,7 @@
         val chosen = available.minBy { score(it, now) }
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
-        return Choice.Chosen(Placement.Placed(chosen, requiredNumber(backEndStates.held(chosen, now), request, now)))
-    }
-
-    private fun isEligible(
-        backEnd: BackEnd,
-        request: PlacementRequest,
-        now: Duration,
-    ): Boolean {
-        val region = topology.regions[backEnd.domain]
-        val inHomeRegions = request.homeRegions.all { it.isEmpty() || region in it }
-        val isOpen =
-            !backEnd.leaving &&
-                backEnd.domain !in storeView.evacuated &&
-                !backEndStates.closed(backEnd, now) &&
-                backEnd.id !in request.excluded
-        return isOpen && inHomeRegions && holdsWeights(backEnd, request, now)
-    }
-
-    private fun holdsWeights(
-        backEnd: BackEnd,
-        request: PlacementRequest,
-        now: Duration,
-    ): Boolean {
-        val layout = storeView.serving?.service(backEnd.service)?.weights ?: return true
-        val held = backEndStates.held(backEnd, now) ?: return false
-        if (held.layers < layout.layers) return false
-        val pinned = request.number
-        if (pinned != null && held.number != pinned) return false
-        val required = requiredNumber(held, request, now) ?: return true
-        return held.number >= required
-    }
-
-    /** Returns the version that a request must start on: the declared one once its rollout time is nearly over. */
-    private fun requiredNumber(
-        held: HeldWeights?,
-        request: PlacementRequest,
-        now: Duration,
-    ): WeightNumber? {
-        val declared = held?.let { storeView.declaredAsOf(it.model, now - bounds.versionLimit + SWITCH_MARGIN) }
-        return declared?.number ?: request.number
-    }
-
-    private fun reasonOf(
-        request: PlacementRequest,
-        now: Duration,
-    ): String {
-        val all = storeView.backEndsOf(request.service)
-        val withoutWeights = all.count { !holdsWeights(it, request, now) }
-        val leaving = all.count { it.leaving }
-        return "no back end listed=${all.size} leaving=$leaving without-weights=$withoutWeights passed-over=${request.excluded.size}"
+        return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now)))
     }
 
     private fun hasPlace(
@@ -350,7 +238,7 @@
         now: Duration,
     ): Boolean {
         val interval = if (backEnd.domain == topology.domain) NEAR_REPORT_AGE else FAR_REPORT_AGE
-        return statsOf(backEnd.id).mayClaim(free, contenders = peers.reporterCount(now) + 1, random.nextDouble(), interval, now)
+        return statsOf(backEnd.id).claims.mayTake(free, contenders = peers.reporterCount(now) + 1, random.nextDouble(), interval, now)
     }
 
     private fun load(
@@ -371,22 +259,12 @@
         val isEngine = storeView.serving?.service(backEnd.service)?.weights != null
         return when {
             !isEngine -> backEnd.slots + QUEUED_CALLS
-            isNearSwitchDeadline(backEnd, now) -> (backEnd.slots - RESERVED_NEAR_DEADLINE).coerceAtLeast(1)
+            eligibility.isNearSwitchDeadline(backEnd, now) -> (backEnd.slots - RESERVED_NEAR_DEADLINE).coerceAtLeast(1)
             late -> (backEnd.slots - RESERVED_FROM_LATE).coerceAtLeast(1)
             else -> backEnd.slots + QUEUED_STREAMS
         }
     }
 
-    /** Returns whether [backEnd] is close to its switch deadline, so that a request in its own queue could start too late. */
-    private fun isNearSwitchDeadline(
-        backEnd: BackEnd,
-        now: Duration,
-    ): Boolean {
-        val held = backEndStates.held(backEnd, now) ?: return false
-        val declared = storeView.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
-        return held.number < declared.number
-    }
-
     private fun isWithinColdRate(
         backEnd: BackEnd,
         now: Duration,
@@ -423,14 +301,6 @@
         /** How many queued requests in a row may find no place before the others are taken to find none either. */
         const val MAX_UNPLACEABLE = 8
 
-        /** Requests sent within this margin may still wait in a back end's own queue at the switch deadline. */
-        val SWITCH_MARGIN = 1_200.milliseconds
-
-        /**
-         * For this long before the margin, a back end with the older version gets no more than it can start immediately,
-         * because the reports about its load may be stale.
-         */
-        val DEADLINE_NOTICE = 1_000.milliseconds
         const val RESERVED_NEAR_DEADLINE = 3
 
         /** The share of free places above which daemons that don't yet know of each other's last requests can't overload a back end. */
