--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -112,7 +112,7 @@
         now: Duration,
     ): LoadReport {
         if (peer?.domain == self.domain) return LoadReport(own, 1)
-        if (now >= nextExpiry) expireReports(now)
+        expireReports(now)
         val near = reports.filterKeys { it is ReportSource.Daemon }.values.map { it.load }
         val sum = own.toMutableMap()
         for (load in near) for ((target, count) in load.inFlight) sum.merge(target, count, Int::plus)
@@ -120,10 +120,9 @@
     }
 
     /** Returns the known daemon at [address]. */
-    fun peerAt(address: Address): PeerDaemon? =
-        knownPeers.values
-            .firstOrNull { it.peer.address == address }
-            ?.peer
+    fun peerAt(address: Address): PeerDaemon? = knownAt(address)?.peer
+
+    private fun knownAt(address: Address): KnownPeer? = knownPeers.values.firstOrNull { it.peer.address == address }
 
     /**
      * Returns how long to wait before an exchange with the entry daemon at [address], where one of every pair exchanges after
@@ -134,7 +133,7 @@
         interval: Duration,
         now: Duration,
     ): Duration {
-        val known = knownPeers.values.firstOrNull { it.peer.address == address } ?: return Duration.ZERO
+        val known = knownAt(address) ?: return Duration.ZERO
         val last = known.lastExchangeAt ?: return Duration.ZERO
         val initiates = self.daemon.text < known.peer.daemon.text
         return last + (if (initiates) interval else interval * RESPONDER_FACTOR) - now
@@ -221,17 +220,18 @@
         target: TargetId,
         now: Duration,
     ): Int {
-        if (now >= nextExpiry) expireReports(now)
+        expireReports(now)
         return inFlightTotals[target] ?: 0
     }
 
     /** Returns the number of other entry daemons whose requests in flight are reported. */
     fun reporterCount(now: Duration): Int {
-        if (now >= nextExpiry) expireReports(now)
+        expireReports(now)
         return reporters
     }
 
     private fun expireReports(now: Duration) {
+        if (now < nextExpiry) return
         val expired = reports.filterValues { now - it.receivedAt >= IN_FLIGHT_TTL }.keys
         expired.forEach { replaceReport(it, null) }
         nextExpiry = reports.values.minOfOrNull { it.receivedAt + IN_FLIGHT_TTL } ?: Duration.INFINITE
@@ -253,10 +253,7 @@
     ) {
         if (load.inFlight.isNotEmpty()) reporters += sign * load.daemons
         for ((target, count) in load.inFlight) {
-            inFlightTotals.merge(
-                target,
-                sign * count,
-            ) { sum, change -> (sum + change).takeIf { it != 0 } }
+            inFlightTotals.merge(target, sign * count) { sum, change -> (sum + change).takeIf { it != 0 } }
         }
     }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -32,9 +32,10 @@
 )
 
 /**
- * The requirements of a request on its back end. [wait] limits how long it may be queued, and its caller waits for [timeLeft]. [excluded] are the back ends that it must not be sent to again, [number] is
- * the version that produced the start of its response, if any, [promptTokens] the length of its prompt as stated by the caller,
- * and [isLate] is set if its latency objective had passed before it arrived.
+ * The requirements of a request on its back end. [excluded] are the back ends that it must not be sent to again, [number] is the
+ * version that produced the start of its response, if any, [promptTokens] the length of its prompt as stated by the caller, and
+ * [isLate] is set if its latency objective had passed before it arrived. [wait] limits how long it may be queued, and its caller
+ * waits for [timeLeft].
  */
 data class PlacementRequest(
     val service: ServiceId,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -69,8 +69,7 @@
         decision: CompletableDeferred<Placement>,
         now: Duration,
     ) {
-        val queue = queues.values.firstOrNull { it.find(decision) != null } ?: return
-        queue.find(decision)?.let { endWait(queue, it, now) }
+        for (queue in queues.values) queue.find(decision)?.let { endWait(queue, it, now) }
     }
 
     /** Removes a queued request whose caller has disconnected. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
@@ -19,9 +19,11 @@
 class RetryBudgetShare(
     private val bounds: RetryBudgetBounds,
 ) {
-    private class Window {
-        val requests = ArrayDeque<Duration>()
-        val retries = ArrayDeque<Duration>()
+    private class Window(
+        length: Duration,
+    ) {
+        val requests = SlidingCount(length)
+        val retries = SlidingCount(length)
     }
 
     private val windows = mutableMapOf<ServiceId, Window>()
@@ -30,7 +32,7 @@
         service: ServiceId,
         now: Duration,
     ) {
-        windowOf(service, now).requests.addLast(now)
+        windowOf(service).requests.add(now)
     }
 
     /** Takes one retry from the budget; returns false if the share of one of [entryDaemons] daemons is exhausted. */
@@ -39,23 +41,14 @@
         entryDaemons: Int,
         now: Duration,
     ): Boolean {
-        val window = windowOf(service, now)
-        val share = (window.requests.size * bounds.ratio + bounds.allowance / entryDaemons) * SAFETY_FACTOR
-        if (window.retries.size + 1 > share) return false
-        window.retries.addLast(now)
+        val window = windowOf(service)
+        val share = (window.requests.count(now) * bounds.ratio + bounds.allowance / entryDaemons) * SAFETY_FACTOR
+        if (window.retries.count(now) + 1 > share) return false
+        window.retries.add(now)
         return true
     }
 
-    private fun windowOf(
-        service: ServiceId,
-        now: Duration,
-    ): Window {
-        val window = windows.getOrPut(service) { Window() }
-        val since = now - bounds.window
-        while (window.requests.isNotEmpty() && window.requests.first() < since) window.requests.removeFirst()
-        while (window.retries.isNotEmpty() && window.retries.first() < since) window.retries.removeFirst()
-        return window
-    }
+    private fun windowOf(service: ServiceId): Window = windows.getOrPut(service) { Window(bounds.window) }
 
     private companion object {
         /** The remainder is left to entry daemons that this one has not discovered. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -1,7 +1,7 @@
 /**
  * Decides whether an entry daemon reads the platform's store itself.
  *
- * Calls to the store are dear and every change wakes every watch. So in each failure domain the daemon that is first in a hash
+ * Calls to the store are expensive and every change wakes every watch. So in each failure domain the daemon that is first in a hash
  * order watches the store, and the others receive the changes by gossip. There is no election: a daemon reads the store while it
  * hears of no better ranked one that does, so a reader that stops, freezes or loses the store is replaced within about half a
  * second, and while none reaches the store all of them try.
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
@@ -7,6 +7,7 @@
  */
 package lagoonrudder.control.direct.admission
 
+import lagoonrudder.control.direct.SlidingCount
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -60,27 +61,6 @@
         perSecond: Double,
     ): Duration = if (perSecond <= 0.0) Duration.INFINITE else (places / perSecond).seconds
 
-    /** Counts events in a sliding window. */
-    private class SlidingCount(
-        private val window: Duration,
-    ) {
-        private val times = ArrayDeque<Duration>()
-
-        fun add(now: Duration) {
-            expire(now)
-            times.addLast(now)
-        }
-
-        fun perSecond(now: Duration): Double {
-            expire(now)
-            return times.size / (window / 1.seconds)
-        }
-
-        private fun expire(now: Duration) {
-            while (times.isNotEmpty() && now - times.first() > window) times.removeFirst()
-        }
-    }
-
     private companion object {
         /** Long enough to hold several requests of one entry daemon, short enough to follow a burst. */
         val WINDOW = 2.seconds
