Log what a back end accepted without an answer, and which staged chunks failed verification

The three hypotheses of the incident differ in whether the count of accepted orders rises without an answered order, which chunks lay there then, and how old and how complete the verification was. None of it was logged.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -39,6 +39,7 @@
     private var verifiedAt: Duration? = null
     private var born = 0L
     private var reachable = false
+    private var lastReport: BackEndReport? = null
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
 
     /** Checks at once whether other weights are wanted. May be called on any thread. */
@@ -76,10 +77,28 @@
         }
         reachable = true
         if (report.born != born) onRestart(report)
+        logChange(report)
         announce(SlotWord(slot.backEnd, report.born, report.held, report.loading))
         return report
     }
 
+    /** Logs what the back end loaded or accepted since its last report, also when it never answered the order that led to it. */
+    private fun logChange(report: BackEndReport) {
+        val last = lastReport
+        lastReport = report
+        val isUnchanged = last?.born == report.born && last.orders == report.orders && last.held == report.held
+        if (last == null || isUnchanged) return
+        core.log.info(
+            "back-end-changed",
+            "born" to report.born,
+            "number" to report.held?.number?.number,
+            "orders" to report.orders,
+            "loading" to report.loading,
+            "staging" to manifest?.number?.number,
+            "staged" to stagedChunks.size,
+        )
+    }
+
     private fun onRestart(report: BackEndReport) {
         born = report.born
         stagedChunks.clear()
@@ -227,6 +246,8 @@
 
     /** Reads every staged chunk back and compares its digest; those that do not match are fetched again. */
     private suspend fun verify(manifest: WeightManifest): Boolean {
+        val startedAt = core.clock.elapsed()
+        val before = stagedChunks.toSet()
         for (index in manifest.digests.indices) {
             val staged = backEnd.staged(manifest.model, index).getOrElse { null }
             val isIntact = staged != null && digestOf(staged) == manifest.digests[index]
@@ -234,6 +255,16 @@
         }
         val isComplete = stagedChunks.size == manifest.digests.size
         verifiedAt = core.clock.elapsed().takeIf { isComplete }
+        val damaged = before - stagedChunks
+        if (isComplete || damaged.isNotEmpty()) {
+            core.log.info(
+                "verified",
+                "number" to manifest.number.number,
+                "intact" to stagedChunks.size,
+                "damaged" to damaged.sorted(),
+                "took" to core.clock.elapsed() - startedAt,
+            )
+        }
         return isComplete
     }
 
@@ -244,9 +275,17 @@
         val handover = scheduledSwitch(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.DRAIN
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
         val orderedAt = core.clock.elapsed()
+        val fields =
+            arrayOf<Pair<String, Any?>>(
+                "number" to manifest.number.number,
+                "born" to report.born,
+                "orders" to report.orders,
+                "running" to report.running,
+                "verified-before" to verifiedAt?.let { orderedAt - it },
+            )
         when (val result = backEnd.start(manifest.model, manifest.number, report.orders, handover)) {
-            is Either.Left -> core.log.failure("order-unanswered", result.value, "number" to manifest.number.number)
-            is Either.Right -> logOrder(manifest, result.value, report)
+            is Either.Left -> core.log.failure("order-unanswered", result.value, *fields)
+            is Either.Right -> logOrder(result.value, fields)
         }
         awaitLoaded(manifest, orderedAt)
     }
@@ -277,11 +316,9 @@
     }
 
     private fun logOrder(
-        manifest: WeightManifest,
         result: OrderResponse,
-        report: BackEndReport,
+        fields: Array<Pair<String, Any?>>,
     ) {
-        val fields = arrayOf("number" to manifest.number.number, "orders" to report.orders, "running" to report.running)
         when (result) {
             OrderResponse.Accepted -> core.log.info("order-begun", *fields)
             OrderResponse.AlreadyApplied -> core.log.info("order-already-applied", *fields)
