--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -53,6 +53,7 @@
     private val client = HttpClient(loop, clock)
     private val servers = mutableListOf<HttpServer>()
     private val cores = mutableListOf<DirectCore>()
+    private val targetCores = mutableMapOf<Int, DirectCore>()
     val store = FakeStore()
     val origin = FakeWeightOrigin()
     val workers = (1..workers).map { FakeWorker("i-$it", scope) }
@@ -65,14 +66,27 @@
     init {
         onLoop { publish(revision = 1) }
         entryListens.forEachIndexed { index, listen -> start(settings("entry-$index", DaemonRole.ENTRY, listen, null)) }
-        workerAddresses.forEachIndexed { index, address ->
-            start(settings("target-$index", DaemonRole.TARGET, null, DirectSlotSettings(SERVICE, address)))
-        }
+        workerAddresses.indices.forEach { startTarget(it) }
     }
 
     /** Runs [block] on the event loop thread of the fakes. */
     fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.dispatcher) { block() } }
 
+    /** Declares [version] as the one that all back ends must hold. */
+    fun declare(version: Long) {
+        origin.latestVersion = version
+        store.put("op/version/$MODEL_NAME", "{\"model\":\"$MODEL_NAME\",\"version\":$version}")
+    }
+
+    /** Ends the target daemon beside back end [index] without notice and starts another one in its place. */
+    fun restartTarget(index: Int) {
+        targetCores.remove(index)?.let {
+            it.close()
+            cores -= it
+        }
+        startTarget(index)
+    }
+
     fun register(index: Int) {
         val worker = workers[index]
         store.put(
@@ -157,10 +171,15 @@
         }
     }
 
-    private fun start(settings: DirectSettings) {
+    private fun startTarget(index: Int) {
+        targetCores[index] = start(settings("target-$index", DaemonRole.TARGET, null, DirectSlotSettings(SERVICE, workerAddresses[index])))
+    }
+
+    private fun start(settings: DirectSettings): DirectCore {
         val core = DirectCore(settings, clock)
         cores += core
         runBlocking { directDaemon(core).start() }
+        return core
     }
 
     private fun settings(
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -4,6 +4,7 @@
 package lagoonrudder.standins.direct
 
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonNull
@@ -21,6 +22,7 @@
 import lagoonrudder.http.NO_BYTES
 import lagoonrudder.model.HeaderField
 import lagoonrudder.model.digestOf
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 internal const val MODEL_NAME = "model"
@@ -56,6 +58,12 @@
 
     var behavior = WorkerBehavior.NORMAL
 
+    /** How long the next orders lie here before this back end decides on them, whether or not their sender still waits. */
+    val orderDelays = ArrayDeque<Duration>()
+
+    /** The versions of all orders that arrived. */
+    val orderedVersions = mutableListOf<Long>()
+
     /** The requests that this back end executed. */
     val executed = mutableListOf<HttpRequest>()
 
@@ -114,13 +122,25 @@
         )
 
     private suspend fun order(exchange: HttpExchange) {
-        val ordered =
-            Regex("\"version\":(\\d+)")
-                .find(exchange.request.body.decodeToString())
-                ?.groupValues
-                ?.get(1)
-                ?.toLong()
-        if (ordered == null || loading) return exchange.respond(409, emptyList(), NO_BYTES)
+        val body = exchange.request.body.decodeToString()
+        val ordered = numberIn(body, "version") ?: return exchange.respond(400, emptyList(), NO_BYTES)
+        orderedVersions += ordered
+        val delay = orderDelays.removeFirstOrNull() ?: Duration.ZERO
+        val status =
+            scope.async {
+                delay(delay)
+                decideOrder(ordered, numberIn(body, "expected"))
+            }
+        exchange.respond(status.await(), emptyList(), NO_BYTES)
+    }
+
+    /** Takes the staged chunks as they are now, unless the order does not fit this back end's state. Returns the status. */
+    private fun decideOrder(
+        ordered: Long,
+        expected: Long?,
+    ): Int {
+        if (loading || (expected != null && expected != orders.toLong())) return 409
+        if (loadedVersion == ordered) return 200
         orders++
         loading = true
         if ((0 until CHUNK_COUNT).any { staged[it]?.contentEquals(chunkOf(ordered, it)) != true }) loadedInvalidChunks = true
@@ -129,9 +149,19 @@
             loadedVersion = ordered
             loading = false
         }
-        exchange.respond(202, emptyList(), NO_BYTES)
+        return 202
     }
 
+    private fun numberIn(
+        body: String,
+        field: String,
+    ): Long? =
+        Regex("\"$field\":(\\d+)")
+            .find(body)
+            ?.groupValues
+            ?.get(1)
+            ?.toLong()
+
     private suspend fun serve(exchange: HttpExchange) {
         val request = exchange.request
         val loaded = loadedVersion
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -12,7 +12,7 @@
 private val HttpResponse?.text get() = this?.body?.decodeToString()
 
 /** Runs [block] on a site with [entries] entry daemons once all back ends have loaded version 1. */
-private fun withSite(
+internal fun withSite(
     entries: Int,
     workers: Int,
     block: suspend DirectSite.() -> Unit,
