Stage no other version while an order without an answer may still be accepted

A back end takes the staged chunks as they are when it accepts an order. When an order got no answer within two seconds and the next report showed no load, the target daemon took it for lost and staged the next version over the same chunks; the back end accepted the order seconds later.

An unanswered order is now kept until the back end has accepted one that states the same number of earlier orders, has restarted, or 30 s have passed. Until then the daemon sends the same order again, after replacing damaged chunks, and stages nothing else. The back end accepts one of these orders at most, so when one is answered the others can no longer take effect.

--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/LoadOrderControllerTest.kt
@@ -0,0 +1,71 @@
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val ORDER = LoadOrder(WeightManifest(ModelId("model"), WeightNumber(2), emptyList()), born = 7, ordersBefore = 3)
+private val DECLINED = OrderResponse.Declined(409, "busy")
+
+private fun report(
+    born: Long = 7,
+    orders: Long = 3,
+) = BackEndReport(born, held = null, loading = false, orders, running = 0, waiting = 0)
+
+/** Guards against an order that is taken for lost although the back end may still accept it. */
+class LoadOrderControllerTest :
+    FunSpec({
+        fun unansweredAt(time: Duration) =
+            LoadOrderController().apply {
+                onSent(ORDER, time)
+                onUnanswered(ORDER, time)
+            }
+
+        test("an order without a response stays unsettled while the back end has accepted none since") {
+            val orders = unansweredAt(1.seconds)
+            orders.onReport(report(), 20.seconds) shouldBe null
+            orders.unsettled shouldBe ORDER
+        }
+
+        test("a response to the only order settles it") {
+            for (response in listOf(OrderResponse.Accepted, OrderResponse.AlreadyApplied, DECLINED)) {
+                val orders = LoadOrderController()
+                orders.onSent(ORDER, 1.seconds)
+                orders.onResponse(response, 1.seconds)
+                orders.unsettled shouldBe null
+            }
+        }
+
+        test("a declined or unsent repetition leaves the first order unsettled") {
+            val orders = unansweredAt(1.seconds)
+            orders.onSent(ORDER, 3.seconds)
+            orders.onResponse(DECLINED, 3.seconds)
+            orders.onSent(ORDER, 4.seconds)
+            orders.onNotAccepted(4.seconds)
+            orders.unsettled shouldBe ORDER
+        }
+
+        test("an accepted repetition settles the first order, which the back end will decline") {
+            val orders = unansweredAt(1.seconds)
+            orders.onSent(ORDER, 3.seconds)
+            orders.onResponse(OrderResponse.Accepted, 3.seconds)
+            orders.unsettled shouldBe null
+        }
+
+        test("a report settles an order when another one was accepted or the back end restarted") {
+            unansweredAt(1.seconds).onReport(report(orders = 4), 2.seconds) shouldBe OrderSettlement.ACCEPTED
+            unansweredAt(1.seconds).onReport(report(born = 8, orders = 0), 2.seconds) shouldBe OrderSettlement.BACK_END_RESTARTED
+        }
+
+        test("an order expires after the longest time for which a call is held, counted from its last repetition") {
+            val orders = unansweredAt(1.seconds)
+            orders.onUnanswered(ORDER, 5.seconds)
+            orders.onReport(report(), 35.seconds) shouldBe null
+            orders.onReport(report(), 35.seconds + 1.milliseconds) shouldBe OrderSettlement.EXPIRED
+            orders.unsettled shouldBe null
+        }
+    })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.ControlThread
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.BackEndStateController
+import lagoonrudder.control.direct.LoadOrderController
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.StagingController
@@ -45,6 +46,7 @@
     val peers = PeerController(self, settings.seeds)
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
+    val loadOrders = LoadOrderController()
     val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
 
     /** Logs a change of the published state, which came from [source] at store revision [at]. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -15,11 +15,13 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
 import lagoonrudder.control.direct.Handover
+import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.OrderResponse
 import lagoonrudder.control.direct.ScheduledSwitch
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightsToLoad
+import lagoonrudder.model.Failure
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.platform.SlotClient
@@ -50,15 +52,21 @@
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
             val report = report()
+            val unsettled = core.thread.decide { core.loadOrders.unsettled }
             val weightsToLoad = report?.let { core.thread.decide { core.staging.weightsToLoad(slot.service, it) } }
-            if (weightsToLoad == null || report.loading) {
-                withTimeoutOrNull(IDLE_POLL_INTERVAL) { checkRequests.receive() }
-            } else {
-                stageAndLoad(weightsToLoad, report)
+            when {
+                report == null || report.loading -> awaitCheck()
+                unsettled != null -> repeatOrder(unsettled.manifest, report)
+                weightsToLoad != null -> stageAndLoad(weightsToLoad, report)
+                else -> awaitCheck()
             }
         }
     }
 
+    private suspend fun awaitCheck() {
+        withTimeoutOrNull(IDLE_POLL_INTERVAL) { checkRequests.receive() }
+    }
+
     /** Reads the back end's report and announces a changed state; returns null while the back end does not respond. */
     private suspend fun report(): BackEndReport? {
         val report =
@@ -78,6 +86,7 @@
         reachable = true
         if (report.born != born) onRestart(report)
         logChange(report)
+        settleOrder(report)
         announce(SlotWord(slot.backEnd, report.born, report.held, report.loading))
         return report
     }
@@ -99,6 +108,18 @@
         )
     }
 
+    private suspend fun settleOrder(report: BackEndReport) {
+        val order = core.thread.decide { core.loadOrders.unsettled } ?: return
+        val settlement = core.thread.decide { core.loadOrders.onReport(report, core.clock.elapsed()) } ?: return
+        core.log.info(
+            "order-settled",
+            "number" to order.manifest.number.number,
+            "by" to settlement.name.lowercase(),
+            "born" to report.born,
+            "orders" to report.orders,
+        )
+    }
+
     private fun onRestart(report: BackEndReport) {
         born = report.born
         stagedChunks.clear()
@@ -128,6 +149,18 @@
         if (isRecentlyVerified() || verify(manifest)) orderLoad(manifest, report)
     }
 
+    /**
+     * Sends an order again that got no response, after replacing chunks that were damaged since. Chunks of another version
+     * are not staged meanwhile, because the back end may still accept the order.
+     */
+    private suspend fun repeatOrder(
+        manifest: WeightManifest,
+        report: BackEndReport,
+    ) {
+        if (verify(manifest) || (stage(manifest) && verify(manifest))) orderLoad(manifest, report)
+        delay(RETRY_DELAY)
+    }
+
     private suspend fun manifestOf(
         weightsToLoad: WeightsToLoad,
         report: BackEndReport,
@@ -274,7 +307,9 @@
     ) {
         val handover = scheduledSwitch(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.DRAIN
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
+        val order = LoadOrder(manifest, report.born, report.orders)
         val orderedAt = core.clock.elapsed()
+        core.thread.decide { core.loadOrders.onSent(order, orderedAt) }
         val fields =
             arrayOf<Pair<String, Any?>>(
                 "number" to manifest.number.number,
@@ -283,9 +318,15 @@
                 "running" to report.running,
                 "verified-before" to verifiedAt?.let { orderedAt - it },
             )
-        when (val result = backEnd.start(manifest.model, manifest.number, report.orders, handover)) {
-            is Either.Left -> core.log.failure("order-unanswered", result.value, *fields)
-            is Either.Right -> logOrder(result.value, fields)
+        when (val result = backEnd.start(order, handover)) {
+            is Either.Left -> {
+                core.thread.decide { recordFailure(order, result.value, orderedAt) }
+                core.log.failure("order-unanswered", result.value, *fields)
+            }
+            is Either.Right -> {
+                core.thread.decide { core.loadOrders.onResponse(result.value, orderedAt) }
+                logOrder(result.value, fields)
+            }
         }
         awaitLoaded(manifest, orderedAt)
     }
@@ -315,6 +356,13 @@
         return null
     }
 
+    /** Runs on the control thread. */
+    private fun recordFailure(
+        order: LoadOrder,
+        failure: Failure,
+        orderedAt: Duration,
+    ) = if (failure is Failure.Unreachable) core.loadOrders.onNotAccepted(orderedAt) else core.loadOrders.onUnanswered(order, orderedAt)
+
     private fun logOrder(
         result: OrderResponse,
         fields: Array<Pair<String, Any?>>,
