--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -0,0 +1,104 @@
+/**
+ * What lies in the staging area of a back end, as far as this daemon has stored or verified it.
+ *
+ * The area keeps one copy of a model, so chunks of another version overwrite those that are there. Chunks can turn bad while
+ * they lie there.
+ */
+package lagoonrudder.daemon.direct
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.digestOf
+import lagoonrudder.platform.SlotClient
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+class StagingArea(
+    private val core: DirectCore,
+    private val backEnd: SlotClient,
+) {
+    private val intact = mutableSetOf<Int>()
+    private val attempts = mutableMapOf<Int, Int>()
+    private var verifiedAt: Duration? = null
+
+    /** The version that is being staged; null if none has been since the back end started. */
+    var manifest: WeightManifest? = null
+        private set
+
+    /** The number of chunks that are known to be there. */
+    val size: Int get() = intact.size
+
+    /** Whether all chunks were verified so recently that they need not be read back again before an order. */
+    val isRecentlyVerified: Boolean get() = timeSinceVerification?.let { it < VERIFICATION_VALIDITY } ?: false
+
+    /** The time since all chunks were verified; null if some have not been. */
+    val timeSinceVerification: Duration? get() = verifiedAt?.let { core.clock.elapsed() - it }
+
+    /** Forgets what is there, for example because the back end restarted. */
+    fun clear() {
+        manifest = null
+        intact.clear()
+        attempts.clear()
+        verifiedAt = null
+    }
+
+    /** Begins to stage the version of [manifest], of which some chunks may be there already. */
+    suspend fun begin(manifest: WeightManifest) {
+        clear()
+        this.manifest = manifest
+        verify(manifest)
+    }
+
+    /** Returns the chunks of [manifest] that have to be fetched. */
+    fun missing(manifest: WeightManifest): List<Int> = manifest.digests.indices.filter { it !in intact }
+
+    /** Returns how often chunk [index] could not be had. */
+    fun attempts(index: Int): Int = attempts[index] ?: 0
+
+    fun onFailedAttempt(index: Int) {
+        attempts[index] = attempts(index) + 1
+    }
+
+    /** Stores a chunk of [manifest]; returns whether the back end has it. */
+    suspend fun put(
+        manifest: WeightManifest,
+        index: Int,
+        bytes: ByteArray,
+    ): Boolean {
+        val staged = backEnd.stage(manifest.model, index, bytes)
+        if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
+        verifiedAt = null
+        if (staged is Either.Right) intact += index
+        return staged.isRight()
+    }
+
+    /** Reads every chunk back and compares its digest. Those that do not match are missing from then on. */
+    suspend fun verify(manifest: WeightManifest): Boolean {
+        val startedAt = core.clock.elapsed()
+        val before = intact.toSet()
+        for (index in manifest.digests.indices) {
+            val staged = backEnd.staged(manifest.model, index).getOrElse { null }
+            val isIntact = staged != null && digestOf(staged) == manifest.digests[index]
+            if (isIntact) intact += index else intact -= index
+        }
+        val isComplete = intact.size == manifest.digests.size
+        verifiedAt = core.clock.elapsed().takeIf { isComplete }
+        val damaged = before - intact
+        if (isComplete || damaged.isNotEmpty()) {
+            core.log.info(
+                "verified",
+                "number" to manifest.number.number,
+                "intact" to intact.size,
+                "damaged" to damaged.sorted(),
+                "took" to core.clock.elapsed() - startedAt,
+            )
+        }
+        return isComplete
+    }
+
+    private companion object {
+        /** Chunks that were all verified this recently are not read back again before the order. */
+        val VERIFICATION_VALIDITY = 300.milliseconds
+    }
+}
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -18,12 +18,10 @@
 import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.OrderResponse
 import lagoonrudder.control.direct.ScheduledSwitch
-import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightsToLoad
 import lagoonrudder.model.Failure
 import lagoonrudder.model.WeightNumber
-import lagoonrudder.model.digestOf
 import lagoonrudder.platform.SlotClient
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -31,17 +29,12 @@
 class StagingLoop(
     private val core: DirectCore,
     private val slot: DirectSlotSettings,
-    private val peers: GossipLoop,
+    peers: GossipLoop,
     private val fetcher: WeightFetcher,
 ) {
     private val backEnd = SlotClient(core.http, slot.backEnd)
-    private var manifest: WeightManifest? = null
-    private val stagedChunks = mutableSetOf<Int>()
-    private val attemptsByChunk = mutableMapOf<Int, Int>()
-    private var verifiedAt: Duration? = null
-    private var born = 0L
-    private var reachable = false
-    private var lastReport: BackEndReport? = null
+    private val area = StagingArea(core, backEnd)
+    private val monitor = SlotMonitor(core, slot, backEnd, area, peers)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
 
     /** Checks at once whether other weights are wanted. May be called on any thread. */
@@ -51,7 +44,7 @@
 
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
-            val report = report()
+            val report = monitor.report()
             val unsettled = core.thread.decide { core.loadOrders.unsettled }
             val weightsToLoad = report?.let { core.thread.decide { core.staging.weightsToLoad(slot.service, it) } }
             when {
@@ -67,74 +60,6 @@
         withTimeoutOrNull(IDLE_POLL_INTERVAL) { checkRequests.receive() }
     }
 
-    /** Reads the back end's report and announces a changed state; returns null while the back end does not respond. */
-    private suspend fun report(): BackEndReport? {
-        val report =
-            backEnd.report().getOrElse { failure ->
-                if (reachable) core.log.failure("back-end-lost", failure)
-                reachable = false
-                return null
-            }
-        if (!reachable) {
-            core.log.info(
-                "back-end-found",
-                "back-end" to slot.backEnd,
-                "born" to report.born,
-                "number" to report.held?.number?.number,
-            )
-        }
-        reachable = true
-        if (report.born != born) onRestart(report)
-        logChange(report)
-        settleOrder(report)
-        announce(SlotWord(slot.backEnd, report.born, report.held, report.loading))
-        return report
-    }
-
-    /** Logs what the back end loaded or accepted since its last report, also when it never answered the order that led to it. */
-    private fun logChange(report: BackEndReport) {
-        val last = lastReport
-        lastReport = report
-        val isUnchanged = last?.born == report.born && last.orders == report.orders && last.held == report.held
-        if (last == null || isUnchanged) return
-        core.log.info(
-            "back-end-changed",
-            "born" to report.born,
-            "number" to report.held?.number?.number,
-            "orders" to report.orders,
-            "loading" to report.loading,
-            "staging" to manifest?.number?.number,
-            "staged" to stagedChunks.size,
-        )
-    }
-
-    private suspend fun settleOrder(report: BackEndReport) {
-        val order = core.thread.decide { core.loadOrders.unsettled } ?: return
-        val settlement = core.thread.decide { core.loadOrders.onReport(report, core.clock.elapsed()) } ?: return
-        core.log.info(
-            "order-settled",
-            "number" to order.manifest.number.number,
-            "by" to settlement.name.lowercase(),
-            "born" to report.born,
-            "orders" to report.orders,
-        )
-    }
-
-    private fun onRestart(report: BackEndReport) {
-        born = report.born
-        stagedChunks.clear()
-        attemptsByChunk.clear()
-        manifest = null
-        verifiedAt = null
-    }
-
-    private suspend fun announce(state: SlotWord) {
-        val before = peers.slot
-        if (before == state) return
-        peers.slot = state
-        peers.announce()
-    }
-
     private suspend fun stageAndLoad(
         weightsToLoad: WeightsToLoad,
         report: BackEndReport,
@@ -146,7 +71,7 @@
         }
         if (!stage(manifest)) return
         if (!awaitScheduledSwitch(manifest, report)) return
-        if (isRecentlyVerified() || verify(manifest)) orderLoad(manifest, report)
+        if (area.isRecentlyVerified || area.verify(manifest)) orderLoad(manifest, report)
     }
 
     /**
@@ -157,7 +82,7 @@
         manifest: WeightManifest,
         report: BackEndReport,
     ) {
-        if (verify(manifest) || (stage(manifest) && verify(manifest))) orderLoad(manifest, report)
+        if (area.verify(manifest) || (stage(manifest) && area.verify(manifest))) orderLoad(manifest, report)
         delay(RETRY_DELAY)
     }
 
@@ -166,23 +91,20 @@
         report: BackEndReport,
     ): WeightManifest? {
         val current =
-            manifest?.takeIf { it.model == weightsToLoad.model && (weightsToLoad.number == null || it.number == weightsToLoad.number) }
+            area.manifest?.takeIf { it.model == weightsToLoad.model && (weightsToLoad.number == null || it.number == weightsToLoad.number) }
         if (current != null) return current
-        val inProgress = manifest?.takeIf { it.model == weightsToLoad.model && it.number > (report.held?.number ?: NO_VERSION) }
+        val inProgress = area.manifest?.takeIf { it.model == weightsToLoad.model && it.number > (report.held?.number ?: NO_VERSION) }
         if (inProgress != null && isStillWanted(inProgress) && !isOutdated(inProgress)) return inProgress
         val sources =
             core.thread.decide { core.staging.sources(weightsToLoad.model, weightsToLoad.number, MANIFEST_INDEX, core.clock.elapsed()) }
         val fetched = fetcher.manifest(sources, weightsToLoad.model, weightsToLoad.number).getOrElse { return null }
-        manifest = fetched
-        stagedChunks.clear()
-        attemptsByChunk.clear()
-        verify(fetched)
+        area.begin(fetched)
         core.log.info(
             "staging",
             "model" to fetched.model.text,
             "number" to fetched.number.number,
             "pieces" to fetched.digests.size,
-            "held" to stagedChunks.size,
+            "held" to area.size,
         )
         return fetched
     }
@@ -193,7 +115,7 @@
      */
     private suspend fun stage(manifest: WeightManifest): Boolean {
         val started = core.clock.elapsed()
-        val missing = ArrayDeque(manifest.digests.indices.filter { it !in stagedChunks })
+        val missing = ArrayDeque(area.missing(manifest))
         if (missing.isEmpty()) return true
         val total = missing.size
         coroutineScope { repeat(MAX_CONCURRENT_FETCHES) { launch { stageAll(manifest, missing, started) } } }
@@ -214,9 +136,8 @@
     ) {
         while (true) {
             val index = missing.removeFirstOrNull() ?: return
-            val attempts = attemptsByChunk[index] ?: 0
-            if (isStillWanted(manifest) && stageChunk(manifest, index, attempts)) continue
-            attemptsByChunk[index] = attempts + 1
+            if (isStillWanted(manifest) && stageChunk(manifest, index)) continue
+            area.onFailedAttempt(index)
             missing.addLast(index)
             if (core.clock.elapsed() - started > STAGE_LIMIT || !isStillWanted(manifest) || isOutdated(manifest)) return
             delay(CHUNK_RETRY_DELAY)
@@ -226,19 +147,15 @@
     private suspend fun stageChunk(
         manifest: WeightManifest,
         index: Int,
-        attempts: Int,
     ): Boolean {
+        val attempts = area.attempts(index)
         val sources = core.thread.decide { core.staging.sources(manifest.model, manifest.number, index, core.clock.elapsed(), attempts) }
         val bytes = fetcher.chunk(sources, manifest, index).getOrElse { return false }
-        val staged = backEnd.stage(manifest.model, index, bytes)
-        if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
-        verifiedAt = null
-        if (staged is Either.Right) stagedChunks += index
-        return staged.isRight()
+        return area.put(manifest, index, bytes)
     }
 
     private suspend fun isStillWanted(manifest: WeightManifest): Boolean =
-        core.thread.decide { core.staging.shouldFinishStaging(manifest.model, manifest.number, stagedChunks.size, manifest.digests.size) }
+        core.thread.decide { core.staging.shouldFinishStaging(manifest.model, manifest.number, area.size, manifest.digests.size) }
 
     private suspend fun awaitScheduledSwitch(
         manifest: WeightManifest,
@@ -275,32 +192,6 @@
         return canBeFetched
     }
 
-    private fun isRecentlyVerified() = verifiedAt?.let { core.clock.elapsed() - it < VERIFICATION_VALIDITY } ?: false
-
-    /** Reads every staged chunk back and compares its digest; those that do not match are fetched again. */
-    private suspend fun verify(manifest: WeightManifest): Boolean {
-        val startedAt = core.clock.elapsed()
-        val before = stagedChunks.toSet()
-        for (index in manifest.digests.indices) {
-            val staged = backEnd.staged(manifest.model, index).getOrElse { null }
-            val isIntact = staged != null && digestOf(staged) == manifest.digests[index]
-            if (isIntact) stagedChunks += index else stagedChunks -= index
-        }
-        val isComplete = stagedChunks.size == manifest.digests.size
-        verifiedAt = core.clock.elapsed().takeIf { isComplete }
-        val damaged = before - stagedChunks
-        if (isComplete || damaged.isNotEmpty()) {
-            core.log.info(
-                "verified",
-                "number" to manifest.number.number,
-                "intact" to stagedChunks.size,
-                "damaged" to damaged.sorted(),
-                "took" to core.clock.elapsed() - startedAt,
-            )
-        }
-        return isComplete
-    }
-
     private suspend fun orderLoad(
         manifest: WeightManifest,
         before: BackEndReport,
@@ -316,7 +207,7 @@
                 "born" to report.born,
                 "orders" to report.orders,
                 "running" to report.running,
-                "verified-before" to verifiedAt?.let { orderedAt - it },
+                "verified-before" to area.timeSinceVerification,
             )
         when (val result = backEnd.start(order, handover)) {
             is Either.Left -> {
@@ -332,7 +223,7 @@
     }
 
     /** Returns the report of a back end that serves nothing, so needs no draining; null when it restarted or is loading. */
-    private suspend fun reportOfSameRun(before: BackEndReport): BackEndReport? = report()?.takeIf { it.born == before.born && !it.loading }
+    private suspend fun reportOfSameRun(before: BackEndReport): BackEndReport? = monitor.report()?.takeIf { it.born == before.born && !it.loading }
 
     /**
      * Announces the back end as closed, so that the entry daemons send no more requests, and waits until its queue is empty:
@@ -344,9 +235,9 @@
         handover: Handover,
     ): BackEndReport? {
         val closedAt = core.clock.elapsed()
-        var report = report() ?: return null
+        var report = monitor.report() ?: return null
         while (report.born == before.born && !report.loading) {
-            announce(SlotWord(slot.backEnd, report.born, report.held, closed = true))
+            monitor.announce(report, closed = true)
             val waited = core.clock.elapsed() - closedAt
             val isEmpty = report.waiting == 0 && (handover == Handover.DRAIN || report.running == 0)
             if (waited > QUEUE_DRAIN_TIMEOUT || (isEmpty && waited > GOSSIP_PROPAGATION_TIME)) return report
@@ -381,7 +272,7 @@
     ) {
         while (core.clock.elapsed() - orderedAt < LOAD_TIMEOUT) {
             delay(LOAD_CHECK_INTERVAL)
-            val report = report() ?: return
+            val report = monitor.report() ?: return
             if (report.held?.number == manifest.number) {
                 core.log.info("loaded", "number" to manifest.number.number, "took" to core.clock.elapsed() - orderedAt)
                 return
@@ -398,8 +289,6 @@
         /** The link of the slot also carries requests, so one chunk is fetched while the previous one is staged. */
         const val MAX_CONCURRENT_FETCHES = 2
 
-        /** Chunks that were all verified this recently are not read back again before the order. */
-        val VERIFICATION_VALIDITY = 300.milliseconds
         val IDLE_POLL_INTERVAL = 400.milliseconds
         val RETRY_DELAY = 150.milliseconds
         val CHUNK_RETRY_DELAY = 60.milliseconds
