Let an order rely only on a verification whose first read is recent

The staged chunks are read back one after the other, and only the end of that verification had to be recent: nothing bounded the time from the first read to the order, nor the time in which the back end drained or the process was suspended.

Evidence: the test in LateOrderTest stalls two reads for 1.8 s each while the first chunk turns bad.

The age now counts from the first read, by the longer of both clocks, and is checked right before the order. A verification that took longer than the allowed age is repeated.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
@@ -7,22 +7,20 @@
 package lagoonrudder.daemon.direct
 
 import lagoonrudder.model.Clock
+import lagoonrudder.model.read
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class PauseDetector(
     private val clock: Clock,
 ) {
-    private var lastElapsed = clock.elapsed()
-    private var lastWallTime = clock.now()
+    private var last = clock.read()
 
     /** Returns how much later than [expected] this call follows the last one, or null when that is within the tolerance. */
     fun check(expected: Duration): Duration? {
-        val elapsed = clock.elapsed() - lastElapsed
-        val wallTime = clock.now() - lastWallTime
-        lastElapsed += elapsed
-        lastWallTime += wallTime
-        val delay = maxOf(elapsed, wallTime) - expected
+        val reading = clock.read()
+        val delay = reading.since(last) - expected
+        last = reading
         return delay.takeIf { it > MAX_TICK_DELAY }
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -9,10 +9,12 @@
 import arrow.core.Either
 import arrow.core.getOrElse
 import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.ClockReading
 import lagoonrudder.model.digestOf
+import lagoonrudder.model.read
 import lagoonrudder.platform.SlotClient
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class StagingArea(
     private val core: DirectCore,
@@ -20,7 +22,7 @@
 ) {
     private val intact = mutableSetOf<Int>()
     private val attempts = mutableMapOf<Int, Int>()
-    private var verifiedAt: Duration? = null
+    private var verifiedAt: ClockReading? = null
 
     /** The version that is being staged; null if none has been since the back end started. */
     var manifest: WeightManifest? = null
@@ -29,11 +31,10 @@
     /** The number of chunks that are known to be there. */
     val size: Int get() = intact.size
 
-    /** Whether all chunks were verified so recently that they need not be read back again before an order. */
-    val isRecentlyVerified: Boolean get() = timeSinceVerification?.let { it < VERIFICATION_VALIDITY } ?: false
+    /** The time since the first read of the verification that found all chunks intact; null if some have changed since. */
+    val timeSinceVerification: Duration? get() = verifiedAt?.let { core.clock.read().since(it) }
 
-    /** The time since all chunks were verified; null if some have not been. */
-    val timeSinceVerification: Duration? get() = verifiedAt?.let { core.clock.elapsed() - it }
+    private val isRecentlyVerified: Boolean get() = timeSinceVerification?.let { it < VERIFICATION_VALIDITY } ?: false
 
     /** Forgets what is there, for example because the back end restarted. */
     fun clear() {
@@ -73,9 +74,12 @@
         return staged.isRight()
     }
 
+    /** Returns whether all chunks of [manifest] are intact by a verification that is recent enough for an order to rely on. */
+    suspend fun isReadyToLoad(manifest: WeightManifest): Boolean = isRecentlyVerified || (verify(manifest) && isRecentlyVerified)
+
     /** Reads every chunk back and compares its digest. Those that do not match are missing from then on. */
     suspend fun verify(manifest: WeightManifest): Boolean {
-        val startedAt = core.clock.elapsed()
+        val startedAt = core.clock.read()
         val before = intact.toSet()
         for (index in manifest.digests.indices) {
             val staged = backEnd.staged(manifest.model, index).getOrElse { null }
@@ -83,7 +87,7 @@
             if (isIntact) intact += index else intact -= index
         }
         val isComplete = intact.size == manifest.digests.size
-        verifiedAt = core.clock.elapsed().takeIf { isComplete }
+        verifiedAt = startedAt.takeIf { isComplete }
         val damaged = before - intact
         if (isComplete || damaged.isNotEmpty()) {
             core.log.info(
@@ -91,14 +95,14 @@
                 "number" to manifest.number.number,
                 "intact" to intact.size,
                 "damaged" to damaged.sorted(),
-                "took" to core.clock.elapsed() - startedAt,
+                "took" to core.clock.read().since(startedAt),
             )
         }
         return isComplete
     }
 
     private companion object {
-        /** Chunks that were all verified this recently are not read back again before the order. */
-        val VERIFICATION_VALIDITY = 300.milliseconds
+        /** Covers the reads and the time in which a back end closes and drains. A chunk may turn bad meanwhile. */
+        val VERIFICATION_VALIDITY = 1.seconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -71,7 +71,7 @@
         }
         if (!stage(manifest)) return
         if (!awaitScheduledSwitch(manifest, report)) return
-        if (area.isRecentlyVerified || area.verify(manifest)) orderLoad(manifest, report)
+        if (area.isReadyToLoad(manifest)) orderLoad(manifest, report)
     }
 
     /**
@@ -198,6 +198,7 @@
     ) {
         val handover = scheduledSwitch(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.DRAIN
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
+        if (!area.isReadyToLoad(manifest)) return
         val order = LoadOrder(manifest, report.born, report.orders)
         val orderedAt = core.clock.elapsed()
         core.thread.decide { core.loadOrders.onSent(order, orderedAt) }
--- a/model/src/main/kotlin/lagoonrudder/model/Clock.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Clock.kt
@@ -17,6 +17,17 @@
     fun elapsed(): Duration
 }
 
+/** Both times of a [Clock] at one moment. */
+data class ClockReading(
+    val elapsed: Duration,
+    val now: Instant,
+) {
+    /** Returns the longer of both times since [earlier]. A suspension of the machine may be counted by only one of them. */
+    fun since(earlier: ClockReading): Duration = maxOf(elapsed - earlier.elapsed, now - earlier.now)
+}
+
+fun Clock.read() = ClockReading(elapsed(), now())
+
 /** A [Clock] that reads the system time and the monotonic time source. */
 class SystemClock : Clock {
     private val start = TimeSource.Monotonic.markNow()
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -61,12 +61,18 @@
     /** How long the next orders lie here before this back end decides on them, whether or not their sender still waits. */
     val orderDelays = ArrayDeque<Duration>()
 
+    /** Runs before the answer to each read of a staged chunk, with the index of the chunk. */
+    var onChunkRead: suspend (Int) -> Unit = {}
+
     /** The versions of all orders that arrived. */
     val orderedVersions = mutableListOf<Long>()
 
     /** The requests that this back end executed. */
     val executed = mutableListOf<HttpRequest>()
 
+    /** Whether all chunks of [version] are staged. */
+    fun hasStaged(version: Long): Boolean = (0 until CHUNK_COUNT).all { staged[it]?.contentEquals(chunkOf(version, it)) == true }
+
     /** Corrupts a staged chunk. */
     fun corruptStagedChunk(index: Int) {
         staged[index] = ByteArray(CHUNK_BYTES)
@@ -97,6 +103,7 @@
             }
             "/stage-get/" in target && index != null -> {
                 val chunk = staged[index]
+                onChunkRead(index)
                 exchange.respond(if (chunk == null) 404 else 200, emptyList(), chunk ?: NO_BYTES)
             }
             else -> serve(exchange)
@@ -143,7 +150,7 @@
         if (loadedVersion == ordered) return 200
         orders++
         loading = true
-        if ((0 until CHUNK_COUNT).any { staged[it]?.contentEquals(chunkOf(ordered, it)) != true }) loadedInvalidChunks = true
+        if (!hasStaged(ordered)) loadedInvalidChunks = true
         scope.launch {
             delay(LOAD_TIME)
             loadedVersion = ordered
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -2,11 +2,16 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** Longer than a target daemon waits for the answer to an order, and time enough to stage the chunks of another version. */
 private val ORDER_DELAY = 3.seconds
 
+/** Two reads that take this long are together longer than the time for which a load may rely on a chunk that has turned bad. */
+private val SLOW_READ = 1_800.milliseconds
+
 /** Guards against loads of chunks that were replaced while an order without an answer could still take effect. */
 class LateOrderTest :
     FunSpec({
@@ -33,4 +38,20 @@
                 worker.loadedInvalidChunks shouldBe false
             }
         }
+
+        test("a chunk that turns bad long before the order, while others are still being verified, is replaced") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                val slowReads = mutableListOf(1, 2)
+                worker.onChunkRead = { index ->
+                    if (worker.hasStaged(2) || slowReads.size == 1) {
+                        if (index == 1 && index in slowReads) worker.corruptStagedChunk(0)
+                        if (slowReads.remove(index)) delay(SLOW_READ)
+                    }
+                }
+                declare(2)
+                eventually(20.seconds) { worker.loadedVersion == 2L }
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
     })
