Settle an order that an earlier process may have sent before its chunks are replaced

An order is sent only when all chunks of a version are staged, and they stay until it is settled. So the staged chunks tell whether there can be such an order: all chunks of a version that the back end does not hold. The new process then sends that order again, which settles it, before it stages another version. Chunks of a version whose manifest can't be had stay until the order would have expired.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/LoadOrderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/LoadOrderController.kt
@@ -30,12 +30,23 @@
 }
 
 class LoadOrderController {
+    private class FirstReport(
+        val born: Long,
+        val orders: Long,
+        val at: Duration,
+    )
+
     private class Unsettled(
         val order: LoadOrder,
         val unansweredAt: Duration,
     )
 
     private var unsettledOrder: Unsettled? = null
+    private var firstReport: FirstReport? = null
+
+    /** Whether the back end may still accept an order of a process that ran here before this one. */
+    var earlierOrderPossible = true
+        private set
 
     /** The order that was sent without an answer and may still be accepted. */
     val unsettled: LoadOrder? get() = unsettledOrder?.order
@@ -73,11 +84,17 @@
         if (unsettledOrder?.unansweredAt == sentAt) unsettledOrder = null
     }
 
+    /** Records that no order of an earlier process can be accepted any more. */
+    fun onNoEarlierOrder() {
+        earlierOrderPossible = false
+    }
+
     /** Returns how the unsettled order was settled according to [report]; null if it was not, or if there is none. */
     fun onReport(
         report: BackEndReport,
         now: Duration,
     ): OrderSettlement? {
+        checkEarlierOrder(report, now)
         val unsettled = unsettledOrder ?: return null
         val settlement =
             when {
@@ -90,6 +107,15 @@
         return settlement
     }
 
+    private fun checkEarlierOrder(
+        report: BackEndReport,
+        now: Duration,
+    ) {
+        val first = firstReport ?: FirstReport(report.born, report.orders, now).also { firstReport = it }
+        val isSettled = report.born != first.born || report.orders != first.orders || now - first.at > ORDER_LIFETIME
+        if (isSettled) onNoEarlierOrder()
+    }
+
     private companion object {
         /** No call on the platform is held longer than this. */
         val ORDER_LIFETIME = 30.seconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -71,11 +71,12 @@
     }
 
     private suspend fun settleOrder(report: BackEndReport) {
-        val order = core.thread.decide { core.loadOrders.unsettled } ?: return
-        val settlement = core.thread.decide { core.loadOrders.onReport(report, core.clock.elapsed()) } ?: return
+        val (order, settlement) =
+            core.thread.decide { core.loadOrders.unsettled to core.loadOrders.onReport(report, core.clock.elapsed()) }
+        if (settlement == null) return
         core.log.info(
             "order-settled",
-            "number" to order.manifest.number.number,
+            "number" to order?.manifest?.number?.number,
             "by" to settlement.name.lowercase(),
             "born" to report.born,
             "orders" to report.orders,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -10,6 +10,7 @@
 import arrow.core.getOrElse
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.ClockReading
+import lagoonrudder.model.Digest
 import lagoonrudder.model.digestOf
 import lagoonrudder.model.read
 import lagoonrudder.platform.SlotClient
@@ -44,6 +45,13 @@
         verifiedAt = null
     }
 
+    /** Returns the digests of the chunks that are there, null for a missing one; null if one can't be read. */
+    suspend fun digests(manifest: WeightManifest): List<Digest?>? =
+        manifest.digests.indices.map { index ->
+            val staged = backEnd.staged(manifest.model, index).getOrElse { return null }
+            staged?.let { digestOf(it) }
+        }
+
     /** Begins to stage the version of [manifest], of which some chunks may be there already. */
     suspend fun begin(manifest: WeightManifest) {
         clear()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
+import lagoonrudder.control.direct.EarlierOrder
 import lagoonrudder.control.direct.Handover
 import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.OrderResponse
@@ -36,6 +37,7 @@
     private val area = StagingArea(core, backEnd)
     private val monitor = SlotMonitor(core, slot, backEnd, area, peers)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
+    private var lastEarlier: EarlierOrder? = null
 
     /** Checks at once whether other weights are wanted. May be called on any thread. */
     fun checkNow() {
@@ -82,6 +84,7 @@
         manifest: WeightManifest,
         report: BackEndReport,
     ) {
+        if (area.manifest != manifest) area.begin(manifest)
         if (area.verify(manifest) || (stage(manifest) && area.verify(manifest))) orderLoad(manifest, report)
         delay(RETRY_DELAY)
     }
@@ -98,6 +101,7 @@
         val sources =
             core.thread.decide { core.staging.sources(weightsToLoad.model, weightsToLoad.number, MANIFEST_INDEX, core.clock.elapsed()) }
         val fetched = fetcher.manifest(sources, weightsToLoad.model, weightsToLoad.number).getOrElse { return null }
+        if (core.thread.decide { core.loadOrders.earlierOrderPossible } && !mayReplaceEarlier(fetched, report)) return null
         area.begin(fetched)
         core.log.info(
             "staging",
@@ -109,6 +113,58 @@
         return fetched
     }
 
+    /**
+     * Returns whether the chunks that a process before this one left may be replaced by those of [wanted]. If it may have sent
+     * an order that can still be accepted, that order becomes this process's to settle.
+     */
+    private suspend fun mayReplaceEarlier(
+        wanted: WeightManifest,
+        report: BackEndReport,
+    ): Boolean {
+        val staged = area.digests(wanted) ?: return false
+        val earlier = EarlierOrder.of(staged, listOf(wanted) + olderManifests(wanted, report), report.held?.number)
+        if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
+        lastEarlier = earlier
+        return core.thread.decide {
+            when (earlier) {
+                EarlierOrder.None -> {
+                    core.loadOrders.onNoEarlierOrder()
+                    true
+                }
+                EarlierOrder.PossibleForUnknownVersion -> false
+                is EarlierOrder.Possible -> {
+                    val isWanted = earlier.manifest.number == wanted.number
+                    val order = LoadOrder(earlier.manifest, report.born, report.orders)
+                    if (!isWanted) core.loadOrders.onUnanswered(order, core.clock.elapsed())
+                    isWanted
+                }
+            }
+        }
+    }
+
+    private fun describe(earlier: EarlierOrder): Any =
+        when (earlier) {
+            EarlierOrder.None -> "none"
+            EarlierOrder.PossibleForUnknownVersion -> "unknown"
+            is EarlierOrder.Possible -> earlier.manifest.number.number
+        }
+
+    /** Returns the manifests of the versions that may have been staged before [wanted], as far as they can be had. */
+    private suspend fun olderManifests(
+        wanted: WeightManifest,
+        report: BackEndReport,
+    ): List<WeightManifest> {
+        val numbers =
+            setOfNotNull(report.held?.number, WeightNumber(wanted.number.number - 1)).filter {
+                it > NO_VERSION &&
+                    it != wanted.number
+            }
+        return numbers.mapNotNull { number ->
+            val sources = core.thread.decide { core.staging.sources(wanted.model, number, MANIFEST_INDEX, core.clock.elapsed()) }
+            fetcher.manifest(sources, wanted.model, number).getOrNull()
+        }
+    }
+
     /**
      * Fetches and stages the missing chunks. One that can't be had yet is asked for again after the others. Returns false if some
      * are still missing: when another version has become the wanted one, or after a time in which the back end may have restarted.
@@ -224,7 +280,11 @@
     }
 
     /** Returns the report of a back end that serves nothing, so needs no draining; null when it restarted or is loading. */
-    private suspend fun reportOfSameRun(before: BackEndReport): BackEndReport? = monitor.report()?.takeIf { it.born == before.born && !it.loading }
+    private suspend fun reportOfSameRun(before: BackEndReport): BackEndReport? =
+        monitor.report()?.takeIf {
+            it.born == before.born &&
+                !it.loading
+        }
 
     /**
      * Announces the back end as closed, so that the entry daemons send no more requests, and waits until its queue is empty:
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -233,6 +233,9 @@
     /** The number of chunks after which this origin closes connections without an answer; null while it works. */
     var failsAfter: Int? = null
 
+    /** How long this origin takes for each chunk. */
+    var chunkTime = Duration.ZERO
+
     /** The requests that this origin did not answer. */
     var failedRequests = 0
         private set
@@ -256,6 +259,7 @@
             )
         } else {
             chunksServed++
+            delay(chunkTime)
             exchange.respond(200, emptyList(), chunkOf(version, query.getValue("num").toInt()))
         }
     }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -39,6 +39,21 @@
             }
         }
 
+        test("an order of a target daemon that was restarted since loads no chunks of a newer version") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                // The order takes effect while the restarted daemon stages the newer version.
+                worker.orderDelays += 2.seconds
+                declare(2)
+                eventually { 2L in worker.orderedVersions }
+                origin.chunkTime = 1.seconds
+                restartTarget(0)
+                declare(3)
+                eventually(15.seconds) { worker.loadedVersion == 3L }
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
+
         test("a chunk that turns bad long before the order, while others are still being verified, is replaced") {
             withSite(entries = 1, workers = 1) {
                 val worker = workers.first()
