Remove a back end only by the key of its own registration

With an odd item under a key such as servers/other/a, op/version/a, op/evacuate/a or other/a, readable or not, the good back end a was removed from the view, so that its requests went elsewhere or found no back end until its next registration.

Cause: the view looked for the back end to remove by the end of the key, /ID, of any item that is no registration.

Evidence, StoreViewControllerTest on the code before, 1 of 16 failed: "an odd item removes no back end but the one of its own key: List should be empty but has 1 elements, first being: TargetId(text=a)".

Fix: the view keeps the target of each key that it registered, and removes by that. This also replaces the search through all back ends for each change by one lookup. The second new test, a back end whose registration became unreadable is back with its next one and the others hold meanwhile, passed before.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -79,6 +79,7 @@
     private val items = mutableMapOf<String, DecodedItem>()
     private val pendingRemovals = mutableMapOf<TargetId, PendingRemoval>()
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
+    private val targetsByKey = mutableMapOf<String, TargetId>()
     private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
     private var graceUntil = Duration.ZERO
@@ -189,13 +190,14 @@
 
     /** Removes the back ends whose grace period ended without a new registration, and returns them. */
     fun expire(now: Duration): List<TargetId> {
-        val expired = pendingRemovals.filterValues { it.until <= now }.keys.toList()
-        for (id in expired) {
+        val expired = pendingRemovals.filterValues { it.until <= now }
+        for ((id, pending) in expired) {
             pendingRemovals -= id
             backEndsById -= id
+            targetsByKey -= pending.change.key
         }
         if (expired.isNotEmpty()) backEndsByService = null
-        return expired
+        return expired.keys.toList()
     }
 
     /** Marks the view as possibly stale after a pause of the process, until the store or a peer confirms it. */
@@ -237,7 +239,13 @@
         for (change in applied) {
             when (val published = change.published) {
                 is StoreRecord.Configuration -> next = newerOf(published.set, next)
-                is StoreRecord.Registered -> if (register(published.backEnd)) added += published.backEnd else changed += published.backEnd
+                is StoreRecord.Registered ->
+                    if (register(change.item.key, published.backEnd)) {
+                        added += published.backEnd
+                    } else {
+                        changed +=
+                            published.backEnd
+                    }
                 is StoreRecord.VersionDeclaration -> declare(published, now, first)?.let { declared += it }
                 is StoreRecord.Unreadable -> unusable += "${change.item.key}: ${published.detail}"
                 is StoreRecord.DomainEvacuation, null -> Unit
@@ -262,8 +270,12 @@
         return if (isNewer) offered else before
     }
 
-    private fun register(backEnd: BackEnd): Boolean {
+    private fun register(
+        key: String,
+        backEnd: BackEnd,
+    ): Boolean {
         pendingRemovals -= backEnd.id
+        targetsByKey[key] = backEnd.id
         return backEndsById.put(backEnd.id, backEnd) == null
     }
 
@@ -273,13 +285,14 @@
         hold: Boolean,
     ): TargetId? {
         if (change.published is StoreRecord.Registered) return null
-        val id = backEndsById.keys.firstOrNull { change.item.key.endsWith("/${it.text}") } ?: return null
+        val id = targetsByKey[change.item.key] ?: return null
         if (hold && change.item.value == null) {
             pendingRemovals[id] = PendingRemoval(change.item, graceUntil)
             return null
         }
         pendingRemovals -= id
         backEndsById -= id
+        targetsByKey -= change.item.key
         return id
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -139,4 +139,27 @@
             storeView.settledRevision shouldBe 5
             storeView.changesSince(3).map { it.key }.sorted() shouldContainExactly listOf("servers/a", "servers/b")
         }
+
+        test("an odd item removes no back end but the one of its own key") {
+            for (key in listOf("servers/other/a", "op/version/a", "op/evacuate/a", "other/a", "/a")) {
+                for (odd in listOf(StoreRecord.Unreadable("field slots"), null)) {
+                    val storeView = StoreViewController(strictInvariants())
+                    storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
+                    val change = DecodedItem(StoreItem(key, 2, ByteArray(0)), odd)
+                    storeView.applyChanges(listOf(change), 2, start).removed.shouldBeEmpty()
+                    storeView.applyChanges(listOf(item(key, 3, null)), 3, start).removed.shouldBeEmpty()
+                    storeView.backEnd(TargetId("a")).shouldNotBeNull()
+                }
+            }
+        }
+
+        test("a back end whose registration became unreadable is back with its next registration, and others hold meanwhile") {
+            val storeView = StoreViewController(strictInvariants())
+            storeView.applyChanges(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
+            val odd = item("servers/a", 3, StoreRecord.Unreadable("field slots"))
+            storeView.applyChanges(listOf(odd, registered(backEnd("b"), 4)), 4, start).removed shouldContainExactly listOf(TargetId("a"))
+            storeView.backEnds.map { it.id.text } shouldContainExactly listOf("b")
+            storeView.applyChanges(listOf(registered(backEnd("a"), 5)), 5, start).added.size shouldBe 1
+            storeView.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b")
+        }
     })
