--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -123,4 +123,17 @@
                 (store.calls - before) shouldBeLessThan 4
             }
         }
+
+        test("odd items in the store end neither the following of the list nor the exchange between daemons") {
+            withSite(entries = 2, workers = 1) {
+                val deep = "[".repeat(100_000)
+                store.put("servers/deep", "{\"service\":$deep")
+                store.put("op/version/deep", "{\"model\":$deep")
+                publish(revision = 2, prefix = "/new/")
+                eventually(4.seconds) { (0..1).all { request(it, "/new/b")?.head?.status == 200 && request(it)?.head?.status == 404 } }
+                store.put("op/config", "{\"version\":$deep")
+                publish(revision = 3, prefix = "/newer/")
+                eventually(4.seconds) { (0..1).all { request(it, "/newer/b").text == COMPLETE_BODY } }
+            }
+        }
     })
