--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -128,6 +128,7 @@
             withSite(entries = 2, workers = 1) {
                 val deep = "[".repeat(100_000)
                 store.put("servers/deep", "{\"service\":$deep")
+                store.put("servers/number", "{\"service\":\"engines\",\"coldLeftMs\":NaN}")
                 store.put("op/version/deep", "{\"model\":$deep")
                 publish(revision = 2, prefix = "/new/")
                 eventually(4.seconds) { (0..1).all { request(it, "/new/b")?.head?.status == 200 && request(it)?.head?.status == 404 } }
