--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -73,22 +73,20 @@
     /** Runs [block] on the event loop thread of the fakes. */
     fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.dispatcher) { block() } }
 
-    fun register(index: Int) {
-        val worker = workers[index]
-        store.put(
-            "servers/${worker.id}",
-            buildJsonObject {
-                put("service", SERVICE.text)
-                put("address", workerAddresses[index].toString())
-                put("zone", "one")
-                put("slots", SLOTS)
-                put("state", "ready")
-                put("coldLeftMs", 0)
-                put("born", FakeWorker.BORN)
-                with(worker) { writeLoadedWeights() }
-            }.toString(),
-        )
-    }
+    fun register(index: Int) = store.put("servers/${workers[index].id}", registration(index))
+
+    /** Returns the value under which a back end registers. */
+    fun registration(index: Int): String =
+        buildJsonObject {
+            put("service", SERVICE.text)
+            put("address", workerAddresses[index].toString())
+            put("zone", "one")
+            put("slots", SLOTS)
+            put("state", "ready")
+            put("coldLeftMs", 0)
+            put("born", FakeWorker.BORN)
+            with(workers[index]) { writeLoadedWeights() }
+        }.toString()
 
     /** Publishes a configuration whose only route has [prefix]. */
     fun publish(
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -137,4 +137,13 @@
                 eventually(4.seconds) { (0..1).all { request(it, "/newer/b").text == COMPLETE_BODY } }
             }
         }
+
+        test("an entry whose id can't be sent in a header cuts no request") {
+            withSite(entries = 1, workers = 1) {
+                store.put("servers/odd\nid", registration(0))
+                publish(revision = 2, prefix = "/new/")
+                eventually(4.seconds) { request(path = "/new/b")?.head?.status != 404 }
+                repeat(12) { request(path = "/new/b").text shouldBe COMPLETE_BODY }
+            }
+        }
     })
