Forward the error of a request that ran when its retry is rejected

Seen by callers: a 503, which promises that the request did not run, though a back end had run it and answered 500. Cause: after an error response to an idempotent request its retry was rejected and no further retry was allowed. That path only looked for lost attempts; the two others that end a request looked for the held error response as well. Change: one function decides the outcome of a request that gets no further attempt, and a held error response goes before a refusal there. A retry that is lost after an error response also ends with that error now, as it did at the deadline. Test that failed before: DirectSendFilterTest, 'a request that one back end ran and another rejected is not refused as not run': Refused(refusal=NoTarget(retryAfter=1s), step=SEND, peer=target:c) is of type Outcome.Refused but expected Outcome.Completed

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -315,24 +315,26 @@
         }
 
     private suspend fun refusedOutcome(placement: Placement.Refused): Outcome {
-        if (relay.holdsErrorResponse) return Outcome.Completed(relay.forwardErrorResponse(), null)
-        if (relay.started || mayHaveRun != null) return finalOutcome(placement.reason)
+        if (relay.started || mayHaveRun != null || relay.holdsErrorResponse) return finalOutcome(placement.reason)
         call.lastFailure = failure(placement.reason)
         return Outcome.Refused(placement.refusal, Step.CHOOSE_TARGET, Peer.SELF)
     }
 
     private suspend fun onDeadline(): Outcome {
-        if (relay.holdsErrorResponse) return Outcome.Completed(relay.forwardErrorResponse(), null)
         mayHaveRun = mayHaveRun ?: DirectAttemptResult.Lost("time is over")
         return finalOutcome("time is over")
     }
 
-    /** Returns the outcome of a request that gets no response from a back end, by whether it may have run. */
-    private fun finalOutcome(detail: String): Outcome {
+    /**
+     * Returns the outcome of a request that gets no further attempt. A request that ran and failed is never refused: it gets the
+     * error response of its back end.
+     */
+    private suspend fun finalOutcome(detail: String): Outcome {
         val failure = failure(detail)
         call.lastFailure = failure
         return when {
             relay.started -> Outcome.Broken(failure)
+            relay.holdsErrorResponse -> Outcome.Completed(relay.forwardErrorResponse(), null)
             mayHaveRun != null -> Outcome.Unknown(failure)
             else -> Outcome.Refused(Refusal.NoTarget(limits.retryAfter), Step.SEND, failure.peer)
         }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -188,6 +188,7 @@
     kind: RequestKind,
     attempts: Int = 2,
     vararg behaviours: Behaviour,
+    retrySlack: Double = 100.0,
 ) {
     private val clock =
         object : Clock {
@@ -215,7 +216,7 @@
             storeView,
             peers,
             placement,
-            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, 100.0)),
+            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
         )
     val link = FakeClient(behaviours.toMutableList())
     val response = FakeResponse()
@@ -467,6 +468,16 @@
             }
         }
 
+        test("a request that one back end ran and another rejected is not refused as not run") {
+            runTest {
+                val failed = Behaviour.Replies(listOf(head(500), bytes("bad"), ResponseEvent.End))
+                val scene = Scene(this, RequestKind.Idempotent, 2, failed, NOT_RUN, retrySlack = 20.0)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.link.attempts shouldHaveSize 2
+                scene.response.body.toString() shouldBe "bad"
+            }
+        }
+
         test("a caller that disconnects cancels its attempt and frees its slot") {
             runTest {
                 val scene = Scene(this, STREAM, 2, Behaviour.Silent(listOf(head(), event(1))))
