Accept no response without an id after one to another request

Seen by callers: a refusal without an id could be taken for the response to a request that ran, on a connection that had just sent a response to another request. Cause: the head without an id was accepted because the connection had carried no request before, though the skipped response shows that responses to others arrive there. Change: a response to another request makes its connection one that may hold earlier responses. Test that failed before: HttpClientTest, 'a response without an id is not accepted after a response to another request, even on a new connection': HttpEvent.Head but expected HttpEvent.Broken

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -81,7 +81,7 @@
 
     /**
      * Sends [request]. A response to another request is skipped. One that names no request is accepted only if this connection
-     * has carried none before, because it can't be a late copy then.
+     * has carried no other request and no response to one, because it can't be a late copy then.
      */
     fun send(
         request: HttpRequest,
@@ -152,7 +152,7 @@
     private inner class OpenCall(
         private val ownerOf: (HttpResponseHead) -> ResponseOwner,
         private val onRelease: (HttpConnection) -> Unit,
-        private val mayHoldEarlierResponses: Boolean,
+        private var mayHoldEarlierResponses: Boolean,
     ) : HttpCall {
         // Not a coroutine channel, which can lose an event that arrives while its receiver is being cancelled.
         private val events = ArrayDeque<HttpEvent>()
@@ -222,7 +222,10 @@
         private fun isOwn(head: HttpResponseHead): Boolean =
             when (ownerOf(head)) {
                 ResponseOwner.THIS_REQUEST -> true
-                ResponseOwner.OTHER_REQUEST -> false
+                ResponseOwner.OTHER_REQUEST -> {
+                    mayHoldEarlierResponses = true
+                    false
+                }
                 ResponseOwner.UNKNOWN -> {
                     if (mayHoldEarlierResponses) fail("response from $address names no request, on a connection that carried others before")
                     true
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -192,6 +192,15 @@
             }.use { server -> withClient { it.firstEvent(server.address, "1").shouldBeInstanceOf<HttpEvent.Head>() } }
         }
 
+        test("a response without an id is not accepted after a response to another request, even on a new connection") {
+            ScriptedServer { connection ->
+                connection.readHead()
+                connection.send("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: old\r\nContent-Length: 0\r\n\r\n")
+                connection.send("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                connection.readRest()
+            }.use { server -> withClient { it.firstEvent(server.address, "new").shouldBeInstanceOf<HttpEvent.Broken>() } }
+        }
+
         test("a server that sends without end but never starts the response is given up after a bounded number of bytes") {
             val endless =
                 mapOf(
