Send a request at most once over a connection

Seen by callers: 'not run, try again' for a request that was running. Cause: two incarnations of a back end at one address are both registered until the entry of the earlier one expires. The present one rejects the attempt meant for the earlier one with 421 and keeps the connection, and the attempt meant for itself went over that connection with the same id. A second copy of the 421 was then taken for the response to the second attempt: the id could not tell them apart. Change: an attempt at an address that the request was sent to before uses a new connection. Callers give each request an id of its own, so a connection now carries an id at most once, and a copy always names another request or none.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -54,17 +54,20 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeout.inWholeMilliseconds.toInt())
 
     /**
-     * Sends [request] on a connection that was idle for at most [maxIdleTime], or on a new one. [ownerOf] tells whose
-     * request a response answers; those to other requests are skipped. A [Failure.Unreachable] means that nothing was sent.
+     * Sends [request] on a connection that was idle for at most [maxIdleTime], or on a new one, which [newConnection] requires.
+     * [ownerOf] tells whose request a response answers; those to other requests are skipped. A [Failure.Unreachable] means that
+     * nothing was sent.
      */
     suspend fun send(
         address: Address,
         request: HttpRequest,
         peer: Peer,
         maxIdleTime: Duration = idleTimeout,
+        newConnection: Boolean = false,
         ownerOf: (HttpResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
     ): Either<Failure, HttpCall> {
-        val connection = takeIdle(address, maxIdleTime) ?: open(address)
+        val pooled = if (newConnection) null else takeIdle(address, maxIdleTime)
+        val connection = pooled ?: open(address)
         if (connection == null || !connection.reusable) return Failure.Unreachable(Step.CONNECT, peer, "no connection to $address").left()
         return connection.send(request, ownerOf) { release(address, it) }.right()
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -30,7 +30,10 @@
     val body: ByteArray,
 )
 
-/** One attempt at [backEnd]. A different back end, or one that holds another version than [number], must not run it. */
+/**
+ * One attempt at [backEnd]. A different back end, or one that holds another version than [number], must not run it.
+ * [sentBefore] is set if an earlier attempt of the same request went to the same address.
+ */
 class DirectAttempt(
     val caller: DirectRequest,
     val backEnd: BackEnd,
@@ -39,6 +42,7 @@
     val timeLeft: Duration,
     val number: WeightNumber?,
     val resumeAfter: EventId?,
+    val sentBefore: Boolean,
 )
 
 /** What a response proves about whether the back end ran the request. */
@@ -95,7 +99,10 @@
 
 /** Sends requests to back ends. */
 interface BackEndClient {
-    /** Sends an attempt; [Failure.Unreachable] means that nothing was sent. */
+    /**
+     * Sends an attempt; [Failure.Unreachable] means that nothing was sent. A connection carries a request at most once, so that
+     * a late copy of the response to one attempt is never taken for the response to another.
+     */
     suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt>
 
     /** Discards the pooled connections to [backEnd] after one of them timed out, since the others may be dead as well. */
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -20,6 +20,7 @@
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.control.direct.PlacementTicket
 import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
@@ -98,6 +99,7 @@
     private val kind = context.route.kind
     private val relay = DirectRelay(call, control.clock)
     private val excluded = mutableSetOf<TargetId>()
+    private val usedAddresses = mutableSetOf<Address>()
     private var runs = 0
     private var rejections = 0
     private var mayHaveRun: DirectAttemptResult.Lost? = null
@@ -230,6 +232,8 @@
                 timeLeft = context.timeLeft(control.clock),
                 number = number,
                 resumeAfter = relay.lastEvent ?: call.request.resumeAfter,
+                // Two incarnations at one address are both registered until the entry of the earlier one expires.
+                sentBefore = !usedAddresses.add(backEnd.address),
             )
         val open = client.send(attempt).getOrElse { return DirectAttemptResult.NotRun(reached = false, it.describe()) }
         try {
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -478,6 +478,16 @@
             }
         }
 
+        test("a rejection whose body never ends counts as a rejection at its head") {
+            runTest {
+                val rejected = Behaviour.Paced(listOf(head(503, Execution.NOT_RUN)), 10.milliseconds, bytes("x"))
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, rejected, SUCCESS)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                testScheduler.currentTime shouldBe 0
+                scene.link.abandoned shouldBe 2
+            }
+        }
+
         test("a caller that disconnects cancels its attempt and frees its slot") {
             runTest {
                 val scene = Scene(this, STREAM, 2, Behaviour.Silent(listOf(head(), event(1))))
