Reject a head that holds a second status line

Seen by callers: with a late copy of a refusal that broke off inside its head, a request that ran counted as not run. Cause: the copy had no end of line, so the status line of the next response became the rest of a field or of the reason, and the fields of both heads, with the id of the present request, were read as one refusal. Change: a head with a status line in its reason or in a field is invalid, and what became of the request is unknown. A copy that ends with a whole line was rejected before, as a status line is no valid field. Test that failed before: LateRefusalTest, 'a copy of a refusal that breaks off anywhere does not make the next request count as not run', which cuts six copies at each byte: expected:<0> but was:<52>

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -208,6 +208,10 @@
                 return false
             }
             val head = headOf(response)
+            if (holdsStatusLine(response)) {
+                fail("invalid response head from $address: a status line inside the head, which is two heads run together")
+                return false
+            }
             skipping = head.status < FIRST_FINAL_STATUS || !isOwn(head)
             if (ended) return false
             persistent = HttpUtil.isKeepAlive(response) && (head.length != null || HttpUtil.isTransferEncodingChunked(response))
@@ -271,6 +275,13 @@
         }
     }
 
+    /**
+     * Returns whether [response] has a second status line in its reason or in a field. A head that broke off on a line takes the
+     * start of the next head into that line, and the fields of both would count as one response.
+     */
+    private fun holdsStatusLine(response: HttpResponse): Boolean =
+        STATUS_LINE in response.status().reasonPhrase() || response.headers().any { STATUS_LINE in it.value }
+
     private fun headOf(response: HttpResponse): HttpResponseHead {
         val length = HttpUtil.getContentLength(response, -1L).takeIf { it >= 0 }
         return HttpResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) }, length)
@@ -299,6 +310,7 @@
         const val READ_WINDOW_BYTES = 32_768
         val DEFAULT_KEEP_ALIVE = 4.seconds
         val KEEP_ALIVE_MARGIN = 1.seconds
+        val STATUS_LINE = Regex("HTTP/\\d\\.\\d \\d{3}")
         val KEEP_ALIVE_SECONDS = Regex("timeout=(\\d+)")
     }
 }
