--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -20,6 +20,7 @@
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.control.direct.PlacementTicket
 import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
@@ -98,6 +99,7 @@
     private val kind = context.route.kind
     private val relay = DirectRelay(call, control.clock)
     private val excluded = mutableSetOf<TargetId>()
+    private val usedAddresses = mutableSetOf<Address>()
     private var runs = 0
     private var rejections = 0
     private var mayHaveRun: DirectAttemptResult.Lost? = null
@@ -230,6 +232,8 @@
                 timeLeft = context.timeLeft(control.clock),
                 number = number,
                 resumeAfter = relay.lastEvent ?: call.request.resumeAfter,
+                // Two incarnations at one address are both registered until the entry of the earlier one expires.
+                sentBefore = !usedAddresses.add(backEnd.address),
             )
         val open = client.send(attempt).getOrElse { return DirectAttemptResult.NotRun(reached = false, it.describe()) }
         try {
@@ -315,24 +319,26 @@
         }
 
     private suspend fun refusedOutcome(placement: Placement.Refused): Outcome {
-        if (relay.holdsErrorResponse) return Outcome.Completed(relay.forwardErrorResponse(), null)
-        if (relay.started || mayHaveRun != null) return finalOutcome(placement.reason)
+        if (relay.started || mayHaveRun != null || relay.holdsErrorResponse) return finalOutcome(placement.reason)
         call.lastFailure = failure(placement.reason)
         return Outcome.Refused(placement.refusal, Step.CHOOSE_TARGET, Peer.SELF)
     }
 
     private suspend fun onDeadline(): Outcome {
-        if (relay.holdsErrorResponse) return Outcome.Completed(relay.forwardErrorResponse(), null)
         mayHaveRun = mayHaveRun ?: DirectAttemptResult.Lost("time is over")
         return finalOutcome("time is over")
     }
 
-    /** Returns the outcome of a request that gets no response from a back end, by whether it may have run. */
-    private fun finalOutcome(detail: String): Outcome {
+    /**
+     * Returns the outcome of a request that gets no further attempt. A request that ran and failed is never refused: it gets the
+     * error response of its back end.
+     */
+    private suspend fun finalOutcome(detail: String): Outcome {
         val failure = failure(detail)
         call.lastFailure = failure
         return when {
             relay.started -> Outcome.Broken(failure)
+            relay.holdsErrorResponse -> Outcome.Completed(relay.forwardErrorResponse(), null)
             mayHaveRun != null -> Outcome.Unknown(failure)
             else -> Outcome.Refused(Refusal.NoTarget(limits.retryAfter), Step.SEND, failure.peer)
         }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -188,6 +188,7 @@
     kind: RequestKind,
     attempts: Int = 2,
     vararg behaviours: Behaviour,
+    retrySlack: Double = 100.0,
 ) {
     private val clock =
         object : Clock {
@@ -215,7 +216,7 @@
             storeView,
             peers,
             placement,
-            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, 100.0)),
+            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
         )
     val link = FakeClient(behaviours.toMutableList())
     val response = FakeResponse()
@@ -456,6 +457,37 @@
             }
         }
 
+        test("a refusal after part of a response does not make a request that ran count as not run") {
+            for (parts in listOf(listOf(head()), listOf(head(), bytes("do")))) {
+                val refused = Behaviour.Replies(parts + head(503, Execution.NOT_RUN) + ResponseEvent.End)
+                runTest {
+                    val scene = Scene(this, RequestKind.AtMostOnce, 2, refused, SUCCESS)
+                    scene.run().shouldBeInstanceOf<Outcome.Unknown>()
+                    scene.link.attempts shouldHaveSize 1
+                }
+            }
+        }
+
+        test("a request that one back end ran and another rejected is not refused as not run") {
+            runTest {
+                val failed = Behaviour.Replies(listOf(head(500), bytes("bad"), ResponseEvent.End))
+                val scene = Scene(this, RequestKind.Idempotent, 2, failed, NOT_RUN, retrySlack = 20.0)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.link.attempts shouldHaveSize 2
+                scene.response.body.toString() shouldBe "bad"
+            }
+        }
+
+        test("a rejection whose body never ends counts as a rejection at its head") {
+            runTest {
+                val rejected = Behaviour.Paced(listOf(head(503, Execution.NOT_RUN)), 10.milliseconds, bytes("x"))
+                val scene = Scene(this, RequestKind.AtMostOnce, 2, rejected, SUCCESS)
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                testScheduler.currentTime shouldBe 0
+                scene.link.abandoned shouldBe 2
+            }
+        }
+
         test("a caller that disconnects cancels its attempt and frees its slot") {
             runTest {
                 val scene = Scene(this, STREAM, 2, Behaviour.Silent(listOf(head(), event(1))))
