Write nothing into a response that has begun but its body

What callers would see: after a response had begun, a second one was dropped by the encoder without a word; the connection hung until its idle timeout, or, after begin and end, the first response ended as if it were complete. A body shorter or longer than its stated length left the connection open, so that the caller read the head of the next response as the rest of the body.

Cause: the exchange knew only whether a response had ended, not that one had begun.

Test: HttpServerTest, 'no second response is written into one that has begun, which ends broken' and 'a response that does not match its length ends its connection, and nothing after it can look like its rest'. On the old code: "...4 part 0" should end with "4 part" (the last chunk was written) expected:<2> but was:<3> (the next response followed the short body) The test's server keeps failures of handlers and its idle timeout is 10 s there, so that the idle timeout can't pass for the break.

Why it works: a second response and a mismatch throw, which is logged as every failed coroutine, and a handler that ends without a complete response has its connection closed.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -27,7 +27,11 @@
     suspend fun handle(exchange: HttpExchange)
 }
 
-/** A request and its response. All functions must be called on the event loop thread. */
+/**
+ * A request and its response. All functions must be called on the event loop thread. A second response, and a body that does not
+ * match its stated length, throw [IllegalStateException]; the connection is then closed, so that nothing else can look like a
+ * part of the response.
+ */
 interface HttpExchange {
     val request: HttpRequest
 
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -227,6 +227,10 @@
     ) : HttpExchange {
         var job: Job? = null
         var ended = false
+        private var begun = false
+
+        /** The bytes of the body that are still due; null if the response has no stated length. */
+        private var bytesLeft: Long? = null
         private var writer: CancellableContinuation<Unit>? = null
 
         override suspend fun respond(
@@ -235,6 +239,7 @@
             body: ByteArray,
         ) {
             if (isClosed()) return
+            check(!begun) { "response with status $status after another one has begun" }
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
             fields.forEach { response.headers().add(it.name, it.value) }
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
@@ -245,6 +250,9 @@
 
         override suspend fun begin(head: HttpResponseHead) {
             if (isClosed()) return
+            check(!begun) { "response with status ${head.status} after another one has begun" }
+            begun = true
+            bytesLeft = head.length
             val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
             head.fields.forEach { response.headers().add(it.name, it.value) }
             val length = head.length
@@ -255,6 +263,10 @@
 
         override suspend fun write(bytes: ByteArray) {
             if (isClosed() || bytes.isEmpty()) return
+            bytesLeft?.let {
+                check(bytes.size <= it) { "body longer than its stated length: ${bytes.size} bytes, expected at most $it" }
+                bytesLeft = it - bytes.size
+            }
             channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
             if (channel.isWritable) return
             suspendCancellableCoroutine { writer = it }
@@ -262,6 +274,8 @@
 
         override suspend fun end() {
             if (isClosed()) return
+            val due = bytesLeft ?: 0
+            check(due == 0L) { "body shorter than its stated length: $due bytes are missing" }
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
             finish()
         }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -6,7 +6,9 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldStartWith
+import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
@@ -16,6 +18,8 @@
 import lagoonrudder.model.CallerLimits
 import java.net.ConnectException
 import java.util.Collections
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -32,7 +36,8 @@
             handled += exchange.request
             exchange.respond(200, emptyList(), exchange.request.body)
         }
-    private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher)
+    val failures = LinkedBlockingQueue<Throwable>()
+    private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
     val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, handler ?: echo)
 
     fun connect() = scriptedClient(server.port)
@@ -161,6 +166,48 @@
             }
         }
 
+        test("no second response is written into one that has begun, which ends broken") {
+            val second =
+                mapOf<String, suspend (HttpExchange) -> Unit>(
+                    "respond" to { it.respond(502, emptyList(), "failed".encodeToByteArray()) },
+                    "begin" to { it.begin(HttpResponseHead(500, emptyList())) },
+                )
+            for (next in second.values) {
+                val handler =
+                    HttpHandler { exchange ->
+                        exchange.begin(HttpResponseHead(200, emptyList()))
+                        exchange.write("part".encodeToByteArray())
+                        next(exchange)
+                        exchange.end()
+                    }
+                TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                    val client = serving.connect()
+                    client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                    client.readRest() shouldEndWith "4\r\npart\r\n"
+                    serving.failures.poll(2, TimeUnit.SECONDS).shouldBeInstanceOf<IllegalStateException>()
+                }
+            }
+        }
+
+        test("a response that does not match its length ends its connection, and nothing after it can look like its rest") {
+            for ((length, expected) in mapOf(10L to "part", 2L to "Content-Length: 2\r\n\r\n")) {
+                val handler =
+                    HttpHandler { exchange ->
+                        exchange.begin(HttpResponseHead(200, emptyList(), length))
+                        exchange.write("part".encodeToByteArray())
+                        exchange.end()
+                    }
+                TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                    val client = serving.connect()
+                    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                    val received = client.readRest()
+                    received.split("HTTP/1.1 200").size shouldBe 2
+                    received.lowercase() shouldEndWith expected.lowercase()
+                    serving.failures.poll(2, TimeUnit.SECONDS).shouldBeInstanceOf<IllegalStateException>()
+                }
+            }
+        }
+
         test("a caller that does not read suspends the writer") {
             val written =
                 java.util.concurrent.atomic
