Never continue a response that is no stream with that of another back end

What callers saw: a response over 64 KB that broke off or stalled after a part of it was forwarded was followed by the whole response of the next back end in the same body, and ended as complete. A large error response on a stream's route was followed by the events of the next back end in the same way.

Cause: an idempotent request was retried after a loss without regard to whether a part of its response had left; only resumed streams were thought of.

Why it works: the relay says whether the response may be continued, which only a stream may. Otherwise the response is broken with its back end. One that stalls is waited for until the deadline, as responses that may not be retried are.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -3,7 +3,7 @@
  *
  * A response that is not a stream is buffered until it is complete or exceeds a size limit, so that an incomplete one can
  * still be replaced. Of a stream only complete events are forwarded; the events of a later attempt must continue the earlier
- * ones.
+ * ones. Any other response that has begun is never continued by another attempt.
  */
 package lagoonrudder.traffic.direct
 
@@ -25,9 +25,14 @@
     private var forwarded = 0L
     private var errorResponse: Pair<ResponseHead, ByteArray>? = null
 
+    /** The head that was forwarded to the caller; null until then. */
+    private var begun: ResponseHead? = null
+
     /** Whether the start of a response was forwarded to the caller. */
-    var started = false
-        private set
+    val started: Boolean get() = begun != null
+
+    /** Whether another attempt may provide the response or the rest of it. */
+    val mayContinue: Boolean get() = begun?.let { it.isSuccess && isStream } ?: true
 
     /** Whether the current attempt has received anything from its back end. */
     var receivedAny = false
@@ -52,6 +57,8 @@
     var number: WeightNumber? = null
         private set
 
+    private val isStream: Boolean get() = call.context.route.kind is RequestKind.Stream
+
     val holdsErrorResponse: Boolean get() = errorResponse != null && !started
 
     fun startAttempt() {
@@ -64,14 +71,11 @@
     }
 
     /** Processes one event of an attempt; returns the result of the attempt, or null while it continues. */
-    suspend fun onEvent(
-        event: ResponseEvent,
-        kind: RequestKind,
-    ): DirectAttemptResult? {
+    suspend fun onEvent(event: ResponseEvent): DirectAttemptResult? {
         receivedAny = true
         return when (event) {
             is ResponseEvent.Head -> onHead(event.head)
-            is ResponseEvent.Bytes -> onBytes(event.data, kind)
+            is ResponseEvent.Bytes -> onBytes(event.data)
             ResponseEvent.End -> onEnd()
             is ResponseEvent.Broken -> DirectAttemptResult.Lost(event.detail)
         }
@@ -93,12 +97,9 @@
         }
     }
 
-    private suspend fun onBytes(
-        data: ByteArray,
-        kind: RequestKind,
-    ): DirectAttemptResult? {
+    private suspend fun onBytes(data: ByteArray): DirectAttemptResult? {
         val current = head ?: return DirectAttemptResult.Lost("body before the response head")
-        if (kind is RequestKind.Stream && current.isSuccess) return onStreamBytes(data, current)
+        if (isStream && current.isSuccess) return onStreamBytes(data, current)
         if (started) {
             forward(data)
             recordProgress()
@@ -119,26 +120,52 @@
         current: ResponseHead,
     ): DirectAttemptResult? {
         for (event in splitter.feed(data)) {
-            val id = event.id
-            val before = lastEvent
-            if (id != null && before != null && id <= before) continue
-            if (id != null &&
-                before != null &&
-                id.number != before.number + 1
-            ) {
-                return DirectAttemptResult.Lost("gap in the stream: event ${id.number} after event ${before.number}")
-            }
-            if (!started) startResponse(current.withoutLength())
-            number = current.number ?: number
-            forward(event.bytes)
-            if (id != null) {
-                lastEvent = id
-                recordProgress()
+            when (val place = placeOf(event)) {
+                EventPlace.Repeated -> continue
+                is EventPlace.Unfit -> return DirectAttemptResult.Lost(place.detail)
+                EventPlace.Next -> forwardEvent(event, current)
             }
         }
         return if (splitter.overflowed) DirectAttemptResult.Lost("unterminated event exceeds the size limit") else null
     }
 
+    /** Where an event belongs in the stream that the caller receives. */
+    private sealed class EventPlace {
+        data object Next : EventPlace()
+
+        /** The event was forwarded already. */
+        data object Repeated : EventPlace()
+
+        data class Unfit(
+            val detail: String,
+        ) : EventPlace()
+    }
+
+    private fun placeOf(event: StreamEvent): EventPlace {
+        val id = event.id
+        val before = lastEvent
+        return when {
+            id == null || before == null -> EventPlace.Next
+            id <= before -> EventPlace.Repeated
+            id.number != before.number + 1 -> EventPlace.Unfit("gap in the stream: event ${id.number} after event ${before.number}")
+            else -> EventPlace.Next
+        }
+    }
+
+    private suspend fun forwardEvent(
+        event: StreamEvent,
+        current: ResponseHead,
+    ) {
+        if (!started) {
+            number = current.number
+            startResponse(current.withoutLength())
+        }
+        forward(event.bytes)
+        val id = event.id ?: return
+        lastEvent = id
+        recordProgress()
+    }
+
     private suspend fun onEnd(): DirectAttemptResult {
         val current = head ?: return DirectAttemptResult.Lost("end of the response before its head")
         if (splitter.hasPartialEvent) return DirectAttemptResult.Lost("stream ended inside an event")
@@ -157,7 +184,7 @@
     }
 
     private suspend fun startResponse(head: ResponseHead) {
-        started = true
+        begun = head
         call.timeToFirstEvent = clock.elapsed() - call.receivedAt
         response.begin(head)
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -3,7 +3,7 @@
  *
  * A request that may run at most once is retried only after proof that it did not run: a connection that was never opened or
  * a response that says so. Any other failure ends with an unknown outcome. A resumable stream continues after its last
- * complete event within the same response. Every retry that may reach a back end counts towards the retry budget that all
+ * complete event within the same response; any other response that has begun is broken with its back end. Every retry that may reach a back end counts towards the retry budget that all
  * entry daemons share.
  */
 package lagoonrudder.traffic.direct
@@ -247,7 +247,7 @@
         while (true) {
             val result =
                 when (val next = awaitEvent(open)) {
-                    is Next.Event -> relay.onEvent(next.event, kind)
+                    is Next.Event -> relay.onEvent(next.event)
                     Next.Timeout -> timedOut(backEnd)
                     Next.OutOfTime -> DirectAttemptResult.OutOfTime(timedOut = !relay.receivedAny)
                 }
@@ -268,7 +268,7 @@
     }
 
     private suspend fun awaitEvent(open: OpenAttempt): Next {
-        val mayRetry = kind.retryable && runs + 1 < context.route.attempts
+        val mayRetry = kind.retryable && relay.mayContinue && runs + 1 < context.route.attempts
         val limit = relay.progressAt + progressTimeout() - control.clock.elapsed()
         if (mayRetry && limit < context.timeLeft(control.clock)) {
             withTimeoutOrNull(limit) { open.next() }?.let { return Next.Event(it) }
@@ -298,7 +298,7 @@
     private suspend fun onLost(result: DirectAttemptResult.Lost): Outcome? {
         runs++
         mayHaveRun = result
-        val retry = kind.retryable && runs < context.route.attempts && (result.timedOut || takeRetry())
+        val retry = kind.retryable && relay.mayContinue && runs < context.route.attempts && (result.timedOut || takeRetry())
         return if (retry) null else finalOutcome(result.detail)
     }
 
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -55,6 +55,7 @@
 import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
 import lagoonrudder.traffic.FilterChain
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -68,7 +69,7 @@
 private val OBJECTIVE = 400.milliseconds
 
 /** The scripted behaviour of a back end for one attempt. */
-private sealed class Behaviour {
+internal sealed class Behaviour {
     data object Unreachable : Behaviour()
 
     data class Replies(
@@ -88,7 +89,7 @@
     ) : Behaviour()
 }
 
-private class FakeClient(
+internal class FakeClient(
     private val behaviours: MutableList<Behaviour>,
 ) : BackEndClient {
     val attempts = mutableListOf<DirectAttempt>()
@@ -136,7 +137,7 @@
     }
 }
 
-private class FakeResponse : CallerResponse {
+internal class FakeResponse : CallerResponse {
     val heads = mutableListOf<ResponseHead>()
 
     /** The time that the caller takes to read each write. */
@@ -167,27 +168,29 @@
     }
 }
 
-private fun head(
+internal fun head(
     status: Int = 200,
     execution: Execution = Execution.RUN,
-) = ResponseEvent.Head(ResponseHead(status, emptyList(), null, execution, null))
+    number: Long? = null,
+) = ResponseEvent.Head(ResponseHead(status, emptyList(), null, execution, number?.let { WeightNumber(it) }))
 
-private fun bytes(text: String) = ResponseEvent.Bytes(text.encodeToByteArray())
+internal fun bytes(text: String) = ResponseEvent.Bytes(text.encodeToByteArray())
 
-private fun event(number: Int) = bytes("id: $number\ndata: $number\n\n")
+internal fun event(number: Int) = bytes("id: $number\ndata: $number\n\n")
 
-private fun text(vararg numbers: Int) = numbers.joinToString("") { "id: $it\ndata: $it\n\n" }
+internal fun text(vararg numbers: Int) = numbers.joinToString("") { "id: $it\ndata: $it\n\n" }
 
-private val NOT_RUN = Behaviour.Replies(listOf(head(503, Execution.NOT_RUN), ResponseEvent.End))
+internal val NOT_RUN = Behaviour.Replies(listOf(head(503, Execution.NOT_RUN), ResponseEvent.End))
 private val RESET = Behaviour.Replies(emptyList())
 private val SUCCESS = Behaviour.Replies(listOf(head(), bytes("done"), ResponseEvent.End))
 
 @OptIn(ExperimentalCoroutinesApi::class)
-private class Scene(
+internal class Scene(
     scope: TestScope,
     kind: RequestKind,
     attempts: Int = 2,
     vararg behaviours: Behaviour,
+    retrySlack: Double = 100.0,
 ) {
     private val clock =
         object : Clock {
@@ -215,7 +218,7 @@
             storeView,
             peers,
             placement,
-            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, 100.0)),
+            RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
         )
     val link = FakeClient(behaviours.toMutableList())
     val response = FakeResponse()
@@ -271,7 +274,7 @@
     }
 }
 
-private val STREAM = RequestKind.Stream(resumable = true, maxEventGap = 300.milliseconds)
+internal val STREAM = RequestKind.Stream(resumable = true, maxEventGap = 300.milliseconds)
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class DirectSendFilterTest :
