Continue a stream only with an event stream of the same status

What callers saw: after a stream had begun and broken off, a 204, a 206 or a 200 of another type was taken for its rest. Without a body it ended the stream as complete; a body with a blank line, such as a JSON or HTML text, was forwarded into the stream as events without ids. As the first response on a stream's route, a 200 of another type was cut into events, and one without a blank line was lost.

Cause: the relay went by the kind of the route and by any 2xx, and never looked at the type of the body.

On the old code, with the type not known to it: 204, 200 of another type without a body: expected Broken but was Completed(length=30) 206 and 200 of another type with event 3: expected Broken but was Completed(length=45) 200 of another type with a blank line: expected Broken but was Completed(length=48) as first response: sent to a second back end (NoSuchElementException of the script)

Why it works: the head that was forwarded is kept, and the head of a later attempt has to match its status and be an event stream; otherwise nothing of it is read. A response that states no type counts as an event stream on a stream's route, as before.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -53,13 +53,17 @@
     UNPROVEN,
 }
 
-/** The head of a back end's response; [fields] are forwarded unchanged. */
+/**
+ * The head of a back end's response; [fields] are forwarded unchanged. [isEventStream] is set unless the head states another type
+ * of body.
+ */
 class ResponseHead(
     val status: Int,
     val fields: List<HeaderField>,
     val length: Long?,
     val execution: Execution,
     val number: WeightNumber?,
+    val isEventStream: Boolean,
 ) {
     val isSuccess: Boolean get() = status in SUCCESS
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -2,8 +2,9 @@
  * Forwards a back end's response to the caller and tracks how much of it was forwarded.
  *
  * A response that is not a stream is buffered until it is complete or exceeds a size limit, so that an incomplete one can
- * still be replaced. Of a stream only complete events are forwarded; the events of a later attempt must continue the earlier
- * ones. Any other response that has begun is never continued by another attempt.
+ * still be replaced. Of a stream only complete events are forwarded, and a later attempt must continue them: with an event stream
+ * of the same status, whose first new event follows the last one that was forwarded. Any other response that has
+ * begun is never continued by another attempt.
  */
 package lagoonrudder.traffic.direct
 
@@ -32,7 +33,7 @@
     val started: Boolean get() = begun != null
 
     /** Whether another attempt may provide the response or the rest of it. */
-    val mayContinue: Boolean get() = begun?.let { it.isSuccess && isStream } ?: true
+    val mayContinue: Boolean get() = begun?.let { it.isSuccess && it.isEventStream && isStream } ?: true
 
     /** Whether the current attempt has received anything from its back end. */
     var receivedAny = false
@@ -93,13 +94,24 @@
         return when (next.execution) {
             Execution.NOT_RUN -> DirectAttemptResult.NotRun(reached = true, "status ${next.status}")
             Execution.UNPROVEN -> DirectAttemptResult.Lost("status ${next.status} without proof of execution")
-            Execution.RUN -> if (started && !next.isSuccess) DirectAttemptResult.Lost("status ${next.status} on resume") else null
+            Execution.RUN -> begun?.let { differenceOf(next, it) }?.let { DirectAttemptResult.Lost("$it on resume") }
         }
     }
 
+    /** Returns how [next] differs from a head that can continue the response with head [begun], or null if it does not. */
+    private fun differenceOf(
+        next: ResponseHead,
+        begun: ResponseHead,
+    ): String? =
+        when {
+            next.status != begun.status -> "status ${next.status}"
+            !next.isEventStream -> "no event stream"
+            else -> null
+        }
+
     private suspend fun onBytes(data: ByteArray): DirectAttemptResult? {
         val current = head ?: return DirectAttemptResult.Lost("body before the response head")
-        if (isStream && current.isSuccess) return onStreamBytes(data, current)
+        if (isStream && current.isSuccess && current.isEventStream) return onStreamBytes(data, current)
         if (started) {
             forward(data)
             recordProgress()
@@ -194,7 +206,7 @@
         response.write(data)
     }
 
-    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number)
+    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number, isEventStream)
 
     private companion object {
         const val MAX_BUFFERED_BYTES = 65_536
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -13,6 +13,9 @@
 import lagoonrudder.model.RequestKind
 import kotlin.time.Duration.Companion.seconds
 
+private const val JSON = "{\"error\":\"no\"}"
+private const val JSON_WITH_BLANK_LINE = "{\"error\":\n\n\"no\"}\n\n"
+
 private fun replies(vararg events: ResponseEvent) = Behaviour.Replies(events.toList())
 
 private fun comment() = bytes(": comment\n\n")
@@ -37,6 +40,15 @@
     listOf(503, 429, 200).associate {
         "$it without proof" to replies(head(it, Execution.UNPROVEN), bytes("failed\n\n"), ResponseEvent.End)
     }
+private val NO_STREAMS =
+    mapOf(
+        "204" to replies(head(204), ResponseEvent.End),
+        "206 with the next event" to replies(head(206), event(3), ResponseEvent.End),
+        "200 of another type" to replies(head(isEventStream = false), bytes(JSON), ResponseEvent.End),
+        "200 of another type with a blank line" to replies(head(isEventStream = false), bytes(JSON_WITH_BLANK_LINE), ResponseEvent.End),
+        "200 of another type with the next event" to replies(head(isEventStream = false), event(3), ResponseEvent.End),
+        "200 of another type without a body" to replies(head(isEventStream = false), ResponseEvent.End),
+    )
 
 /** Checks that the caller got the first two events and then a visible break. */
 private suspend fun Scene.shouldBreakAfterTwoEvents() {
@@ -61,6 +73,11 @@
                     runTest { Scene(this, STREAM, 2, first, next).shouldBreakAfterTwoEvents() }
                 }
             }
+            for ((name, next) in NO_STREAMS) {
+                test("after $ending, a response that is no event stream does not continue the stream: $name") {
+                    runTest { Scene(this, STREAM, 2, first, next).shouldBreakAfterTwoEvents() }
+                }
+            }
             test("after $ending, rejections lead to another back end, and none left ends the stream broken") {
                 val rejects = replies(head(421, Execution.NOT_RUN), bytes("rejected"), ResponseEvent.End)
                 val continues = replies(head(), event(3), ResponseEvent.End)
@@ -103,10 +120,10 @@
             }
         }
 
-        test("a stream does not continue a large error response that broke off") {
+        test("a stream does not continue a large error response or one of another type that broke off") {
             val large = "x".repeat(70_000)
             val next = replies(head(), event(1), ResponseEvent.End)
-            for (begun in listOf(head(500))) {
+            for (begun in listOf(head(500), head(isEventStream = false))) {
                 for (first in listOf(replies(begun, bytes(large)), Behaviour.Silent(listOf(begun, bytes(large))))) {
                     runTest {
                         val scene = Scene(this, STREAM, 2, first, next)
@@ -157,4 +174,16 @@
                 }
             }
         }
+
+        test("a success of another type that arrives before anything was forwarded is delivered unchanged") {
+            for (body in listOf(JSON, JSON_WITH_BLANK_LINE, "")) {
+                runTest {
+                    val scene = Scene(this, STREAM, 2, replies(head(isEventStream = false), bytes(body), ResponseEvent.End))
+                    scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                    scene.response.heads shouldHaveSize 1
+                    scene.response.body.toString() shouldBe body
+                    scene.response.ended shouldBe true
+                }
+            }
+        }
     })
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -172,7 +172,8 @@
     status: Int = 200,
     execution: Execution = Execution.RUN,
     number: Long? = null,
-) = ResponseEvent.Head(ResponseHead(status, emptyList(), null, execution, number?.let { WeightNumber(it) }))
+    isEventStream: Boolean = status == 200,
+) = ResponseEvent.Head(ResponseHead(status, emptyList(), null, execution, number?.let { WeightNumber(it) }, isEventStream))
 
 internal fun bytes(text: String) = ResponseEvent.Bytes(text.encodeToByteArray())
 
