Continue a stream only with the version that began it

What callers saw: a back end that didn't heed the expected version went on with a stream that another version had begun, and the response ended as complete.

Cause: the version was sent as an expectation and not compared in the response.

Test: BrokenResponseTest, 'a stream of another version does not continue the stream' (after four ways of breaking off; another version, none, the same). On the old code: expected Outcome.Broken but was Completed(length=45)

Why it works: the head of a later attempt has to state the version of the head that was forwarded.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -3,7 +3,7 @@
  *
  * A response that is not a stream is buffered until it is complete or exceeds a size limit, so that an incomplete one can
  * still be replaced. Of a stream only complete events are forwarded, and a later attempt must continue them: with an event stream
- * of the same status, whose first new event follows the last one that was forwarded. Any other response that has
+ * of the same status and version, whose first new event follows the last one that was forwarded. Any other response that has
  * begun is never continued by another attempt.
  */
 package lagoonrudder.traffic.direct
@@ -106,6 +106,7 @@
         when {
             next.status != begun.status -> "status ${next.status}"
             !next.isEventStream -> "no event stream"
+            next.number != begun.number -> "version ${next.number?.number} instead of ${begun.number?.number}"
             else -> null
         }
 
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -100,6 +100,17 @@
             }
         }
 
+        for ((ending, first) in breaks(head(number = 1), event(1), event(2))) {
+            test("after $ending, a stream of another version does not continue the stream") {
+                val other = replies(head(number = 2), event(3), ResponseEvent.End)
+                runTest { Scene(this, STREAM, 2, first, other).shouldBreakAfterTwoEvents() }
+                val unknown = replies(head(), event(3), ResponseEvent.End)
+                runTest { Scene(this, STREAM, 2, first, unknown).shouldBreakAfterTwoEvents() }
+                val same = replies(head(number = 1), event(3), ResponseEvent.End)
+                runTest { Scene(this, STREAM, 2, first, same).shouldComplete(1, 2, 3) }
+            }
+        }
+
         test("a stream that has begun with a comment alone is resumed from its start") {
             for ((_, first) in breaks(head(), comment())) {
                 runTest { Scene(this, STREAM, 2, first, replies(head(), event(1), event(2), ResponseEvent.End)).shouldComplete(1, 2) }
