Don't take an empty rest of a stream for its end

What callers saw: after a stream had broken off, a 200 that ended at once, that had a comment alone, or that sent events again which the caller had, ended the response as complete, whatever was still missing.

Cause: the end of an attempt was taken for the end of the response, also if the attempt had contributed nothing.

Test: BrokenResponseTest, 'an empty stream', 'a stream with a comment alone' and 'a stream with old events alone does not complete the response' (after four ways of breaking off). On the old code: expected Outcome.Broken but was Completed(length=30), (length=41), (length=30)

Why it works: an attempt that resumes a stream has to send its next event before its end counts. If the first back end broke off after the very last event, the caller gets a broken response instead of a complete one and may resume itself; its own request with nothing left is answered with what the back end sends, as before.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -29,6 +29,9 @@
     /** The head that was forwarded to the caller; null until then. */
     private var begun: ResponseHead? = null
 
+    /** Whether the current attempt has still to send the event after [lastEvent], which an earlier attempt sent. */
+    private var resuming = false
+
     /** Whether the start of a response was forwarded to the caller. */
     val started: Boolean get() = begun != null
 
@@ -69,6 +72,7 @@
         head = null
         buffered = ByteArrayOutputStream(0)
         splitter = EventSplitter()
+        resuming = lastEvent != null
     }
 
     /** Processes one event of an attempt; returns the result of the attempt, or null while it continues. */
@@ -176,12 +180,15 @@
         forward(event.bytes)
         val id = event.id ?: return
         lastEvent = id
+        resuming = false
         recordProgress()
     }
 
     private suspend fun onEnd(): DirectAttemptResult {
         val current = head ?: return DirectAttemptResult.Lost("end of the response before its head")
         if (splitter.hasPartialEvent) return DirectAttemptResult.Lost("stream ended inside an event")
+        // An end proves nothing about the rest of a stream without any event that follows those of another back end.
+        if (resuming) return DirectAttemptResult.Lost("stream ended without an event on resume")
         if (!current.isSuccess && !started) {
             errorResponse = current to buffered.toByteArray()
             if (current.status >= FIRST_SERVER_ERROR) return DirectAttemptResult.Failed(current.status)
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -49,6 +49,12 @@
         "200 of another type with the next event" to replies(head(isEventStream = false), event(3), ResponseEvent.End),
         "200 of another type without a body" to replies(head(isEventStream = false), ResponseEvent.End),
     )
+private val EMPTY_STREAMS =
+    mapOf(
+        "an empty stream" to replies(head(), ResponseEvent.End),
+        "a stream with a comment alone" to replies(head(), comment(), ResponseEvent.End),
+        "a stream with old events alone" to replies(head(), event(1), event(2), ResponseEvent.End),
+    )
 
 /** Checks that the caller got the first two events and then a visible break. */
 private suspend fun Scene.shouldBreakAfterTwoEvents() {
@@ -78,6 +84,11 @@
                     runTest { Scene(this, STREAM, 2, first, next).shouldBreakAfterTwoEvents() }
                 }
             }
+            for ((name, next) in EMPTY_STREAMS) {
+                test("after $ending, $name does not complete the response") {
+                    runTest { Scene(this, STREAM, 2, first, next).shouldBreakAfterTwoEvents() }
+                }
+            }
             test("after $ending, rejections lead to another back end, and none left ends the stream broken") {
                 val rejects = replies(head(421, Execution.NOT_RUN), bytes("rejected"), ResponseEvent.End)
                 val continues = replies(head(), event(3), ResponseEvent.End)
