Don't join events without an id where a stream is resumed

What callers saw: a stream whose last event had no id was resumed after the last id, or from its start, and the events without ids came twice. A resumed stream that began with an event without an id had it forwarded, though nothing says that it wasn't forwarded before.

Cause: events without an id were forwarded wherever they came, and didn't count for the position at which a stream resumes.

Test: BrokenResponseTest, 'a stream may go on after a comment, but not after an event without an id' (after four ways of breaking off) and 'a stream whose last event has no id is not resumed, because its position is unknown'. On the old code: expected Outcome.Broken but was Completed(length=54) expected Outcome.Broken but was Completed(length=45)

Why it works: after an event without an id the position is unknown, and the stream is broken with its back end. A resumed attempt has to send the next id before any event without one. Comments carry nothing of the stream and stay allowed everywhere.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -29,6 +29,9 @@
     /** The head that was forwarded to the caller; null until then. */
     private var begun: ResponseHead? = null
 
+    /** Whether an event without an id follows [lastEvent], so that no id tells where the stream goes on. */
+    private var positionUnknown = false
+
     /** Whether the current attempt has still to send the event after [lastEvent], which an earlier attempt sent. */
     private var resuming = false
 
@@ -36,7 +39,7 @@
     val started: Boolean get() = begun != null
 
     /** Whether another attempt may provide the response or the rest of it. */
-    val mayContinue: Boolean get() = begun?.let { it.isSuccess && it.isEventStream && isStream } ?: true
+    val mayContinue: Boolean get() = begun?.let { it.isSuccess && it.isEventStream && isStream && !positionUnknown } ?: true
 
     /** Whether the current attempt has received anything from its back end. */
     var receivedAny = false
@@ -162,7 +165,8 @@
         val id = event.id
         val before = lastEvent
         return when {
-            id == null || before == null -> EventPlace.Next
+            event.isComment || before == null -> EventPlace.Next
+            id == null -> if (resuming) EventPlace.Unfit("event without an id on resume") else EventPlace.Next
             id <= before -> EventPlace.Repeated
             id.number != before.number + 1 -> EventPlace.Unfit("gap in the stream: event ${id.number} after event ${before.number}")
             else -> EventPlace.Next
@@ -177,6 +181,7 @@
             number = current.number
             startResponse(current.withoutLength())
         }
+        if (!event.isComment) positionUnknown = event.id == null
         forward(event.bytes)
         val id = event.id ?: return
         lastEvent = id
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
@@ -5,10 +5,14 @@
 
 import lagoonrudder.model.EventId
 
-/** One event including the blank line that terminates it. [id] is null if the event has no `id` field. */
+/**
+ * One event including the blank line that terminates it. [id] is null if the event has no `id` field. [isComment] is set if it
+ * has nothing but comments.
+ */
 class StreamEvent(
     val bytes: ByteArray,
     val id: EventId?,
+    val isComment: Boolean,
 )
 
 class EventSplitter {
@@ -39,7 +43,7 @@
             lineStart = scanned
             if (!endsEvent) continue
             val bytes = buffer.copyOfRange(start, scanned)
-            events += StreamEvent(bytes, idOf(bytes))
+            events += eventOf(bytes)
             start = scanned
         }
         discard(start)
@@ -61,19 +65,22 @@
         lineStart -= count
     }
 
-    private fun idOf(event: ByteArray): EventId? {
-        val line = event.decodeToString().lineSequence().firstOrNull { it.startsWith(ID_FIELD) } ?: return null
-        return line
-            .removePrefix(ID_FIELD)
-            .trim()
-            .toLongOrNull()
-            ?.let { EventId(it) }
+    private fun eventOf(bytes: ByteArray): StreamEvent {
+        val lines = bytes.decodeToString().lines()
+        val id =
+            lines
+                .firstOrNull { it.startsWith(ID_FIELD) }
+                ?.removePrefix(ID_FIELD)
+                ?.trim()
+                ?.toLongOrNull()
+        return StreamEvent(bytes, id?.let { EventId(it) }, isComment = lines.all { it.isEmpty() || it.startsWith(COMMENT) })
     }
 
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         const val ID_FIELD = "id:"
+        const val COMMENT = ":"
 
         /** An event holds a few tokens, so this is far above the size of any valid one. */
         const val MAX_EVENT_BYTES = 262_144
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -20,6 +20,8 @@
 
 private fun comment() = bytes(": comment\n\n")
 
+private fun withoutId(data: String) = bytes("data: $data\n\n")
+
 /** The ways in which a back end breaks off after it sent [begun]. */
 private fun breaks(vararg begun: ResponseEvent): Map<String, Behaviour> {
     val partial = bytes("id: 3\nda")
@@ -105,9 +107,11 @@
                 val again = replies(head(), event(1), event(2), event(3), ResponseEvent.End)
                 runTest { Scene(this, STREAM, 2, first, again).shouldComplete(1, 2, 3) }
             }
-            test("after $ending, a stream may go on after a comment") {
+            test("after $ending, a stream may go on after a comment, but not after an event without an id") {
                 val commented = replies(head(), comment(), event(3), ResponseEvent.End)
                 runTest { Scene(this, STREAM, 2, first, commented).shouldComplete(1, 2, 3) }
+                val unplaced = replies(head(), withoutId("x"), event(3), ResponseEvent.End)
+                runTest { Scene(this, STREAM, 2, first, unplaced).shouldBreakAfterTwoEvents() }
             }
         }
 
@@ -122,6 +126,18 @@
             }
         }
 
+        test("a stream whose last event has no id is not resumed, because its position is unknown") {
+            val again = replies(head(), withoutId("1"), withoutId("2"), withoutId("3"), ResponseEvent.End)
+            for ((_, first) in breaks(head(), withoutId("1"), withoutId("2"))) {
+                runTest {
+                    val scene = Scene(this, STREAM, 2, first, again)
+                    scene.run().shouldBeInstanceOf<Outcome.Broken>()
+                    scene.response.ended shouldBe false
+                    scene.response.body.toString() shouldBe "data: 1\n\ndata: 2\n\n"
+                }
+            }
+        }
+
         test("a stream that has begun with a comment alone is resumed from its start") {
             for ((_, first) in breaks(head(), comment())) {
                 runTest { Scene(this, STREAM, 2, first, replies(head(), event(1), event(2), ResponseEvent.End)).shouldComplete(1, 2) }
