Don't join a stream with another run that starts over

What callers saw: a back end that didn't heed the last event's id and ran the request anew had its events up to that id skipped, and those after it joined to the events of the first run.

Cause: a repeated event was recognised by its id alone.

Test: BrokenResponseTest, 'a stream that starts over with other events is another run and does not continue the stream' (after four ways of breaking off).

Why it works: the last event that was forwarded is kept, and its repetition has to have the same bytes. Only that one event is compared, so that a stream holds no more than one.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -29,6 +29,9 @@
     /** The head that was forwarded to the caller; null until then. */
     private var begun: ResponseHead? = null
 
+    /** The bytes of [lastEvent]. */
+    private var lastEventBytes = ByteArray(0)
+
     /** Whether an event without an id follows [lastEvent], so that no id tells where the stream goes on. */
     private var positionUnknown = false
 
@@ -167,7 +170,9 @@
         return when {
             event.isComment || before == null -> EventPlace.Next
             id == null -> if (resuming) EventPlace.Unfit("event without an id on resume") else EventPlace.Next
-            id <= before -> EventPlace.Repeated
+            id < before -> EventPlace.Repeated
+            id == before && event.bytes.contentEquals(lastEventBytes) -> EventPlace.Repeated
+            id == before -> EventPlace.Unfit("event ${id.number} of another run")
             id.number != before.number + 1 -> EventPlace.Unfit("gap in the stream: event ${id.number} after event ${before.number}")
             else -> EventPlace.Next
         }
@@ -185,6 +190,7 @@
         forward(event.bytes)
         val id = event.id ?: return
         lastEvent = id
+        lastEventBytes = event.bytes
         resuming = false
         recordProgress()
     }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -107,6 +107,10 @@
                 val again = replies(head(), event(1), event(2), event(3), ResponseEvent.End)
                 runTest { Scene(this, STREAM, 2, first, again).shouldComplete(1, 2, 3) }
             }
+            test("after $ending, a stream that starts over with other events is another run and does not continue the stream") {
+                val other = replies(head(), bytes("id: 1\ndata: x\n\n"), bytes("id: 2\ndata: y\n\n"), event(3), ResponseEvent.End)
+                runTest { Scene(this, STREAM, 2, first, other).shouldBreakAfterTwoEvents() }
+            }
             test("after $ending, a stream may go on after a comment, but not after an event without an id") {
                 val commented = replies(head(), comment(), event(3), ResponseEvent.End)
                 runTest { Scene(this, STREAM, 2, first, commented).shouldComplete(1, 2, 3) }
