--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -2,8 +2,9 @@
  * Forwards a back end's response to the caller and tracks how much of it was forwarded.
  *
  * A response that is not a stream is buffered until it is complete or exceeds a size limit, so that an incomplete one can
- * still be replaced. Of a stream only complete events are forwarded; the events of a later attempt must continue the earlier
- * ones.
+ * still be replaced. Of a stream only complete events are forwarded, and a later attempt must continue them: with an event stream
+ * of the same status and version, whose first new event follows the last one that was forwarded. Any other response that has
+ * begun is never continued by another attempt.
  */
 package lagoonrudder.traffic.direct
 
@@ -25,9 +26,23 @@
     private var forwarded = 0L
     private var errorResponse: Pair<ResponseHead, ByteArray>? = null
 
+    /** The head that was forwarded to the caller; null until then. */
+    private var begun: ResponseHead? = null
+
+    /** The bytes of [lastEvent]. */
+    private var lastEventBytes = ByteArray(0)
+
+    /** Whether an event without an id follows [lastEvent], so that no id tells where the stream goes on. */
+    private var positionUnknown = false
+
+    /** Whether the current attempt has still to send the event after [lastEvent], which an earlier attempt sent. */
+    private var resuming = false
+
     /** Whether the start of a response was forwarded to the caller. */
-    var started = false
-        private set
+    val started: Boolean get() = begun != null
+
+    /** Whether another attempt may provide the response or the rest of it. */
+    val mayContinue: Boolean get() = begun?.let { it.isSuccess && it.isEventStream && isStream && !positionUnknown } ?: true
 
     /** Whether the current attempt has received anything from its back end. */
     var receivedAny = false
@@ -52,6 +67,8 @@
     var number: WeightNumber? = null
         private set
 
+    private val isStream: Boolean get() = call.context.route.kind is RequestKind.Stream
+
     val holdsErrorResponse: Boolean get() = errorResponse != null && !started
 
     fun startAttempt() {
@@ -61,17 +78,15 @@
         head = null
         buffered = ByteArrayOutputStream(0)
         splitter = EventSplitter()
+        resuming = lastEvent != null
     }
 
     /** Processes one event of an attempt; returns the result of the attempt, or null while it continues. */
-    suspend fun onEvent(
-        event: ResponseEvent,
-        kind: RequestKind,
-    ): DirectAttemptResult? {
+    suspend fun onEvent(event: ResponseEvent): DirectAttemptResult? {
         receivedAny = true
         return when (event) {
             is ResponseEvent.Head -> onHead(event.head)
-            is ResponseEvent.Bytes -> onBytes(event.data, kind)
+            is ResponseEvent.Bytes -> onBytes(event.data)
             ResponseEvent.End -> onEnd()
             is ResponseEvent.Broken -> DirectAttemptResult.Lost(event.detail)
         }
@@ -90,16 +105,25 @@
         return when (next.execution) {
             Execution.NOT_RUN -> DirectAttemptResult.NotRun(reached = true, "status ${next.status}")
             Execution.UNPROVEN -> DirectAttemptResult.Lost("status ${next.status} without proof of execution")
-            Execution.RUN -> if (started && !next.isSuccess) DirectAttemptResult.Lost("status ${next.status} on resume") else null
+            Execution.RUN -> begun?.let { differenceOf(next, it) }?.let { DirectAttemptResult.Lost("$it on resume") }
         }
     }
 
-    private suspend fun onBytes(
-        data: ByteArray,
-        kind: RequestKind,
-    ): DirectAttemptResult? {
+    /** Returns how [next] differs from a head that can continue the response with head [begun], or null if it does not. */
+    private fun differenceOf(
+        next: ResponseHead,
+        begun: ResponseHead,
+    ): String? =
+        when {
+            next.status != begun.status -> "status ${next.status}"
+            !next.isEventStream -> "no event stream"
+            next.number != begun.number -> "version ${next.number?.number} instead of ${begun.number?.number}"
+            else -> null
+        }
+
+    private suspend fun onBytes(data: ByteArray): DirectAttemptResult? {
         val current = head ?: return DirectAttemptResult.Lost("body before the response head")
-        if (kind is RequestKind.Stream && current.isSuccess) return onStreamBytes(data, current)
+        if (isStream && current.isSuccess && current.isEventStream) return onStreamBytes(data, current)
         if (started) {
             forward(data)
             recordProgress()
@@ -120,29 +144,63 @@
         current: ResponseHead,
     ): DirectAttemptResult? {
         for (event in splitter.feed(data)) {
-            val id = event.id
-            val before = lastEvent
-            if (id != null && before != null && id <= before) continue
-            if (id != null &&
-                before != null &&
-                id.number != before.number + 1
-            ) {
-                return DirectAttemptResult.Lost("gap in the stream: event ${id.number} after event ${before.number}")
-            }
-            if (!started) startResponse(current.withoutLength())
-            number = current.number ?: number
-            forward(event.bytes)
-            if (id != null) {
-                lastEvent = id
-                recordProgress()
+            when (val place = placeOf(event)) {
+                EventPlace.Repeated -> continue
+                is EventPlace.Unfit -> return DirectAttemptResult.Lost(place.detail)
+                EventPlace.Next -> forwardEvent(event, current)
             }
         }
         return if (splitter.overflowed) DirectAttemptResult.Lost("unterminated event exceeds the size limit") else null
     }
 
+    /** Where an event belongs in the stream that the caller receives. */
+    private sealed class EventPlace {
+        data object Next : EventPlace()
+
+        /** The event was forwarded already. */
+        data object Repeated : EventPlace()
+
+        data class Unfit(
+            val detail: String,
+        ) : EventPlace()
+    }
+
+    private fun placeOf(event: StreamEvent): EventPlace {
+        val id = event.id
+        val before = lastEvent
+        return when {
+            event.isComment || before == null -> EventPlace.Next
+            id == null -> if (resuming) EventPlace.Unfit("event without an id on resume") else EventPlace.Next
+            id < before -> EventPlace.Repeated
+            id == before && event.bytes.contentEquals(lastEventBytes) -> EventPlace.Repeated
+            id == before -> EventPlace.Unfit("event ${id.number} of another run")
+            id.number != before.number + 1 -> EventPlace.Unfit("gap in the stream: event ${id.number} after event ${before.number}")
+            else -> EventPlace.Next
+        }
+    }
+
+    private suspend fun forwardEvent(
+        event: StreamEvent,
+        current: ResponseHead,
+    ) {
+        if (!started) {
+            number = current.number
+            startResponse(current.withoutLength())
+        }
+        if (!event.isComment) positionUnknown = event.id == null
+        forward(event.bytes)
+        val id = event.id ?: return
+        lastEvent = id
+        lastEventBytes = event.bytes
+        resuming = false
+        recordProgress()
+    }
+
     private suspend fun onEnd(): DirectAttemptResult {
         val current = head ?: return DirectAttemptResult.Lost("end of the response before its head")
         if (splitter.hasPartialEvent) return DirectAttemptResult.Lost("stream ended inside an event")
+        // An end proves nothing about the rest of a stream without any event that follows those of another back end.
+        if (resuming) return DirectAttemptResult.Lost("stream ended without an event on resume")
         if (!current.isSuccess && !started) {
             errorResponse = current to buffered.toByteArray()
             if (current.status >= FIRST_SERVER_ERROR) return DirectAttemptResult.Failed(current.status)
@@ -158,7 +216,7 @@
     }
 
     private suspend fun startResponse(head: ResponseHead) {
-        started = true
+        begun = head
         call.timeToFirstEvent = clock.elapsed() - call.receivedAt
         response.begin(head)
     }
@@ -168,7 +226,7 @@
         response.write(data)
     }
 
-    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number)
+    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number, isEventStream)
 
     private companion object {
         const val MAX_BUFFERED_BYTES = 65_536
