Send each order over a connection of its own

A late copy of an earlier response could be taken for the answer to an order, so that a declined order counted as carried out and its chunks as free to be replaced. Responses to management calls name no request.

Evidence: SlotClientTest, before: expected Declined, was AlreadyApplied (a copy of the report's response); it passes now. A new connection has carried nothing of which a copy could come.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -72,19 +72,23 @@
         return connection.send(request, ownerOf) { release(address, it) }.right()
     }
 
-    /** Sends [request] and reads the complete response of at most [maxBytes] within [timeout]. */
+    /**
+     * Sends [request] and reads the complete response of at most [maxBytes] within [timeout]. [newConnection] requires a
+     * connection that has carried nothing, so that no late copy of an earlier response can be taken for this one.
+     */
     suspend fun exchange(
         address: Address,
         request: HttpRequest,
         peer: Peer,
         timeout: Duration,
         maxBytes: Int = MAX_RESPONSE_BYTES,
+        newConnection: Boolean = false,
     ): Either<Failure, HttpResponse> {
         var call: HttpCall? = null
         try {
             val result =
                 withTimeoutOrNull(timeout) {
-                    when (val sent = send(address, request, peer)) {
+                    when (val sent = send(address, request, peer, newConnection = newConnection)) {
                         is Either.Left -> sent
                         is Either.Right -> readResponse(sent.value.also { call = it }, peer, maxBytes)
                     }
