Take a manifest only if it is the one that was asked for

A manifest of another version was kept by an entry daemon under the version that was asked for, so that no back end of its region could ever load that version.

Evidence: DirectSiteTest, 'a manifest of another version': before, the version was not loaded within 10 s; it passes now. Such a manifest counts as damaged now, so the next source is asked and nothing is kept.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -33,9 +33,21 @@
         number: WeightNumber?,
     ): Either<Failure, WeightManifest> =
         fetchFromFirst(sources, "manifest ${model.text}") { source ->
-            when (source) {
-                is WeightSource.Entry -> peers.manifest(source.address, model, number)
-                is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
+            val fetched =
+                when (source) {
+                    is WeightSource.Entry -> peers.manifest(source.address, model, number)
+                    is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
+                }
+            fetched.flatMap { manifest ->
+                val isExpected = manifest.model == model && (number == null || manifest.number == number)
+                if (isExpected) {
+                    manifest.right()
+                } else {
+                    damaged(
+                        source,
+                        "manifest of ${manifest.model.text} ${manifest.number.number}, expected ${model.text} ${number?.number}",
+                    )
+                }
             }
         }
 
@@ -56,12 +68,7 @@
                 if (matches) {
                     bytes.right()
                 } else {
-                    Failure
-                        .Damaged(
-                            Step.VERIFY_CHUNK,
-                            peerOf(source),
-                            "chunk $index of ${manifest.number.number} does not match its digest",
-                        ).left()
+                    damaged(source, "chunk $index of ${manifest.number.number} does not match its digest")
                 }
             }
         }
@@ -120,6 +127,11 @@
         }
     }
 
+    private fun damaged(
+        source: WeightSource,
+        detail: String,
+    ) = Failure.Damaged(Step.VERIFY_CHUNK, peerOf(source), detail).left()
+
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -236,6 +236,9 @@
     /** How long this origin takes for each chunk. */
     var chunkTime = Duration.ZERO
 
+    /** The number of manifests that are answered with that of the version before. */
+    var staleManifests = 0
+
     /** The requests that this origin did not answer. */
     var failedRequests = 0
         private set
@@ -250,17 +253,24 @@
         val query = queryParameters(exchange.request.target)
         val version = query["version"]?.toLong() ?: latestVersion
         if ("/manifest/" in exchange.request.target) {
-            exchange.respondJson(
-                buildJsonObject {
-                    put("model", MODEL_NAME)
-                    put("version", version)
-                    putJsonArray("digests") { (0 until CHUNK_COUNT).forEach { add(digestOf(chunkOf(version, it)).hexadecimal) } }
-                },
-            )
+            val isStale = staleManifests > 0
+            if (isStale) staleManifests--
+            respondManifest(exchange, if (isStale) version - 1 else version)
         } else {
             chunksServed++
             delay(chunkTime)
             exchange.respond(200, emptyList(), chunkOf(version, query.getValue("num").toInt()))
         }
     }
+
+    private suspend fun respondManifest(
+        exchange: HttpExchange,
+        version: Long,
+    ) = exchange.respondJson(
+        buildJsonObject {
+            put("model", MODEL_NAME)
+            put("version", version)
+            putJsonArray("digests") { (0 until CHUNK_COUNT).forEach { add(digestOf(chunkOf(version, it)).hexadecimal) } }
+        },
+    )
 }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -66,6 +66,15 @@
             }
         }
 
+        test("a manifest of another version than the one that was asked for is fetched again") {
+            withSite(entries = 1, workers = 1) {
+                origin.staleManifests = 1
+                declare(2)
+                eventually { workers.first().loadedVersion == 2L }
+                workers.first().loadedInvalidChunks shouldBe false
+            }
+        }
+
         test("a stream that is aborted within an event resumes at another back end in the same response") {
             withSite(entries = 1, workers = 2) {
                 workers.first().behavior = WorkerBehavior.ABORTS_MID_EVENT
