Look for entry daemons before a daemon that just started asks the origin

Seen: DirectSiteTest, "an origin that fails during a roll-out ...", failed now and then on a busy machine: "3.0 should be < 1.2", and here, six runs of the spec at once and sources logged for the trial, in 2 of 24 runs: "1.5" and "2.0 should be < 1.2" (two more timed out for another cause, "Timed out waiting for 4000 ms": the last switch is scheduled about 5.1 s after its target daemon learned of the version, which took up to 1 s; left alone).

Cause: not the failing origin. The surplus chunks are those of version 1, at the start. A target daemon that had read its configuration from the store before its first gossip reply knew no entry daemon, took that for "none is alive" and asked the origin. Trace of the run with 2.0 (six surplus chunks):

16.174 target-0 asks "chunk 0 of 1" of=[origin] live=[] 16.182 target-0 asks "chunk 1 of 1" of=[origin] live=[] ... to chunk 5 at 16.265, all answered 16.886 entry-1 asks "chunk 1 of 1" of=[origin] live=[entry-0, entry-2, entry-1] ... the six chunks once more, by their primaries

An entry daemon that had not discovered another one took itself for the primary source of every chunk in the same way.

Change: for the time in which every reachable daemon is discovered, a process that has heard of no other entry daemon and has a seed to hear from has no source; it asks again as while the source has no data. After that time, or without seeds, it asks the origin as before. The start is the one that entryCount already uses.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -210,9 +210,17 @@
      * process that has just started assumes that there are more than it has discovered.
      */
     fun entryCount(now: Duration): Int {
-        val first = startedAt ?: now.also { startedAt = it }
         val discovered = 1 + knownEntries().size
-        return if (now - first < DISCOVERY_TIME) maxOf(discovered, ASSUMED_ENTRY_DAEMONS) else discovered
+        return if (hasJustStarted(now)) maxOf(discovered, ASSUMED_ENTRY_DAEMONS) else discovered
+    }
+
+    /** Returns whether this process has just started and has discovered none of the entry daemons that its seeds may lead to. */
+    fun isDiscovering(now: Duration): Boolean = hasJustStarted(now) && knownEntries().isEmpty() && seeds.any { it != self.address }
+
+    /** The first question about the other daemons counts as the start. */
+    private fun hasJustStarted(now: Duration): Boolean {
+        val first = startedAt ?: now.also { startedAt = it }
+        return now - first < DISCOVERY_TIME
     }
 
     /** Returns the requests that other entry daemons have in flight at [target], ignoring expired reports. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -99,7 +99,8 @@
 
     /**
      * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
-     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends.
+     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends. There
+     * is none while a process that has just started has not discovered an entry daemon.
      */
     fun sources(
         model: ModelId,
@@ -110,11 +111,14 @@
     ): List<WeightSource> {
         val (nearby, remote) = peers.liveEntries(now).filter { it.address != null }.partition { it.region == peers.self.region }
         val entries = ranked(nearby, model, number, index).take(LOCAL_SOURCES) + ranked(remote, model, number, index).take(REMOTE_SOURCES)
-        if (entries.isEmpty()) return listOfNotNull(origin()).map { WeightSource.Origin(it) }
+        if (entries.isEmpty()) return listOfNotNull(origin().takeUnless { peers.isDiscovering(now) }).map { WeightSource.Origin(it) }
         return afterAttempts(entries.mapNotNull { it.address }.map { WeightSource.Entry(it) }, attempts)
     }
 
-    /** Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin. */
+    /**
+     * Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin.
+     * There is none while a process that has just started has not discovered another one, which may be the primary source.
+     */
     fun upstreamSources(
         model: ModelId,
         number: WeightNumber?,
@@ -122,6 +126,7 @@
         now: Duration,
         attempts: Int = 0,
     ): List<WeightSource> {
+        if (peers.isDiscovering(now)) return emptyList()
         val entries = peers.liveEntries(now)
         val inOriginRegion = entries.filter { it.region == originRegion() }.ifEmpty { entries }
         val primary = ranked(inOriginRegion, model, number, index).firstOrNull()
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -274,6 +275,33 @@
             alone.sources(MODEL, WeightNumber(1), 0, 10.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
         }
 
+        test("a process that has just started looks for entry daemons before it asks the origin, unless there are none to find") {
+            val seed = peer("near-entry")
+            for (self in listOf(TARGET_DAEMON, peer("self"))) {
+                val peers = PeerController(self, listOfNotNull(seed.address))
+                val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+
+                fun sources(now: Duration) =
+                    when (self.role) {
+                        DaemonRole.TARGET -> staging.sources(MODEL, WeightNumber(1), 0, now)
+                        DaemonRole.ENTRY -> staging.upstreamSources(MODEL, WeightNumber(1), 0, now)
+                    }
+                sources(10.seconds).shouldBeEmpty()
+                sources(12.9.seconds).shouldBeEmpty()
+                sources(13.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
+            }
+            val peers = PeerController(TARGET_DAEMON, listOfNotNull(seed.address))
+            val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+            staging.sources(MODEL, WeightNumber(1), 0, 10.seconds).shouldBeEmpty()
+            peers.onGossipReceived(seed, emptyMap(), 10.1.seconds)
+            staging.sources(MODEL, WeightNumber(1), 0, 10.1.seconds) shouldBe listOf(WeightSource.Entry(seed.address.shouldNotBeNull()))
+            val first = PeerController(seed, listOfNotNull(seed.address))
+            StagingController(first, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+                .upstreamSources(MODEL, WeightNumber(1), 0, 10.seconds)
+                .single()
+                .shouldBeInstanceOf<WeightSource.Origin>()
+        }
+
         test("the next source is asked first once one has answered several times that it has no data yet") {
             val (_, staging) = scene()
             val first = (0..15).map { staging.sources(MODEL, WeightNumber(1), 0, 10.seconds, attempts = it).first() }
