Ask the previous primary source of a chunk before the origin

Seen: an entry daemon that joins, or that others have not discovered yet, became the primary source of its share of the chunks with an empty cache and fetched them from the origin again, although the primary source before it had them.

Cause: the daemons rank the chunks by the members that each knows at the moment, and a primary source had no source but the origin.

Change: a primary source asks the second in the ranking once for what it has cached, then the origin. The second is the first of the ranking without this daemon, so it is the primary source for those that don't know this one. It answers at once and fetches nothing, so no two daemons wait for each other. A daemon that doesn't know the call answers 404, which means not cached.

Tests: DirectSiteTest, "an entry daemon that starts later gets the chunks ...": before "expected:<6> but was:<8>", after passed. StagingControllerTest, "the new primary source of a chunk asks the previous one first ...", virtual time.

Left: two daemons that take each other's chunk for theirs and ask at the same moment, before either has it, still fetch it twice.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -35,6 +35,8 @@
         fetchFromFirst(sources, "manifest ${model.text}") { source ->
             when (source) {
                 is WeightSource.Entry -> peers.manifest(source.address, model, number)
+                is WeightSource.EntryCache ->
+                    Failure.Declined(Step.DRAW_CHUNK, peerOf(source), "a cache of chunks has no manifest").left()
                 is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
             }
         }
@@ -48,6 +50,7 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
+                    is WeightSource.EntryCache -> peers.cachedChunk(source.address, manifest.model, manifest.number, index)
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
@@ -75,12 +78,23 @@
         for (source in sources) {
             if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
             val fetched = fetchRecorded(source, fetch)
-            if (fetched is Either.Right || (fetched is Either.Left && fetched.value is Failure.Declined)) return fetched
+            if (fetched is Either.Right ||
+                (fetched is Either.Left && fetched.value is Failure.Declined && fetchesItself(source))
+            ) {
+                return fetched
+            }
             if (fetched is Either.Left) failure = fetched.value
         }
         return failure.left()
     }
 
+    /** Whether [source] gets data that it has not got yet, so that it is worth asking it again. */
+    private fun fetchesItself(source: WeightSource): Boolean =
+        when (source) {
+            is WeightSource.Entry, is WeightSource.Origin -> true
+            is WeightSource.EntryCache -> false
+        }
+
     /** Fetches from [source] and records whether it answered. */
     private suspend fun <T> fetchRecorded(
         source: WeightSource,
@@ -123,6 +137,7 @@
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
+            is WeightSource.EntryCache -> Peer(PeerRole.ENTRY, source.address.toString())
             is WeightSource.Origin -> Peer(PeerRole.ORIGIN, source.address.toString())
         }
 }
