--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -59,6 +59,11 @@
         val address: Address,
     ) : WeightSource()
 
+    /** An entry daemon that is asked only for chunks that it has cached. */
+    data class EntryCache(
+        val address: Address,
+    ) : WeightSource()
+
     data class Origin(
         val address: Address,
     ) : WeightSource()
@@ -99,7 +104,8 @@
 
     /**
      * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
-     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends.
+     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends. There
+     * is none while a process that has just started has not discovered an entry daemon.
      */
     fun sources(
         model: ModelId,
@@ -110,11 +116,14 @@
     ): List<WeightSource> {
         val (nearby, remote) = peers.liveEntries(now).filter { it.address != null }.partition { it.region == peers.self.region }
         val entries = ranked(nearby, model, number, index).take(LOCAL_SOURCES) + ranked(remote, model, number, index).take(REMOTE_SOURCES)
-        if (entries.isEmpty()) return listOfNotNull(origin()).map { WeightSource.Origin(it) }
+        if (entries.isEmpty()) return listOfNotNull(origin().takeUnless { peers.isDiscovering(now) }).map { WeightSource.Origin(it) }
         return afterAttempts(entries.mapNotNull { it.address }.map { WeightSource.Entry(it) }, attempts)
     }
 
-    /** Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin. */
+    /**
+     * Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin.
+     * There is none while a process that has just started has not discovered another one, which may be the primary source.
+     */
     fun upstreamSources(
         model: ModelId,
         number: WeightNumber?,
@@ -122,13 +131,33 @@
         now: Duration,
         attempts: Int = 0,
     ): List<WeightSource> {
-        val entries = peers.liveEntries(now)
-        val inOriginRegion = entries.filter { it.region == originRegion() }.ifEmpty { entries }
-        val primary = ranked(inOriginRegion, model, number, index).firstOrNull()
+        if (peers.isDiscovering(now)) return emptyList()
+        val primary = ranked(originRegionEntries(now), model, number, index).firstOrNull()
         val fromPrimary = primary?.takeIf { it.daemon != peers.self.daemon }?.address?.let { WeightSource.Entry(it) }
         return afterAttempts(listOfNotNull(fromPrimary, origin()?.let { WeightSource.Origin(it) }), attempts)
     }
 
+    /**
+     * Returns the daemon that was the primary source of chunk [index] before this entry daemon joined, if this one is now. It may
+     * have the chunk. Daemons that have not discovered this one still take it for the primary source.
+     */
+    fun previousPrimarySource(
+        model: ModelId,
+        number: WeightNumber,
+        index: Int,
+        now: Duration,
+    ): WeightSource.EntryCache? {
+        val ranking = ranked(originRegionEntries(now), model, number, index)
+        if (ranking.firstOrNull()?.daemon != peers.self.daemon) return null
+        return ranking.getOrNull(1)?.address?.let { WeightSource.EntryCache(it) }
+    }
+
+    /** Returns the live entry daemons of the origin's region, or all of them if there are none. */
+    private fun originRegionEntries(now: Duration): List<PeerDaemon> {
+        val entries = peers.liveEntries(now)
+        return entries.filter { it.region == originRegion() }.ifEmpty { entries }
+    }
+
     /** Moves on to the next source when one has answered several times that it has not got the data yet, for example while cut off. */
     private fun afterAttempts(
         sources: List<WeightSource>,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -274,6 +275,33 @@
             alone.sources(MODEL, WeightNumber(1), 0, 10.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
         }
 
+        test("a process that has just started looks for entry daemons before it asks the origin, unless there are none to find") {
+            val seed = peer("near-entry")
+            for (self in listOf(TARGET_DAEMON, peer("self"))) {
+                val peers = PeerController(self, listOfNotNull(seed.address))
+                val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+
+                fun sources(now: Duration) =
+                    when (self.role) {
+                        DaemonRole.TARGET -> staging.sources(MODEL, WeightNumber(1), 0, now)
+                        DaemonRole.ENTRY -> staging.upstreamSources(MODEL, WeightNumber(1), 0, now)
+                    }
+                sources(10.seconds).shouldBeEmpty()
+                sources(12.9.seconds).shouldBeEmpty()
+                sources(13.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
+            }
+            val peers = PeerController(TARGET_DAEMON, listOfNotNull(seed.address))
+            val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+            staging.sources(MODEL, WeightNumber(1), 0, 10.seconds).shouldBeEmpty()
+            peers.onGossipReceived(seed, emptyMap(), 10.1.seconds)
+            staging.sources(MODEL, WeightNumber(1), 0, 10.1.seconds) shouldBe listOf(WeightSource.Entry(seed.address.shouldNotBeNull()))
+            val first = PeerController(seed, listOfNotNull(seed.address))
+            StagingController(first, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+                .upstreamSources(MODEL, WeightNumber(1), 0, 10.seconds)
+                .single()
+                .shouldBeInstanceOf<WeightSource.Origin>()
+        }
+
         test("the next source is asked first once one has answered several times that it has no data yet") {
             val (_, staging) = scene()
             val first = (0..15).map { staging.sources(MODEL, WeightNumber(1), 0, 10.seconds, attempts = it).first() }
@@ -310,6 +338,28 @@
             }
         }
 
+        test("the new primary source of a chunk asks the previous one first, which is the primary source for those that don't know it") {
+            fun staging(
+                self: PeerDaemon,
+                others: List<PeerDaemon>,
+            ): StagingController {
+                val peers = PeerController(self, emptyList())
+                others.forEach { peers.onGossipReceived(it, emptyMap(), 10.seconds) }
+                return StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
+            }
+            val members = listOf(peer("far-1", FAR), peer("far-2", FAR))
+            val joined = peer("far-3", FAR)
+            val number = WeightNumber(1)
+            val newChunks = (0 until 40).filter { staging(joined, members).isPrimarySource(MODEL, number, it, 10.seconds) }
+            (newChunks.size in 5..30) shouldBe true
+            for (index in 0 until 40) {
+                val previous = members.single { staging(it, members - it).isPrimarySource(MODEL, number, index, 10.seconds) }
+                val expected = WeightSource.EntryCache(previous.address.shouldNotBeNull()).takeIf { index in newChunks }
+                staging(joined, members).previousPrimarySource(MODEL, number, index, 10.seconds) shouldBe expected
+            }
+            staging(joined, emptyList()).previousPrimarySource(MODEL, number, 0, 10.seconds).shouldBeNull()
+        }
+
         test("serving back ends switch one after another, all within the rollout time; an empty one need not wait") {
             val (storeView, staging) = scene()
             declare(storeView, 2)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -36,18 +36,14 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.manifest(source.address, model, number)
+                    is WeightSource.EntryCache ->
+                        Failure.Declined(Step.DRAW_CHUNK, peerOf(source), "a cache of chunks has no manifest").left()
                     is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
                 }
             fetched.flatMap { manifest ->
                 val isExpected = manifest.model == model && (number == null || manifest.number == number)
-                if (isExpected) {
-                    manifest.right()
-                } else {
-                    damaged(
-                        source,
-                        "manifest of ${manifest.model.text} ${manifest.number.number}, expected ${model.text} ${number?.number}",
-                    )
-                }
+                val found = "manifest of ${manifest.model.text} ${manifest.number.number}"
+                if (isExpected) manifest.right() else damaged(source, "$found, expected ${model.text} ${number?.number}")
             }
         }
 
@@ -60,6 +56,7 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
+                    is WeightSource.EntryCache -> peers.cachedChunk(source.address, manifest.model, manifest.number, index)
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
@@ -82,12 +79,22 @@
         for (source in sources) {
             if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
             val fetched = fetchRecorded(source, fetch)
-            if (fetched is Either.Right || (fetched is Either.Left && fetched.value is Failure.Declined)) return fetched
-            if (fetched is Either.Left) failure = fetched.value
+            when (fetched) {
+                is Either.Right -> return fetched
+                is Either.Left -> failure = fetched.value
+            }
+            if (failure is Failure.Declined && fetchesItself(source)) return fetched
         }
         return failure.left()
     }
 
+    /** Whether [source] gets data that it has not got yet, so that it is worth asking it again. */
+    private fun fetchesItself(source: WeightSource): Boolean =
+        when (source) {
+            is WeightSource.Entry, is WeightSource.Origin -> true
+            is WeightSource.EntryCache -> false
+        }
+
     /** Fetches from [source] and records whether it answered. */
     private suspend fun <T> fetchRecorded(
         source: WeightSource,
@@ -135,6 +142,7 @@
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
+            is WeightSource.EntryCache -> Peer(PeerRole.ENTRY, source.address.toString())
             is WeightSource.Origin -> Peer(PeerRole.ORIGIN, source.address.toString())
         }
 }
