Bound the roll-out after an origin's failure by the version's time limit, and the fetching by four seconds

The test gave the whole roll-out four seconds after the origin's return, which is six after the declaration. What the test is about, that the rest is fetched at once, is checked by itself now, within the same four seconds; loading is bound by the version's limit of eight seconds.

--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -6,9 +6,13 @@
 import io.kotest.matchers.shouldBe
 import lagoonrudder.http.HttpResponse
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.TimeSource
 
 private val COMPLETE_BODY = (1..FakeWorker.EVENT_COUNT).joinToString("") { "id: $it\ndata: $it\n\n" }
 
+/** Within this time of its declaration a version must have reached all back ends. */
+private val ROLLOUT_TIME = 8.seconds
+
 private val HttpResponse?.text get() = this?.body?.decodeToString()
 
 /** Runs [block] on a site with [entries] entry daemons once all back ends have loaded version 1. */
@@ -62,14 +66,15 @@
 
         test("an origin that fails during a roll-out is asked rarely, and the rest is fetched at once when it is back") {
             withSite(entries = 3, workers = 3) {
-                origin.latestVersion = 2
                 origin.failsAfter = CHUNK_COUNT + 2
-                store.put("op/version/$MODEL_NAME", "{\"model\":\"$MODEL_NAME\",\"version\":2}")
+                declare(2)
+                val declaredAt = TimeSource.Monotonic.markNow()
                 kotlinx.coroutines.delay(2.seconds)
                 // Three entry daemons that each try every 200 ms or, at first, with up to four fetches at a time.
                 origin.failedRequests shouldBeLessThan 60
                 origin.failsAfter = null
-                eventually(4.seconds) { workers.all { it.loadedVersion == 2L } }
+                eventually(4.seconds) { workers.all { it.hasStaged(2) } }
+                eventually(ROLLOUT_TIME - declaredAt.elapsedNow()) { workers.all { it.loadedVersion == 2L } }
                 workers.none { it.loadedInvalidChunks } shouldBe true
                 val copies = (origin.chunksServed - CHUNK_COUNT).toDouble() / CHUNK_COUNT
                 copies shouldBeLessThan 1.2
