Load no chunks among which a late write of another version may still arrive

A chunk whose write got no answer was written again, and the first write was taken for lost.

An unanswered write is read back at once, which shows whether it has arrived. If it has not, no version with another chunk in its place is ordered until it has been seen to arrive, the back end has restarted, or 30 s have passed.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/LoadOrderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/LoadOrderController.kt
@@ -100,7 +100,7 @@
             when {
                 report.born != unsettled.order.born -> OrderSettlement.BACK_END_RESTARTED
                 report.orders > unsettled.order.ordersBefore -> OrderSettlement.ACCEPTED
-                now - unsettled.unansweredAt > ORDER_LIFETIME -> OrderSettlement.EXPIRED
+                now - unsettled.unansweredAt > CALL_LIFETIME -> OrderSettlement.EXPIRED
                 else -> return null
             }
         unsettledOrder = null
@@ -112,12 +112,10 @@
         now: Duration,
     ) {
         val first = firstReport ?: FirstReport(report.born, report.orders, now).also { firstReport = it }
-        val isSettled = report.born != first.born || report.orders != first.orders || now - first.at > ORDER_LIFETIME
+        val isSettled = report.born != first.born || report.orders != first.orders || now - first.at > CALL_LIFETIME
         if (isSettled) onNoEarlierOrder()
     }
-
-    private companion object {
-        /** No call on the platform is held longer than this. */
-        val ORDER_LIFETIME = 30.seconds
-    }
 }
+
+/** The time after which a call without an answer counts as gone; as long as the platform's longest call, a waiting read. */
+internal val CALL_LIFETIME = 30.seconds
--- a/control/src/test/kotlin/lagoonrudder/control/direct/LoadOrderControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/LoadOrderControllerTest.kt
@@ -61,6 +61,21 @@
             unansweredAt(1.seconds).onReport(report(born = 8, orders = 0), 2.seconds) shouldBe OrderSettlement.BACK_END_RESTARTED
         }
 
+        test("an order of an earlier process is possible until one is accepted, the back end restarts, or its life is over") {
+            fun isPossibleAfter(
+                next: BackEndReport,
+                at: Duration,
+            ) = LoadOrderController()
+                .apply {
+                    onReport(report(), 1.seconds)
+                    onReport(next, at)
+                }.earlierOrderPossible
+            isPossibleAfter(report(), 31.seconds) shouldBe true
+            isPossibleAfter(report(), 31.seconds + 1.milliseconds) shouldBe false
+            isPossibleAfter(report(orders = 4), 2.seconds) shouldBe false
+            isPossibleAfter(report(born = 8), 2.seconds) shouldBe false
+        }
+
         test("an order expires after the longest time for which a call is held, counted from its last repetition") {
             val orders = unansweredAt(1.seconds)
             orders.onUnanswered(ORDER, 5.seconds)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.ControlThread
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.BackEndStateController
+import lagoonrudder.control.direct.ChunkWriteController
 import lagoonrudder.control.direct.LoadOrderController
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
@@ -47,6 +48,7 @@
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
     val loadOrders = LoadOrderController()
+    val chunkWrites = ChunkWriteController()
     val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
 
     /** Logs a change of the published state, which came from [source] at store revision [at]. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -35,13 +35,18 @@
             )
         }
         reachable = true
-        if (report.born != lastReport?.born) area.clear()
+        if (report.born != lastReport?.born) onRestart()
         logChange(report)
         settleOrder(report)
         announce(report, closed = report.loading)
         return report
     }
 
+    private suspend fun onRestart() {
+        area.clear()
+        core.thread.decide { core.chunkWrites.onBackEndRestarted() }
+    }
+
     /** Announces the back end with [report]; a closed one gets no new requests. */
     suspend fun announce(
         report: BackEndReport,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -11,6 +11,7 @@
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.ClockReading
 import lagoonrudder.model.Digest
+import lagoonrudder.model.Failure
 import lagoonrudder.model.digestOf
 import lagoonrudder.model.read
 import lagoonrudder.platform.SlotClient
@@ -24,6 +25,7 @@
     private val intact = mutableSetOf<Int>()
     private val attempts = mutableMapOf<Int, Int>()
     private var verifiedAt: ClockReading? = null
+    private var lastEndangered = emptyList<Int>()
 
     /** The version that is being staged; null if none has been since the back end started. */
     var manifest: WeightManifest? = null
@@ -47,10 +49,7 @@
 
     /** Returns the digests of the chunks that are there, null for a missing one; null if one can't be read. */
     suspend fun digests(manifest: WeightManifest): List<Digest?>? =
-        manifest.digests.indices.map { index ->
-            val staged = backEnd.staged(manifest.model, index).getOrElse { return null }
-            staged?.let { digestOf(it) }
-        }
+        manifest.digests.indices.map { index -> read(manifest, index).getOrElse { return null } }
 
     /** Begins to stage the version of [manifest], of which some chunks may be there already. */
     suspend fun begin(manifest: WeightManifest) {
@@ -75,23 +74,59 @@
         index: Int,
         bytes: ByteArray,
     ): Boolean {
-        val staged = backEnd.stage(manifest.model, index, bytes)
-        if (staged is Either.Left) core.log.failure("stage-failed", staged.value, "piece" to index)
         verifiedAt = null
-        if (staged is Either.Right) intact += index
-        return staged.isRight()
+        val isStored =
+            when (val result = backEnd.stage(manifest.model, index, bytes)) {
+                is Either.Right -> {
+                    core.thread.decide { core.chunkWrites.onStored(index, manifest.digests[index]) }
+                    true
+                }
+                is Either.Left -> {
+                    core.log.failure("stage-failed", result.value, "piece" to index)
+                    result.value !is Failure.Unreachable && hasArrived(manifest, index)
+                }
+            }
+        if (isStored) intact += index
+        return isStored
+    }
+
+    /** Returns whether a chunk whose write got no answer is there. If it is not, it may still arrive. */
+    private suspend fun hasArrived(
+        manifest: WeightManifest,
+        index: Int,
+    ): Boolean {
+        val digest = manifest.digests[index]
+        core.thread.decide { core.chunkWrites.onUnanswered(index, digest, core.clock.elapsed()) }
+        return read(manifest, index).getOrElse { null } == digest
     }
 
-    /** Returns whether all chunks of [manifest] are intact by a verification that is recent enough for an order to rely on. */
-    suspend fun isReadyToLoad(manifest: WeightManifest): Boolean = isRecentlyVerified || (verify(manifest) && isRecentlyVerified)
+    /** Reads the digest of a chunk back, null if it is missing. */
+    private suspend fun read(
+        manifest: WeightManifest,
+        index: Int,
+    ): Either<Failure, Digest?> =
+        backEnd.staged(manifest.model, index).map { bytes ->
+            bytes?.let { digestOf(it) }?.also { digest -> core.thread.decide { core.chunkWrites.onRead(index, digest) } }
+        }
+
+    /**
+     * Returns whether an order can rely on the chunks of [manifest]: all are intact by a recent verification, and no write of
+     * another version may still overwrite one.
+     */
+    suspend fun isReadyToLoad(manifest: WeightManifest): Boolean {
+        val isIntact = isRecentlyVerified || (verify(manifest) && isRecentlyVerified)
+        val endangered = core.thread.decide { core.chunkWrites.endangered(manifest, core.clock.elapsed()) }
+        if (endangered != lastEndangered) core.log.info("chunks-endangered", "number" to manifest.number.number, "chunks" to endangered)
+        lastEndangered = endangered
+        return isIntact && endangered.isEmpty()
+    }
 
     /** Reads every chunk back and compares its digest. Those that do not match are missing from then on. */
     suspend fun verify(manifest: WeightManifest): Boolean {
         val startedAt = core.clock.read()
         val before = intact.toSet()
         for (index in manifest.digests.indices) {
-            val staged = backEnd.staged(manifest.model, index).getOrElse { null }
-            val isIntact = staged != null && digestOf(staged) == manifest.digests[index]
+            val isIntact = read(manifest, index).getOrElse { null } == manifest.digests[index]
             if (isIntact) intact += index else intact -= index
         }
         val isComplete = intact.size == manifest.digests.size
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -73,7 +73,7 @@
         }
         if (!stage(manifest)) return
         if (!awaitScheduledSwitch(manifest, report)) return
-        if (area.isReadyToLoad(manifest)) orderLoad(manifest, report)
+        if (area.isReadyToLoad(manifest)) orderLoad(manifest, report) else delay(RETRY_DELAY)
     }
 
     /**
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -91,11 +91,15 @@
 
     /** Ends the target daemon beside back end [index] without notice and starts another one in its place. */
     fun restartTarget(index: Int) {
+        stopTarget(index)
+        startTarget(index)
+    }
+
+    fun stopTarget(index: Int) {
         targetCores.remove(index)?.let {
             it.close()
             cores -= it
         }
-        startTarget(index)
     }
 
     fun register(index: Int) = store.put("servers/${workers[index].id}", registration(index))
@@ -109,7 +113,7 @@
             put("slots", SLOTS)
             put("state", "ready")
             put("coldLeftMs", 0)
-            put("born", FakeWorker.BORN)
+            put("born", workers[index].born)
             with(workers[index]) { writeLoadedWeights() }
         }.toString()
 
@@ -187,7 +191,7 @@
         }
     }
 
-    private fun startTarget(index: Int) {
+    fun startTarget(index: Int) {
         targetCores[index] = start(settings("target-$index", DaemonRole.TARGET, null, DirectSlotSettings(SERVICE, workerAddresses[index])))
     }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -47,6 +47,8 @@
     private val staged = mutableMapOf<Int, ByteArray>()
     private var loading = false
     private var orders = 0
+    var born = BORN
+        private set
 
     /** The loaded version, or null. */
     var loadedVersion: Long? = null
@@ -64,6 +66,9 @@
     /** Runs before the answer to each read of a staged chunk, with the index of the chunk. */
     var onChunkRead: suspend (Int) -> Unit = {}
 
+    /** Runs before a chunk is stored, whether or not its sender still waits. */
+    var onChunkWrite: suspend (Int) -> Unit = {}
+
     /** The versions of all orders that arrived. */
     val orderedVersions = mutableListOf<Long>()
 
@@ -73,6 +78,14 @@
     /** Whether all chunks of [version] are staged. */
     fun hasStaged(version: Long): Boolean = (0 until CHUNK_COUNT).all { staged[it]?.contentEquals(chunkOf(version, it)) == true }
 
+    /** Starts anew: nothing is loaded, and the staged chunks are still there. */
+    fun restart() {
+        loadedVersion = null
+        loading = false
+        orders = 0
+        born++
+    }
+
     /** Corrupts a staged chunk. */
     fun corruptStagedChunk(index: Int) {
         staged[index] = ByteArray(CHUNK_BYTES)
@@ -98,7 +111,13 @@
             target.endsWith("/report") -> report(exchange)
             target.endsWith("/order") -> order(exchange)
             "/stage-put/" in target && index != null -> {
-                staged[index] = exchange.request.body
+                val body = exchange.request.body
+                val stored =
+                    scope.async {
+                        onChunkWrite(index)
+                        staged[index] = body
+                    }
+                stored.await()
                 exchange.respond(200, emptyList(), NO_BYTES)
             }
             "/stage-get/" in target && index != null -> {
@@ -124,7 +143,7 @@
                 put("seq", orders)
                 put("running", 0)
                 put("waiting", 0)
-                put("born", BORN)
+                put("born", born)
             },
         )
 
@@ -230,6 +249,9 @@
 class FakeWeightOrigin : HttpHandler {
     var latestVersion = 1L
 
+    /** Whether versions that are two or more behind are gone, as the protocol says. */
+    var forgetsOldVersions = false
+
     /** The number of chunks after which this origin closes connections without an answer; null while it works. */
     var failsAfter: Int? = null
 
@@ -252,6 +274,7 @@
         }
         val query = queryParameters(exchange.request.target)
         val version = query["version"]?.toLong() ?: latestVersion
+        if (forgetsOldVersions && version <= latestVersion - 2) return exchange.respond(410, emptyList(), NO_BYTES)
         if ("/manifest/" in exchange.request.target) {
             val isStale = staleManifests > 0
             if (isStale) staleManifests--
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -69,4 +70,25 @@
                 worker.loadedInvalidChunks shouldBe false
             }
         }
+
+        test("a chunk whose write was given up does not arrive under the order of a newer version") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                val arrival = CompletableDeferred<Unit>()
+                var isFirst = true
+                worker.onChunkWrite = {
+                    if (isFirst) {
+                        isFirst = false
+                        arrival.await()
+                    }
+                }
+                // The write of version 2 arrives while the last chunk of version 3 is verified.
+                worker.onChunkRead = { index -> if (index == CHUNK_COUNT - 1 && worker.hasStaged(3)) arrival.complete(Unit) }
+                declare(2)
+                eventually { worker.loadedVersion == 2L }
+                declare(3)
+                eventually(15.seconds) { worker.loadedVersion == 3L }
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
     })
