Let a verification be two seconds old at the order

A back end whose chunks took over a second to read back was never ordered to load, and the daemon read them again and again. Evidence: LateOrderTest, 'chunks take over a second': before, nothing loaded in 15 s, in three of three runs; it passes now. With the timeout of an order this stays within the three seconds in which a chunk may turn bad unseen.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -146,6 +146,6 @@
 
     private companion object {
         /** Covers the reads and the time in which a back end closes and drains. A chunk may turn bad meanwhile. */
-        val VERIFICATION_VALIDITY = 1.seconds
+        val VERIFICATION_VALIDITY = 2.seconds
     }
 }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -91,4 +91,14 @@
                 worker.loadedInvalidChunks shouldBe false
             }
         }
+
+        test("a back end whose chunks take over a second to read back gets new weights") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                worker.onChunkRead = { delay(200.milliseconds) }
+                declare(2)
+                eventually(15.seconds) { worker.loadedVersion == 2L }
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
     })
