Recognize chunks of up to three former versions after a restart of the target daemon

When a back end and its target daemon had restarted two versions behind, the daemon did not know whose chunks were staged and waited 30 s before it replaced them. Evidence: LateOrderTest, 'two versions behind': before, not loaded within 15 s (30,245 ms with a longer limit); it passes now. Entry daemons keep the manifests of former versions. While none is found, the chunks are read once a second, not every 150 ms.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -125,6 +125,7 @@
         val earlier = EarlierOrder.of(staged, listOf(wanted) + olderManifests(wanted, report), report.held?.number)
         if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
         lastEarlier = earlier
+        if (earlier == EarlierOrder.PossibleForUnknownVersion) delay(EARLIER_ORDER_CHECK_INTERVAL)
         return core.thread.decide {
             when (earlier) {
                 EarlierOrder.None -> {
@@ -154,11 +155,8 @@
         wanted: WeightManifest,
         report: BackEndReport,
     ): List<WeightManifest> {
-        val numbers =
-            setOfNotNull(report.held?.number, WeightNumber(wanted.number.number - 1)).filter {
-                it > NO_VERSION &&
-                    it != wanted.number
-            }
+        val before = (1..EARLIER_VERSIONS).map { WeightNumber(wanted.number.number - it) }.filter { it > NO_VERSION }
+        val numbers = (before + listOfNotNull(report.held?.number)).distinct() - wanted.number
         return numbers.mapNotNull { number ->
             val sources = core.thread.decide { core.staging.sources(wanted.model, number, MANIFEST_INDEX, core.clock.elapsed()) }
             fetcher.manifest(sources, wanted.model, number).getOrNull()
@@ -347,6 +345,10 @@
         const val MANIFEST_INDEX = -1
         val NO_VERSION = WeightNumber(0)
 
+        /** Entry daemons keep the manifests of former versions, the origin only the last one. */
+        const val EARLIER_VERSIONS = 3
+        val EARLIER_ORDER_CHECK_INTERVAL = 1_000.milliseconds
+
         /** The link of the slot also carries requests, so one chunk is fetched while the previous one is staged. */
         const val MAX_CONCURRENT_FETCHES = 2
 
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -101,4 +101,21 @@
                 worker.loadedInvalidChunks shouldBe false
             }
         }
+
+        test("a back end that restarts with its target daemon two versions behind gets new weights") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                origin.forgetsOldVersions = true
+                declare(2)
+                eventually { worker.loadedVersion == 2L }
+                stopTarget(0)
+                worker.restart()
+                declare(3)
+                declare(4)
+                register(0)
+                startTarget(0)
+                eventually(15.seconds) { worker.loadedVersion == 4L }
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
     })
