Keep a back end open while an order is repeated

Each repetition closed the back end and let it drain, for most of the time in which its order was unanswered, though it may begin to load at any moment anyway.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -78,14 +78,16 @@
 
     /**
      * Sends an order again that got no response, after replacing chunks that were damaged since. Chunks of another version
-     * are not staged meanwhile, because the back end may still accept the order.
+     * are not staged meanwhile, because the back end may still accept the order. It stays open for requests, since nobody
+     * knows when it will.
      */
     private suspend fun repeatOrder(
         manifest: WeightManifest,
         report: BackEndReport,
     ) {
         if (area.manifest != manifest) area.begin(manifest)
-        if (area.verify(manifest) || (stage(manifest) && area.verify(manifest))) orderLoad(manifest, report)
+        val isComplete = area.verify(manifest) || (stage(manifest) && area.verify(manifest))
+        if (isComplete) reportOfSameRun(report)?.let { sendOrder(manifest, it, Handover.DRAIN) }
         delay(RETRY_DELAY)
     }
 
@@ -252,7 +254,14 @@
     ) {
         val handover = scheduledSwitch(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.DRAIN
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
-        if (!area.isReadyToLoad(manifest)) return
+        if (area.isReadyToLoad(manifest)) sendOrder(manifest, report, handover)
+    }
+
+    private suspend fun sendOrder(
+        manifest: WeightManifest,
+        report: BackEndReport,
+        handover: Handover,
+    ) {
         val order = LoadOrder(manifest, report.born, report.orders)
         val orderedAt = core.clock.elapsed()
         core.thread.decide { core.loadOrders.onSent(order, orderedAt) }
@@ -279,10 +288,7 @@
 
     /** Returns the report of a back end that serves nothing, so needs no draining; null when it restarted or is loading. */
     private suspend fun reportOfSameRun(before: BackEndReport): BackEndReport? =
-        monitor.report()?.takeIf {
-            it.born == before.born &&
-                !it.loading
-        }
+        monitor.report()?.takeIf { it.born == before.born && !it.loading }
 
     /**
      * Announces the back end as closed, so that the entry daemons send no more requests, and waits until its queue is empty:
