--- /dev/null
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/EarlierOrderCheck.kt
@@ -0,0 +1,82 @@
+/**
+ * Checks at a target daemon that has restarted whether the process before it may have sent an order that can still be accepted.
+ */
+package lagoonrudder.daemon.direct
+
+import kotlinx.coroutines.delay
+import lagoonrudder.control.direct.BackEndReport
+import lagoonrudder.control.direct.EarlierOrder
+import lagoonrudder.control.direct.LoadOrder
+import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration.Companion.seconds
+
+class EarlierOrderCheck(
+    private val core: DirectCore,
+    private val area: StagingArea,
+    private val fetcher: WeightFetcher,
+) {
+    private var lastEarlier: EarlierOrder? = null
+
+    /**
+     * Returns whether the chunks that a process before this one left may be replaced by those of [wanted]. If it may have sent
+     * an order that can still be accepted, that order becomes this process's to settle.
+     */
+    suspend fun mayReplaceChunks(
+        wanted: WeightManifest,
+        report: BackEndReport,
+    ): Boolean {
+        if (!core.thread.decide { core.loadOrders.earlierOrderPossible }) return true
+        val staged = area.digests(wanted) ?: return false
+        val earlier = EarlierOrder.of(staged, listOf(wanted) + olderManifests(wanted, report), report.held?.number)
+        if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
+        lastEarlier = earlier
+        if (earlier == EarlierOrder.PossibleForUnknownVersion) delay(CHECK_INTERVAL)
+        return core.thread.decide {
+            when (earlier) {
+                EarlierOrder.None -> {
+                    core.loadOrders.onNoEarlierOrder()
+                    true
+                }
+                EarlierOrder.PossibleForUnknownVersion -> false
+                is EarlierOrder.Possible -> {
+                    val isWanted = earlier.manifest.number == wanted.number
+                    val order = LoadOrder(earlier.manifest, report.born, report.orders)
+                    if (!isWanted) core.loadOrders.onUnanswered(order, core.clock.elapsed())
+                    isWanted
+                }
+            }
+        }
+    }
+
+    private fun describe(earlier: EarlierOrder): Any =
+        when (earlier) {
+            EarlierOrder.None -> "none"
+            EarlierOrder.PossibleForUnknownVersion -> "unknown"
+            is EarlierOrder.Possible -> earlier.manifest.number.number
+        }
+
+    /** Returns the manifests of the versions that may have been staged before [wanted], as far as they can be had. */
+    private suspend fun olderManifests(
+        wanted: WeightManifest,
+        report: BackEndReport,
+    ): List<WeightManifest> {
+        val before = (1..FORMER_VERSIONS).map { WeightNumber(wanted.number.number - it) }.filter { it > NO_VERSION }
+        val numbers = (before + listOfNotNull(report.held?.number)).distinct() - wanted.number
+        return numbers.mapNotNull { number ->
+            val sources = core.thread.decide { core.staging.sources(wanted.model, number, MANIFEST_INDEX, core.clock.elapsed()) }
+            fetcher.manifest(sources, wanted.model, number).getOrNull()
+        }
+    }
+
+    private companion object {
+        const val MANIFEST_INDEX = -1
+        val NO_VERSION = WeightNumber(0)
+
+        /** Entry daemons keep the manifests of former versions, the origin only the last one. */
+        const val FORMER_VERSIONS = 3
+
+        /** The pause after which unknown chunks are read again. */
+        val CHECK_INTERVAL = 1.seconds
+    }
+}
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -14,7 +14,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
-import lagoonrudder.control.direct.EarlierOrder
 import lagoonrudder.control.direct.Handover
 import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.OrderResponse
@@ -36,8 +35,8 @@
     private val backEnd = SlotClient(core.http, slot.backEnd)
     private val area = StagingArea(core, backEnd)
     private val monitor = SlotMonitor(core, slot, backEnd, area, peers)
+    private val earlierOrders = EarlierOrderCheck(core, area, fetcher)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
-    private var lastEarlier: EarlierOrder? = null
 
     /** Checks at once whether other weights are wanted. May be called on any thread. */
     fun checkNow() {
@@ -103,7 +102,7 @@
         val sources =
             core.thread.decide { core.staging.sources(weightsToLoad.model, weightsToLoad.number, MANIFEST_INDEX, core.clock.elapsed()) }
         val fetched = fetcher.manifest(sources, weightsToLoad.model, weightsToLoad.number).getOrElse { return null }
-        if (core.thread.decide { core.loadOrders.earlierOrderPossible } && !mayReplaceEarlier(fetched, report)) return null
+        if (!earlierOrders.mayReplaceChunks(fetched, report)) return null
         area.begin(fetched)
         core.log.info(
             "staging",
@@ -115,56 +114,6 @@
         return fetched
     }
 
-    /**
-     * Returns whether the chunks that a process before this one left may be replaced by those of [wanted]. If it may have sent
-     * an order that can still be accepted, that order becomes this process's to settle.
-     */
-    private suspend fun mayReplaceEarlier(
-        wanted: WeightManifest,
-        report: BackEndReport,
-    ): Boolean {
-        val staged = area.digests(wanted) ?: return false
-        val earlier = EarlierOrder.of(staged, listOf(wanted) + olderManifests(wanted, report), report.held?.number)
-        if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
-        lastEarlier = earlier
-        if (earlier == EarlierOrder.PossibleForUnknownVersion) delay(EARLIER_ORDER_CHECK_INTERVAL)
-        return core.thread.decide {
-            when (earlier) {
-                EarlierOrder.None -> {
-                    core.loadOrders.onNoEarlierOrder()
-                    true
-                }
-                EarlierOrder.PossibleForUnknownVersion -> false
-                is EarlierOrder.Possible -> {
-                    val isWanted = earlier.manifest.number == wanted.number
-                    val order = LoadOrder(earlier.manifest, report.born, report.orders)
-                    if (!isWanted) core.loadOrders.onUnanswered(order, core.clock.elapsed())
-                    isWanted
-                }
-            }
-        }
-    }
-
-    private fun describe(earlier: EarlierOrder): Any =
-        when (earlier) {
-            EarlierOrder.None -> "none"
-            EarlierOrder.PossibleForUnknownVersion -> "unknown"
-            is EarlierOrder.Possible -> earlier.manifest.number.number
-        }
-
-    /** Returns the manifests of the versions that may have been staged before [wanted], as far as they can be had. */
-    private suspend fun olderManifests(
-        wanted: WeightManifest,
-        report: BackEndReport,
-    ): List<WeightManifest> {
-        val before = (1..EARLIER_VERSIONS).map { WeightNumber(wanted.number.number - it) }.filter { it > NO_VERSION }
-        val numbers = (before + listOfNotNull(report.held?.number)).distinct() - wanted.number
-        return numbers.mapNotNull { number ->
-            val sources = core.thread.decide { core.staging.sources(wanted.model, number, MANIFEST_INDEX, core.clock.elapsed()) }
-            fetcher.manifest(sources, wanted.model, number).getOrNull()
-        }
-    }
-
     /**
      * Fetches and stages the missing chunks. One that can't be had yet is asked for again after the others. Returns false if some
      * are still missing: when another version has become the wanted one, or after a time in which the back end may have restarted.
@@ -351,10 +300,6 @@
         const val MANIFEST_INDEX = -1
         val NO_VERSION = WeightNumber(0)
 
-        /** Entry daemons keep the manifests of former versions, the origin only the last one. */
-        const val EARLIER_VERSIONS = 3
-        val EARLIER_ORDER_CHECK_INTERVAL = 1_000.milliseconds
-
         /** The link of the slot also carries requests, so one chunk is fetched while the previous one is staged. */
         const val MAX_CONCURRENT_FETCHES = 2
 
