Fetch former manifests only if the staged chunks may belong to them

After a loss of power all target daemons asked for the manifests of former versions before they staged anything, though no chunk was left.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/EarlierOrderCheck.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/EarlierOrderCheck.kt
@@ -28,7 +28,9 @@
     ): Boolean {
         if (!core.thread.decide { core.loadOrders.earlierOrderPossible }) return true
         val staged = area.digests(wanted) ?: return false
-        val earlier = EarlierOrder.of(staged, listOf(wanted) + olderManifests(wanted, report), report.held?.number)
+        // Former manifests may have to come from the origin, whose link is scarce when many daemons have restarted.
+        val former = if (null in staged || staged == wanted.digests) emptyList() else olderManifests(wanted, report)
+        val earlier = EarlierOrder.of(staged, listOf(wanted) + former, report.held?.number)
         if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
         lastEarlier = earlier
         if (earlier == EarlierOrder.PossibleForUnknownVersion) delay(CHECK_INTERVAL)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -47,9 +47,15 @@
         verifiedAt = null
     }
 
-    /** Returns the digests of the chunks that are there, null for a missing one; null if one can't be read. */
-    suspend fun digests(manifest: WeightManifest): List<Digest?>? =
-        manifest.digests.indices.map { index -> read(manifest, index).getOrElse { return null } }
+    /** Returns the digests of the chunks that are there up to the first missing one, for which it has null; null if one can't be read. */
+    suspend fun digests(manifest: WeightManifest): List<Digest?>? {
+        val digests = mutableListOf<Digest?>()
+        for (index in manifest.digests.indices) {
+            digests += read(manifest, index).getOrElse { return null }
+            if (digests.last() == null) break
+        }
+        return digests
+    }
 
     /** Begins to stage the version of [manifest], of which some chunks may be there already. */
     suspend fun begin(manifest: WeightManifest) {
