--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -59,11 +59,6 @@
         val address: Address,
     ) : WeightSource()
 
-    /** An entry daemon that is asked only for chunks that it has cached. */
-    data class EntryCache(
-        val address: Address,
-    ) : WeightSource()
-
     data class Origin(
         val address: Address,
     ) : WeightSource()
@@ -132,32 +127,13 @@
         attempts: Int = 0,
     ): List<WeightSource> {
         if (peers.isDiscovering(now)) return emptyList()
-        val primary = ranked(originRegionEntries(now), model, number, index).firstOrNull()
+        val entries = peers.liveEntries(now)
+        val inOriginRegion = entries.filter { it.region == originRegion() }.ifEmpty { entries }
+        val primary = ranked(inOriginRegion, model, number, index).firstOrNull()
         val fromPrimary = primary?.takeIf { it.daemon != peers.self.daemon }?.address?.let { WeightSource.Entry(it) }
         return afterAttempts(listOfNotNull(fromPrimary, origin()?.let { WeightSource.Origin(it) }), attempts)
     }
 
-    /**
-     * Returns the daemon that was the primary source of chunk [index] before this entry daemon joined, if this one is now. It may
-     * have the chunk. Daemons that have not discovered this one still take it for the primary source.
-     */
-    fun previousPrimarySource(
-        model: ModelId,
-        number: WeightNumber,
-        index: Int,
-        now: Duration,
-    ): WeightSource.EntryCache? {
-        val ranking = ranked(originRegionEntries(now), model, number, index)
-        if (ranking.firstOrNull()?.daemon != peers.self.daemon) return null
-        return ranking.getOrNull(1)?.address?.let { WeightSource.EntryCache(it) }
-    }
-
-    /** Returns the live entry daemons of the origin's region, or all of them if there are none. */
-    private fun originRegionEntries(now: Duration): List<PeerDaemon> {
-        val entries = peers.liveEntries(now)
-        return entries.filter { it.region == originRegion() }.ifEmpty { entries }
-    }
-
     /** Moves on to the next source when one has answered several times that it has not got the data yet, for example while cut off. */
     private fun afterAttempts(
         sources: List<WeightSource>,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -120,29 +120,13 @@
         while (true) {
             val fetched =
                 fetchPermits.withPermit {
-                    manifest(model, number).flatMap {
-                        val cached = if (attempts == 0) previousPrimarySource(model, number, index) else null
-                        fetcher.chunk(listOfNotNull(cached) + upstreamSources(model, number, index, attempts++), it, index)
-                    }
+                    manifest(model, number).flatMap { fetcher.chunk(upstreamSources(model, number, index, attempts++), it, index) }
                 }
             if (fetched is Either.Right) return fetched.value
             delay(RETRY_DELAY)
         }
     }
 
-    /** Returns a chunk if it has arrived. */
-    suspend fun cachedChunk(
-        model: ModelId,
-        number: WeightNumber,
-        index: Int,
-    ): ByteArray? = chunks[ChunkKey(model, number, index)]?.takeIf { it.isCompleted && !it.isCancelled }?.await()
-
-    private suspend fun previousPrimarySource(
-        model: ModelId,
-        number: WeightNumber,
-        index: Int,
-    ): WeightSource? = core.thread.decide { core.staging.previousPrimarySource(model, number, index, core.clock.elapsed()) }
-
     private suspend fun upstreamSources(
         model: ModelId,
         number: WeightNumber?,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -35,7 +35,6 @@
     const val GOSSIP = "/peer/word"
     const val MANIFEST = "/peer/manifest"
     const val CHUNK = "/peer/piece"
-    const val CACHED_CHUNK = "/peer/cached-piece"
 }
 
 class PeerClient(
@@ -70,19 +69,6 @@
             CHUNK_TIMEOUT,
         ).map { it.body }
 
-    /** Returns a chunk that the peer has cached; [Failure.Declined] if it has not. */
-    suspend fun cachedChunk(
-        address: Address,
-        model: ModelId,
-        number: WeightNumber,
-        index: Int,
-    ): Either<Failure, ByteArray> =
-        call(
-            address,
-            HttpRequest("GET", "${PeerPaths.CACHED_CHUNK}/${model.text}/${number.number}/$index", emptyList()),
-            CACHED_CHUNK_TIMEOUT,
-        ).map { it.body }
-
     private suspend fun call(
         address: Address,
         request: HttpRequest,
@@ -114,8 +100,5 @@
 
         /** The peer may first have to fetch the chunk from the origin. */
         val CHUNK_TIMEOUT = 3.seconds
-
-        /** The peer answers at once, and the origin is asked next. */
-        val CACHED_CHUNK_TIMEOUT = 400.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -39,7 +39,6 @@
             path == PeerPaths.GOSSIP -> respondToGossip(exchange)
             path == PeerPaths.MANIFEST && segments.size == MANIFEST_PATH_SEGMENTS -> manifest(exchange, segments)
             path == PeerPaths.CHUNK && segments.size == CHUNK_PATH_SEGMENTS -> chunk(exchange, segments)
-            path == PeerPaths.CACHED_CHUNK && segments.size == CHUNK_PATH_SEGMENTS -> cachedChunk(exchange, segments)
             else -> exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
         }
     }
@@ -112,16 +111,6 @@
         }
     }
 
-    private suspend fun cachedChunk(
-        exchange: HttpExchange,
-        segments: List<String>,
-    ) {
-        val number = segments[3].toLongOrNull()
-        val index = segments[4].toIntOrNull()
-        val chunk = if (number == null || index == null) null else chunks.cachedChunk(ModelId(segments[2]), WeightNumber(number), index)
-        exchange.respond(if (chunk == null) NOT_FOUND else OK, emptyList(), chunk ?: NO_BYTES)
-    }
-
     private suspend fun respondUnavailable(
         exchange: HttpExchange,
         failure: Failure,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -36,8 +36,6 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.manifest(source.address, model, number)
-                    is WeightSource.EntryCache ->
-                        Failure.Declined(Step.DRAW_CHUNK, peerOf(source), "a cache of chunks has no manifest").left()
                     is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
                 }
             fetched.flatMap { manifest ->
@@ -56,7 +54,6 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
-                    is WeightSource.EntryCache -> peers.cachedChunk(source.address, manifest.model, manifest.number, index)
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
@@ -83,18 +80,11 @@
                 is Either.Right -> return fetched
                 is Either.Left -> failure = fetched.value
             }
-            if (failure is Failure.Declined && fetchesItself(source)) return fetched
+            if (failure is Failure.Declined) return fetched
         }
         return failure.left()
     }
 
-    /** Whether [source] gets data that it has not got yet, so that it is worth asking it again. */
-    private fun fetchesItself(source: WeightSource): Boolean =
-        when (source) {
-            is WeightSource.Entry, is WeightSource.Origin -> true
-            is WeightSource.EntryCache -> false
-        }
-
     /** Fetches from [source] and records whether it answered. */
     private suspend fun <T> fetchRecorded(
         source: WeightSource,
@@ -142,7 +132,6 @@
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
-            is WeightSource.EntryCache -> Peer(PeerRole.ENTRY, source.address.toString())
             is WeightSource.Origin -> Peer(PeerRole.ORIGIN, source.address.toString())
         }
 }
