--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -154,13 +154,20 @@
             "took-ms" to took.inWholeMilliseconds,
             "first-ms" to call.timeToFirstEvent?.inWholeMilliseconds,
             "waited-ms" to call.queueTime.inWholeMilliseconds,
-            "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}" },
+            "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}:events=${it.events}" },
+            "parts" to sharedPartsOf(call),
             "detail" to call.lastFailure?.detail,
         )
     }
 
+    private fun sharedPartsOf(call: DirectCall): String {
+        val parts = call.request.sharedParts.take(MAX_LOGGED_PARTS)
+        return parts.joinToString(",") { it.text }
+    }
+
     private companion object {
         val TICK_INTERVAL = 100.milliseconds
+        const val MAX_LOGGED_PARTS = 8
 
         /** The load balancer checks readiness once a second and stops routing here after two failed checks. */
         val LOAD_BALANCER_DRAIN_TIME = 2_300.milliseconds
--- a/model/src/main/kotlin/lagoonrudder/model/Ids.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Ids.kt
@@ -108,6 +108,12 @@
     override fun compareTo(other: FencingNumber): Int = number.compareTo(other.number)
 }
 
+/** A part of a prompt, as named by callers; requests may have parts in common. */
+@JvmInline
+value class PromptPartId(
+    val text: String,
+)
+
 /** A pool of back ends that serve the same requests. */
 @JvmInline
 value class ServiceId(
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -32,10 +32,11 @@
     fun timeLeft(clock: Clock): Duration = deadline - clock.elapsed()
 }
 
-/** One attempt and its result, for the log. */
+/** One attempt, its result and the number of events that it received, for the log. */
 data class AttemptRecord(
     val target: TargetId,
     val result: String,
+    val events: Int,
 )
 
 class DirectCall(
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -9,13 +9,15 @@
 import lagoonrudder.model.EventId
 import lagoonrudder.model.Failure
 import lagoonrudder.model.HeaderField
+import lagoonrudder.model.PromptPartId
 import lagoonrudder.model.RequestId
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 
 /**
  * A caller's request. [timeLeft] is the time for which the caller still waits, [promptTokens] the length of the prompt as
- * stated by the caller; [fields] are forwarded unchanged.
+ * stated by the caller; [fields] are forwarded unchanged. [sharedParts] are the parts of the prompt, in order, that other requests
+ * may have too.
  */
 class DirectRequest(
     val request: RequestId,
@@ -28,6 +30,7 @@
     val promptTokens: Int?,
     val fields: List<HeaderField>,
     val body: ByteArray,
+    val sharedParts: List<PromptPartId> = emptyList(),
 )
 
 /**
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -59,6 +59,10 @@
     var firstProgressAt: Duration? = null
         private set
 
+    /** The number of events that the current attempt has received, without comments. */
+    var eventsInAttempt = 0
+        private set
+
     /** The last event that was forwarded. */
     var lastEvent: EventId? = null
         private set
@@ -75,6 +79,7 @@
         progressAt = clock.elapsed()
         firstProgressAt = null
         receivedAny = false
+        eventsInAttempt = 0
         head = null
         buffered = ByteArrayOutputStream(0)
         splitter = EventSplitter()
@@ -144,6 +149,7 @@
         current: ResponseHead,
     ): DirectAttemptResult? {
         for (event in splitter.feed(data)) {
+            if (!event.isComment) eventsInAttempt++
             when (val place = placeOf(event)) {
                 EventPlace.Repeated -> continue
                 is EventPlace.Unfit -> return DirectAttemptResult.Lost(place.detail)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -118,7 +118,7 @@
                     is Placement.Refused -> return refusedOutcome(placement)
                 }
             val result = recorded(backEnd) { attempt(backEnd) }
-            call.attempts += AttemptRecord(backEnd.id, describe(result))
+            call.attempts += AttemptRecord(backEnd.id, describe(result), relay.eventsInAttempt)
             excluded += backEnd.id
             val outcome =
                 when (result) {
