--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -91,6 +91,13 @@
         }
     }
 
+    /** Makes [part] of prompts crash all back ends; null makes them sound again. They register anew after each crash. */
+    fun crashOn(part: String?) =
+        workers.forEachIndexed { index, worker ->
+            worker.deadlyPart = part
+            worker.onRestarted = { register(index) }
+        }
+
     fun register(index: Int) = store.put("servers/${workers[index].id}", registration(index))
 
     /** Returns the value under which a back end registers. */
@@ -125,6 +132,7 @@
         entry: Int = 0,
         path: String = "/a/b",
         key: String = "key",
+        parts: List<String> = emptyList(),
     ): HttpResponse? {
         val fields =
             listOf(
@@ -132,6 +140,7 @@
                 HeaderField("Request-Id", "request-${requests++}"),
                 HeaderField("Deadline-Ms", "4000"),
                 HeaderField("X-Api-Key", key),
+                HeaderField("Prompt-Prefix", (parts + "own-$requests").joinToString(",") { "$it:100" }),
             )
         val request = HttpRequest("POST", path, fields, "prompt".encodeToByteArray())
         return client.exchange(entryListens[entry].callers, request, Peer(PeerRole.ENTRY, "$entry"), 6.seconds).getOrNull()
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -24,6 +24,8 @@
 import lagoonrudder.model.digestOf
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.TimeMark
+import kotlin.time.TimeSource
 
 internal const val MODEL_NAME = "model"
 internal const val CHUNK_COUNT = 6
@@ -60,6 +62,21 @@
 
     var behavior = WorkerBehavior.NORMAL
 
+    /** A part of prompts that crashes this back end when it begins to write an answer on it; null if there is none. */
+    var deadlyPart: String? = null
+
+    /** The times at which requests with [deadlyPart] arrived. */
+    val deadlyArrivals = mutableListOf<TimeMark>()
+
+    /** The times at which this back end crashed. */
+    val crashes = mutableListOf<TimeMark>()
+
+    /** Runs when this back end is back after a crash. */
+    var onRestarted: () -> Unit = {}
+
+    private val exchanges = mutableSetOf<HttpExchange>()
+    private var isDown = false
+
     /** How long the next orders lie here before this back end decides on them, whether or not their sender still waits. */
     val orderDelays = ArrayDeque<Duration>()
 
@@ -86,6 +103,19 @@
         born++
     }
 
+    /** Cuts all requests and starts anew after [DOWN_TIME]. */
+    private fun crash() {
+        crashes += TimeSource.Monotonic.markNow()
+        isDown = true
+        exchanges.forEach { it.abort() }
+        scope.launch {
+            delay(DOWN_TIME)
+            restart()
+            isDown = false
+            onRestarted()
+        }
+    }
+
     /** Corrupts a staged chunk. */
     fun corruptStagedChunk(index: Int) {
         staged[index] = ByteArray(CHUNK_BYTES)
@@ -105,6 +135,16 @@
     }
 
     override suspend fun handle(exchange: HttpExchange) {
+        if (isDown) return exchange.abort()
+        exchanges += exchange
+        try {
+            route(exchange)
+        } finally {
+            exchanges -= exchange
+        }
+    }
+
+    private suspend fun route(exchange: HttpExchange) {
         val target = exchange.request.target
         val index = queryParameters(target)["num"]?.toInt()
         when {
@@ -224,6 +264,11 @@
                 HeaderField("Weight-Versions", loaded.toString()),
             )
         exchange.begin(HttpResponseHead(200, fields))
+        if (isDeadly(exchange.request)) {
+            deadlyArrivals += TimeSource.Monotonic.markNow()
+            delay(PREFILL_TIME)
+            return crash()
+        }
         val first = (exchange.request.field("Last-Event-Id")?.toInt() ?: 0) + 1
         for (event in first..EVENT_COUNT) {
             if (event == EVENT_COUNT / 2 && behavior == WorkerBehavior.ABORTS_MID_EVENT) {
@@ -236,12 +281,24 @@
         exchange.end()
     }
 
+    private fun isDeadly(request: HttpRequest): Boolean {
+        val parts =
+            request
+                .field("Prompt-Prefix")
+                .orEmpty()
+                .split(',')
+                .map { it.substringBefore(':') }
+        return deadlyPart != null && deadlyPart in parts
+    }
+
     companion object {
         const val EVENT_COUNT = 6
         const val BORN = 7L
         private val LOAD_TIME = 100.milliseconds
         private val EVENT_INTERVAL = 5.milliseconds
         private val STALL_TIME = 10_000.milliseconds
+        private val PREFILL_TIME = 20.milliseconds
+        private val DOWN_TIME = 400.milliseconds
     }
 }
 
