Hold back requests with a part of their prompt that crashes back ends

Callers saw whole domains without an answer: requests with one part in common crashed the back end that began to answer them, and the next request, or the second attempt of the same one, went to the next back end.

Cause: a crash was evidence about the back end alone (ejection), never about the request.

Entry daemons now record which parts the requests had that a back end left without a second event when it closed their connections. A part that was there at crashes at three different moments, and that no answer contradicts, is accused; requests with it are refused at once. Evidence is a set that is merged in any order and exchanged only while digests differ, so that all daemons believe the same after a round of gossip. A probe, by one daemon at a time and ever more rarely, finds out whether the part may be served.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -8,6 +8,7 @@
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.DomainId
+import lagoonrudder.model.PromptPartId
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.ServiceId
@@ -35,7 +36,8 @@
  * The requirements of a request on its back end. [excluded] are the back ends that it must not be sent to again, [number] is the
  * version that produced the start of its response, if any, [promptTokens] the length of its prompt as stated by the caller, and
  * [isLate] is set if its latency objective had passed before it arrived. [wait] limits how long it may be queued, and its caller
- * waits for [timeLeft].
+ * waits for [timeLeft]. [parts] are those of its prompt that other requests may share, and [mayHaveRun] is set if a back end may have
+ * run an earlier attempt.
  */
 data class PlacementRequest(
     val service: ServiceId,
@@ -48,6 +50,8 @@
     val isLate: Boolean,
     val wait: WaitLimit,
     val timeLeft: Duration,
+    val parts: Set<PromptPartId> = emptySet(),
+    val mayHaveRun: Boolean = false,
 )
 
 /** A request for a back end that was accepted for a decision; [result] completes within [wait]. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -16,6 +16,8 @@
 import lagoonrudder.control.direct.admission.PlacementQueue
 import lagoonrudder.control.direct.admission.QueuedRequest
 import lagoonrudder.control.direct.admission.WaitDecision
+import lagoonrudder.control.direct.suspicion.SuspicionController
+import lagoonrudder.control.direct.suspicion.Verdict
 import lagoonrudder.control.dumpSection
 import lagoonrudder.control.entry
 import lagoonrudder.model.BackEnd
@@ -33,6 +35,7 @@
     private val storeView: StoreViewController,
     private val peers: PeerController,
     backEndStates: BackEndStateController,
+    private val suspicions: SuspicionController,
     private val random: Random,
     private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
@@ -127,7 +130,7 @@
         val placement =
             when (choice) {
                 is Choice.Full -> overloaded(queued.request, "no place within $waited", now)
-                is Choice.Chosen, is Choice.NoneEligible -> placementOf(queued.request, choice, now)
+                is Choice.Chosen, is Choice.NoneEligible, is Choice.HeldBack -> placementOf(queued.request, choice, now)
             }
         queued.result.complete(placement)
     }
@@ -144,6 +147,7 @@
             is Choice.Chosen -> choice.placed
             is Choice.Full -> overloaded(request, "full back-ends=${choice.backEnds}", now)
             is Choice.NoneEligible -> Placement.Refused(Refusal.NoTarget(retryAfter(request, now)), choice.reason)
+            is Choice.HeldBack -> Placement.Refused(Refusal.HeldBack(choice.verdict.retryAfter), choice.verdict.reason)
         }
 
     private fun overloaded(
@@ -193,6 +197,10 @@
         data class NoneEligible(
             val reason: String,
         ) : Choice()
+
+        data class HeldBack(
+            val verdict: Verdict.HeldBack,
+        ) : Choice()
     }
 
     /** Takes a place for [request] at the best back end that has one; the last places of an engine are kept from a [late] one. */
@@ -201,6 +209,8 @@
         late: Boolean,
         now: Duration,
     ): Choice {
+        val verdict = suspicions.verdict(request.parts, request.mayHaveRun, now)
+        if (verdict is Verdict.HeldBack) return Choice.HeldBack(verdict)
         val eligible = storeView.backEndsOf(request.service).filter { eligibility.isEligible(it, request, now) }
         if (eligible.isEmpty()) return Choice.NoneEligible(eligibility.describeNone(request, now))
         val candidates =
@@ -210,6 +220,7 @@
         val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) }
         if (available.isEmpty()) return Choice.Full(candidates.size)
         val chosen = available.minBy { score(it, now) }
+        if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
         return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now)))
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
@@ -0,0 +1,214 @@
+/**
+ * The crashes of back ends by the prompt parts of the requests that they were about to answer.
+ *
+ * A crash speaks against a part until the same part is answered elsewhere; from then on it is contradicted and never counts again.
+ * So evidence that is merged in any order, or from a peer that was cut off for a while, leads to the same result everywhere. The
+ * table is bounded; if it is full, each daemon keeps the same parts.
+ */
+package lagoonrudder.control.direct.suspicion
+
+import lagoonrudder.model.PromptPartId
+import lagoonrudder.model.TargetId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+
+/** One run of a back end, from its start to its end. */
+data class BackEndRun(
+    val target: TargetId,
+    val born: Long,
+)
+
+/** Evidence about [part] as exchanged between daemons: the runs that ended on it, and those of them that don't count. */
+data class PartReport(
+    val part: PromptPartId,
+    val crashes: Set<BackEndRun>,
+    val contradicted: Set<BackEndRun>,
+    val probeAge: Duration?,
+)
+
+/** All evidence of a daemon; [runs] holds the time since each crash. */
+data class EvidenceReport(
+    val runs: Map<BackEndRun, Duration>,
+    val parts: List<PartReport>,
+)
+
+internal class CrashEvidence {
+    private class Entry {
+        /** The runs that ended on this part; the value tells whether it was answered since. */
+        val contradictedByRun = mutableMapOf<BackEndRun, Boolean>()
+        var answeredAt: Duration? = null
+        var probedAt: Duration? = null
+
+        val openRuns: Set<BackEndRun> get() = contradictedByRun.filterValues { !it }.keys
+    }
+
+    private val entries = mutableMapOf<PromptPartId, Entry>()
+    private val crashedAt = mutableMapOf<BackEndRun, Duration>()
+
+    /** The uncontradicted crashes, grouped by what they have in common; strongest first. */
+    var suspicions = emptyList<Suspicion>()
+        private set
+
+    /** Equal for daemons that know the same; 0 without evidence. It does not depend on clocks. */
+    var digest = 0L
+        private set
+
+    val partCount: Int get() = entries.size
+
+    fun recordCrash(
+        run: BackEndRun,
+        parts: Collection<PromptPartId>,
+        now: Duration,
+    ) {
+        crashedAt.putIfAbsent(run, now)
+        for (part in parts) addRun(entries.getOrPut(part) { Entry() }, run)
+        update(now)
+    }
+
+    /** Returns whether this changed the evidence. */
+    fun recordAnswer(
+        parts: Collection<PromptPartId>,
+        now: Duration,
+    ): Boolean {
+        if (entries.isEmpty()) return false
+        var changed = false
+        for (part in parts) {
+            val entry = entries[part] ?: continue
+            entry.answeredAt = now
+            val contradicted = entry.openRuns
+            contradicted.forEach { entry.contradictedByRun[it] = true }
+            changed = changed || contradicted.isNotEmpty()
+        }
+        if (changed) update(now)
+        return changed
+    }
+
+    fun recordProbe(
+        parts: Set<PromptPartId>,
+        now: Duration,
+    ) {
+        for (part in parts) entries[part]?.probedAt = now
+        update(now)
+    }
+
+    /** Returns when the last probe of [parts] began whose result is not known; null if there is none. */
+    fun probedAt(parts: Set<PromptPartId>): Duration? = parts.mapNotNull { entries[it]?.probedAt }.maxOrNull()
+
+    /** Adds the evidence of a peer. What is too old, or has no time, is ignored. Returns whether this changed the evidence. */
+    fun merge(
+        report: EvidenceReport,
+        now: Duration,
+    ): Boolean {
+        val before = digest
+        for ((run, age) in report.runs) {
+            if (age.isNegative() || !age.isFinite()) continue
+            val known = crashedAt[run]
+            if (known == null || now - age < known) crashedAt[run] = now - age
+        }
+        for (part in report.parts) mergePart(part, now)
+        update(now)
+        return digest != before
+    }
+
+    private fun mergePart(
+        report: PartReport,
+        now: Duration,
+    ) {
+        val runs = report.crashes.filter { it in crashedAt }
+        if (runs.none { isFresh(crashedAt.getValue(it), now) }) return
+        val entry = entries.getOrPut(report.part) { Entry() }
+        for (run in runs) {
+            addRun(entry, run)
+            if (run in report.contradicted) entry.contradictedByRun[run] = true
+        }
+        val probedAt = report.probeAge?.let { now - it }
+        if (entry.probedAt == null && probedAt != null && now - probedAt < PROBE_TIMEOUT) entry.probedAt = probedAt
+    }
+
+    private fun addRun(
+        entry: Entry,
+        run: BackEndRun,
+    ) {
+        if (run in entry.contradictedByRun) return
+        val at = crashedAt.getValue(run)
+        entry.contradictedByRun[run] = entry.answeredAt?.let { it > at } ?: false
+        if (entry.probedAt?.let { it < at } == true) entry.probedAt = null
+        while (entry.contradictedByRun.size > MAX_RUNS) {
+            entry.contradictedByRun.remove(entry.contradictedByRun.keys.minBy { crashedAt.getValue(it) })
+        }
+    }
+
+    fun report(now: Duration): EvidenceReport =
+        EvidenceReport(
+            crashedAt.mapValues { now - it.value },
+            entries.map { (part, entry) ->
+                PartReport(
+                    part,
+                    entry.contradictedByRun.keys.toSet(),
+                    entry.contradictedByRun.filterValues { it }.keys,
+                    entry.probedAt?.let { now - it },
+                )
+            },
+        )
+
+    /** Removes what is too old to count. */
+    fun expire(now: Duration) {
+        if (entries.isNotEmpty()) update(now)
+    }
+
+    private fun update(now: Duration) {
+        suspicions = suspicionsOf(entries.mapValues { it.value.openRuns }, crashedAt)
+        val accused = suspicions.filter { it.isAccusation }.flatMapTo(mutableSetOf()) { it.parts }
+        entries.entries.removeIf { (part, entry) -> !isKept(entry, part in accused, now) }
+        if (entries.size > MAX_PARTS) {
+            val kept = entries.entries.sortedWith(compareBy({ -it.value.openRuns.size }, { it.key.text })).take(MAX_PARTS)
+            entries.keys.retainAll(kept.mapTo(mutableSetOf()) { it.key })
+        }
+        suspicions = suspicions.filter { suspicion -> suspicion.parts.all { it in entries } }
+        crashedAt.keys.retainAll(entries.values.flatMapTo(mutableSetOf()) { it.contradictedByRun.keys })
+        for (entry in entries.values) if (entry.probedAt?.let { now - it >= PROBE_TIMEOUT } == true) entry.probedAt = null
+        digest = entries.entries.sumOf { (part, entry) -> digestOf(part, entry) }
+    }
+
+    private fun isKept(
+        entry: Entry,
+        isAccused: Boolean,
+        now: Duration,
+    ): Boolean {
+        val newest = entry.contradictedByRun.keys.maxOfOrNull { crashedAt.getValue(it) } ?: return false
+        return now - newest < if (isAccused && entry.openRuns.isNotEmpty()) ACCUSATION_LIFETIME else EVIDENCE_LIFETIME
+    }
+
+    private fun isFresh(
+        crashAt: Duration,
+        now: Duration,
+    ) = now - crashAt < ACCUSATION_LIFETIME
+
+    private fun digestOf(
+        part: PromptPartId,
+        entry: Entry,
+    ): Long {
+        val runs = entry.contradictedByRun.entries.sumOf { (run, contradicted) -> mix(run.hashCode() * 2L + if (contradicted) 1 else 0) }
+        return mix(part.hashCode() + runs + if (entry.probedAt == null) 0 else 1)
+    }
+
+    /** Spreads [value] over all bits, so that sums of the results rarely collide. */
+    private fun mix(value: Long): Long {
+        val product = value * MULTIPLIER
+        return (product xor (product ushr 29)) * MULTIPLIER
+    }
+
+    private companion object {
+        const val MAX_PARTS = 256
+
+        /** Enough for the longest time that an accusation is held. */
+        const val MAX_RUNS = 8
+        const val MULTIPLIER = -7046029254386353131L
+
+        /** Since its last crash, unless the part is accused. */
+        val EVIDENCE_LIFETIME = 2.minutes
+
+        /** Longer than any hold, so that a part stays accused until a probe has told about it. */
+        val ACCUSATION_LIFETIME = 10.minutes
+    }
+}
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.control.strictInvariants
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CustomerId
@@ -37,7 +38,15 @@
     val peers = PeerController(peer("self"), emptyList())
     val slots = BackEndStateController()
     val placement =
-        PlacementController(Topology(NEAR, REGIONS), PlacementBounds(8.seconds, 1.5, 5.0), storeView, peers, slots, Random(seed))
+        PlacementController(
+            Topology(NEAR, REGIONS),
+            PlacementBounds(8.seconds, 1.5, 5.0),
+            storeView,
+            peers,
+            slots,
+            SuspicionController(peers),
+            Random(seed),
+        )
 
     init {
         storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1, cold)))), 1, 10.seconds)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -19,6 +19,9 @@
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.SwitchSchedule
 import lagoonrudder.control.direct.WeightSourceController
+import lagoonrudder.control.direct.suspicion.Suspicion
+import lagoonrudder.control.direct.suspicion.SuspicionChange
+import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
@@ -45,6 +48,7 @@
     val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
+    val suspicions = SuspicionController(peers) { logSuspicion(it) }
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
     val loadOrders = LoadOrderController()
@@ -102,6 +106,15 @@
         change.unusable.forEach { log.warning("store-item-invalid", "detail" to it, "source" to source, "at" to at) }
     }
 
+    private fun logSuspicion(change: SuspicionChange) =
+        when (change) {
+            is SuspicionChange.Accused -> log.warning("part-accused", "crashes" to describe(change.suspicion))
+            is SuspicionChange.Probed -> log.info("part-probed", "crashes" to describe(change.suspicion))
+            is SuspicionChange.Cleared -> log.info("part-cleared", "parts" to change.parts.map { it.text })
+        }
+
+    private fun describe(suspicion: Suspicion) = SuspicionController.describe(suspicion, clock.elapsed())
+
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -40,10 +40,19 @@
             core.storeView,
             core.peers,
             core.slots,
+            core.suspicions,
             random,
         )
     private val control =
-        DirectControl(core.thread, core.clock, core.storeView, core.peers, placement, RetryBudgetShare(settings.bounds.retryBudget))
+        DirectControl(
+            core.thread,
+            core.clock,
+            core.storeView,
+            core.peers,
+            placement,
+            RetryBudgetShare(settings.bounds.retryBudget),
+            core.suspicions,
+        )
     private val client = PeerClient(core.http)
     private val storeReaders = StoreReaderController(core.peers, core.storeView)
     private val store = StoreSyncLoop(core, isNeeded = ::mustReadStore, onChange = ::onStoreViewChanged)
@@ -127,13 +136,20 @@
         val now = core.clock.elapsed()
         if (pause != null) core.storeView.requireConfirmation()
         if (store.isLost) core.storeView.onStoreUnavailable(now)
+        core.suspicions.onTick(now)
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
     }
 
-    override fun dump() = core.dump() + placement.dump(core.clock.elapsed())
+    override fun dump() = core.dump() + placement.dump(core.clock.elapsed()) + core.suspicions.dump(core.clock.elapsed())
 
-    override fun gauges() = core.gauges() + mapOf("in_flight" to placement.inFlight().values.sum(), "waiting" to placement.queueLength())
+    override fun gauges() =
+        core.gauges() +
+            mapOf(
+                "in_flight" to placement.inFlight().values.sum(),
+                "waiting" to placement.queueLength(),
+                "parts_accused" to core.suspicions.accusedParts,
+            )
 
     private fun recordRequestEnd(
         call: DirectCall,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -28,6 +28,7 @@
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toPeer
+import lagoonrudder.wire.messages.toReport
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -147,13 +148,15 @@
         address: Address,
         peersRequested: Boolean,
         itemsRequested: Boolean = false,
+        evidenceIncluded: Boolean = false,
     ): Boolean {
-        val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested) }
+        val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested, evidenceIncluded) }
         return when (val reply = client.gossip(address, message)) {
             is Either.Left -> false
             is Either.Right -> {
                 lastReplyAt = core.clock.elapsed()
-                applyReply(reply.value, address)
+                val isPeerBehind = applyReply(reply.value, address)
+                if (isPeerBehind && !evidenceIncluded) exchange(address, peersRequested = false, evidenceIncluded = true)
                 true
             }
         }
@@ -163,6 +166,7 @@
         address: Address,
         peersRequested: Boolean,
         itemsRequested: Boolean,
+        evidenceIncluded: Boolean,
     ): GossipMessage {
         val now = core.clock.elapsed()
         val load = loadFor(core.peers.peerAt(address), now)
@@ -175,15 +179,19 @@
             peersRequested,
             load.daemons,
             storeContactMilliseconds(now),
+            core.suspicions.digest,
+            if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
         )
     }
 
+    /** Returns whether the peer lacks evidence about crashes that this daemon has. */
     private suspend fun applyReply(
         reply: GossipReply,
         address: Address,
-    ) {
+    ): Boolean {
         val items = reply.items.map { readItem(it.toItem()) }
         val peer = reply.self.toPeer()
+        val isPeerBehind = core.thread.decide { applyEvidence(reply) }
         val (change, isBehind) =
             core.thread.decide {
                 val now = core.clock.elapsed()
@@ -196,6 +204,14 @@
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
         if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
+        return isPeerBehind
+    }
+
+    /** Returns whether the peer lacks evidence that this daemon has. Runs on the control thread. */
+    private fun applyEvidence(reply: GossipReply): Boolean {
+        if (core.self.role != DaemonRole.ENTRY) return false
+        reply.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), core.clock.elapsed()) }
+        return reply.evidenceDigest != core.suspicions.digest
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -7,6 +7,7 @@
 import lagoonrudder.http.HttpExchange
 import lagoonrudder.http.HttpHandler
 import lagoonrudder.http.NO_BYTES
+import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
@@ -22,6 +23,7 @@
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toPeer
+import lagoonrudder.wire.messages.toReport
 
 class PeerEndpoint(
     private val core: DirectCore,
@@ -72,6 +74,8 @@
             )
             onSlotChanged()
         }
+        message.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), now) }
+        val needsEvidence = peer.role == DaemonRole.ENTRY && message.evidenceDigest != core.suspicions.digest
         val load = gossip.loadFor(peer, now)
         return GossipReply(
             self = core.self.toMessage(),
@@ -81,6 +85,8 @@
             storeContactMilliseconds = gossip.storeContactMilliseconds(now),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
             items = if (message.itemsRequested) core.storeView.changesSince(message.at).map { it.toMessage() } else emptyList(),
+            evidenceDigest = core.suspicions.digest,
+            evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/front/CallerServer.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/front/CallerServer.kt
@@ -167,7 +167,7 @@
             is Refusal.Invalid -> "expected ${refusal.expected}"
             is Refusal.NotServing -> refusal.reason
             Refusal.UnknownRoute, Refusal.UnknownCustomer -> refusal.code
-            is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NoTarget, is Refusal.WrongVersion -> refusal.code
+            is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NoTarget, is Refusal.WrongVersion, is Refusal.HeldBack -> refusal.code
         }
 
     private fun statusOf(refusal: Refusal): HttpStatusCode =
@@ -176,7 +176,7 @@
             Refusal.UnknownCustomer -> HttpStatusCode.Unauthorized
             is Refusal.Invalid -> HttpStatusCode.BadRequest
             is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NotServing -> HttpStatusCode.ServiceUnavailable
-            is Refusal.NoTarget, is Refusal.WrongVersion -> HttpStatusCode.ServiceUnavailable
+            is Refusal.NoTarget, is Refusal.WrongVersion, is Refusal.HeldBack -> HttpStatusCode.ServiceUnavailable
         }
 
     private fun refused(refusal: Refusal) = Outcome.Refused(refusal, Step.IDENTIFY, Peer(PeerRole.CALLER, "http"))
--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import lagoonrudder.model.Address
 import lagoonrudder.model.HeaderField
+import java.io.IOException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -40,9 +41,13 @@
 
     data object End : HttpEvent()
 
-    /** The connection was closed or sent an invalid response. The server may have received the request. */
+    /**
+     * The connection was closed, in which case [disconnected] is set, or sent an invalid response. The server may have received the
+     * request.
+     */
     data class Broken(
         val detail: String,
+        val disconnected: Boolean,
     ) : HttpEvent()
 }
 
@@ -137,7 +142,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        call?.fail("connection closed by $address before the end of the response")
+        call?.fail("connection closed by $address before the end of the response", disconnected = true)
     }
 
     @Deprecated("Netty declares this function deprecated for handlers of both directions")
@@ -145,7 +150,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        call?.fail(cause.toString())
+        call?.fail(cause.toString(), disconnected = cause is IOException)
         close()
     }
 
@@ -179,10 +184,13 @@
             close()
         }
 
-        fun fail(detail: String) {
+        fun fail(
+            detail: String,
+            disconnected: Boolean = false,
+        ) {
             if (ended) return
             ended = true
-            deliver(HttpEvent.Broken(detail))
+            deliver(HttpEvent.Broken(detail, disconnected))
             detach()
             close()
         }
--- a/model/src/main/kotlin/lagoonrudder/model/Outcome.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Outcome.kt
@@ -53,6 +53,11 @@
         override val retryAfter: Duration,
     ) : Refusal()
 
+    /** Requests with the same part in their prompts crashed the back ends that began to answer them. */
+    data class HeldBack(
+        override val retryAfter: Duration,
+    ) : Refusal()
+
     /** The stable name of the refusal in responses, logs and metrics. */
     val code: String
         get() =
@@ -65,6 +70,7 @@
                 is NotServing -> "not-serving"
                 is NoTarget -> "no-target"
                 is WrongVersion -> "wrong-version"
+                is HeldBack -> "held-back"
             }
 }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.control.direct.admission.OverloadPolicies
 import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CallerLimits
@@ -303,6 +304,7 @@
                 storeView,
                 peers,
                 BackEndStateController(),
+                SuspicionController(peers),
                 decisions,
                 policies,
             )
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
@@ -9,6 +9,7 @@
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StoreViewController
+import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Clock
 
 class DirectControl(
@@ -18,6 +19,7 @@
     val peers: PeerController,
     val placement: PlacementController,
     val retryBudget: RetryBudgetShare,
+    val suspicions: SuspicionController,
 ) {
     private var confirmation = CompletableDeferred<Unit>()
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -91,8 +91,10 @@
 
     data object End : ResponseEvent()
 
+    /** [disconnected] is set if the back end closed the connection. */
     data class Broken(
         val detail: String,
+        val disconnected: Boolean = false,
     ) : ResponseEvent()
 }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -63,6 +63,11 @@
     var eventsInAttempt = 0
         private set
 
+    /** Whether the current attempt received a successful answer beyond its start, so that its back end survived the request. */
+    val wentOn: Boolean get() = eventsInAttempt > 1 || isComplete
+
+    private var isComplete = false
+
     /** The last event that was forwarded. */
     var lastEvent: EventId? = null
         private set
@@ -80,6 +85,7 @@
         firstProgressAt = null
         receivedAny = false
         eventsInAttempt = 0
+        isComplete = false
         head = null
         buffered = ByteArrayOutputStream(0)
         splitter = EventSplitter()
@@ -93,7 +99,7 @@
             is ResponseEvent.Head -> onHead(event.head)
             is ResponseEvent.Bytes -> onBytes(event.data)
             ResponseEvent.End -> onEnd()
-            is ResponseEvent.Broken -> DirectAttemptResult.Lost(event.detail)
+            is ResponseEvent.Broken -> DirectAttemptResult.Lost(event.detail, disconnected = event.disconnected)
         }
     }
 
@@ -212,6 +218,7 @@
             if (current.status >= FIRST_SERVER_ERROR) return DirectAttemptResult.Failed(current.status)
             return DirectAttemptResult.Completed(forwardErrorResponse())
         }
+        isComplete = true
         if (started) response.end() else response.respond(current, buffered.toByteArray())
         return DirectAttemptResult.Completed(forwarded + buffered.size())
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -72,10 +72,14 @@
         val detail: String,
     ) : DirectAttemptResult()
 
-    /** The request may have run at the back end, but there is no response to forward. */
+    /**
+     * The request may have run at the back end, but there is no response to forward. [disconnected] is set if the back end closed the
+     * connection.
+     */
     data class Lost(
         val detail: String,
         val timedOut: Boolean = false,
+        val disconnected: Boolean = false,
     ) : DirectAttemptResult()
 
     /** The deadline of the caller or the route expired; [timedOut] is set if the back end had sent nothing at all. */
@@ -100,6 +104,7 @@
     private val relay = DirectRelay(call, control.clock)
     private val excluded = mutableSetOf<TargetId>()
     private val usedAddresses = mutableSetOf<Address>()
+    private val parts = call.request.sharedParts.toSet()
     private var runs = 0
     private var rejections = 0
     private var mayHaveRun: DirectAttemptResult.Lost? = null
@@ -149,6 +154,8 @@
                 isLate = context.isLate && !relay.started,
                 wait = waitLimit(timeLeft),
                 timeLeft = timeLeft,
+                parts = parts,
+                mayHaveRun = mayHaveRun != null,
             )
         val ticket =
             withContext(NonCancellable) {
@@ -207,14 +214,16 @@
         backEnd: BackEnd,
         attempt: suspend () -> DirectAttemptResult,
     ): DirectAttemptResult {
-        var outcome = AttemptOutcome.ABANDONED
+        var result: DirectAttemptResult? = null
         val startedAt = control.clock.elapsed()
         try {
-            return attempt().also { outcome = attemptOutcomeOf(it) }
+            return attempt().also { result = it }
         } finally {
+            val outcome = result?.let { attemptOutcomeOf(it) } ?: AttemptOutcome.ABANDONED
             withContext(NonCancellable) {
                 control.thread.decide {
                     val now = control.clock.elapsed()
+                    if (crashed(result)) control.suspicions.onCrash(backEnd, parts, now)
                     val times = AttemptTimes(held = now - startedAt, firstEvent = relay.firstProgressAt?.let { it - startedAt })
                     control.placement.onAttemptEnded(backEnd.id, context.customer?.id, outcome, now, times)
                 }
@@ -222,6 +231,9 @@
         }
     }
 
+    /** Returns whether the back end may have crashed on this request. */
+    private fun crashed(result: DirectAttemptResult?): Boolean = result is DirectAttemptResult.Lost && result.disconnected && !relay.wentOn
+
     private suspend fun attempt(backEnd: BackEnd): DirectAttemptResult {
         val attempt =
             DirectAttempt(
@@ -248,6 +260,7 @@
         backEnd: BackEnd,
     ): DirectAttemptResult {
         relay.startAttempt()
+        var isAnswerReported = parts.isEmpty()
         while (true) {
             val result =
                 when (val next = awaitEvent(open)) {
@@ -255,6 +268,10 @@
                     Next.Timeout -> timedOut(backEnd)
                     Next.OutOfTime -> DirectAttemptResult.OutOfTime(timedOut = !relay.receivedAny)
                 }
+            if (relay.wentOn && !isAnswerReported) {
+                isAnswerReported = true
+                control.thread.decide { control.suspicions.onAnswered(parts, control.clock.elapsed()) }
+            }
             if (result != null) return result
         }
     }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -28,6 +28,7 @@
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.Topology
+import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CallerLimits
@@ -203,6 +204,7 @@
     private val storeView = StoreViewController(invariants)
     private val self = PeerDaemon(DaemonId("self"), DaemonRole.ENTRY, DOMAIN, REGION, null)
     private val peers = PeerController(self, emptyList())
+    private val suspicions = SuspicionController(peers)
     private val placement =
         PlacementController(
             Topology(DOMAIN, mapOf(DOMAIN to REGION)),
@@ -210,6 +212,7 @@
             storeView,
             peers,
             BackEndStateController(),
+            suspicions,
             Random(1),
         )
     private val control =
@@ -220,6 +223,7 @@
             peers,
             placement,
             RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
+            suspicions,
         )
     val link = FakeClient(behaviours.toMutableList())
     val response = FakeResponse()
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -74,7 +74,8 @@
 /**
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
  * after it, [peersRequested] for the live peers. [loads] are the requests in flight of [loadDaemons] daemons, and the store last
- * answered the sender [storeContactMilliseconds] ago.
+ * answered the sender [storeContactMilliseconds] ago. [evidenceDigest] is that of the sender's evidence about crashes, which is sent
+ * itself only if the receiver's digest differs.
  */
 @Serializable
 data class GossipMessage(
@@ -86,6 +87,8 @@
     @ProtoNumber(6) val peersRequested: Boolean = false,
     @ProtoNumber(7) val loadDaemons: Int = 1,
     @ProtoNumber(8) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(9) val evidenceDigest: Long = 0,
+    @ProtoNumber(10) val evidence: EvidenceMessage? = null,
 )
 
 @Serializable
@@ -97,6 +100,8 @@
     @ProtoNumber(5) val items: List<ItemMessage> = emptyList(),
     @ProtoNumber(6) val loadDaemons: Int = 1,
     @ProtoNumber(7) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(8) val evidenceDigest: Long = 0,
+    @ProtoNumber(9) val evidence: EvidenceMessage? = null,
 )
 
 @Serializable
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/Mapping.kt
@@ -113,7 +113,7 @@
             is Refusal.Invalid -> expected
             is Refusal.NotServing -> reason
             Refusal.UnknownRoute, Refusal.UnknownCustomer -> ""
-            is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NoTarget, is Refusal.WrongVersion -> ""
+            is Refusal.Overloaded, is Refusal.TooLate, is Refusal.NoTarget, is Refusal.WrongVersion, is Refusal.HeldBack -> ""
         }
     return RefusalMessage(code, retryAfter?.inWholeMilliseconds ?: 0, detail, load?.toMessage())
 }
@@ -129,6 +129,7 @@
         "not-serving" -> Refusal.NotServing(retry, detail)
         "no-target" -> Refusal.NoTarget(retry)
         "wrong-version" -> Refusal.WrongVersion(retry)
+        "held-back" -> Refusal.HeldBack(retry)
         else -> malformed("unknown refusal code $code")
     }
 }
