Take a stream that ends with its connection before any event for broken off

Callers got a 200 with an empty body, framed as complete, from a stream without length or chunks whose back end closed after the head. The end of a connection was taken for the end of the stream. Other operators report the like for heads that break off; those are not affected here: a new test cuts heads at every position, and passed before this change too.

A stream without an event is now lost, and may be tried at a second back end. The new test of BrokenResponseTest failed before: the first, empty response was delivered.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -222,7 +222,7 @@
             }
             skipping = head.status < FIRST_FINAL_STATUS || !isOwn(head)
             if (ended) return false
-            persistent = HttpUtil.isKeepAlive(response) && (head.length != null || HttpUtil.isTransferEncodingChunked(response))
+            persistent = HttpUtil.isKeepAlive(response) && !head.endsWithConnection
             if (!skipping) {
                 hasHead = true
                 keepAlive = keepAliveOf(head)
@@ -292,7 +292,9 @@
 
     private fun headOf(response: HttpResponse): HttpResponseHead {
         val length = HttpUtil.getContentLength(response, -1L).takeIf { it >= 0 }
-        return HttpResponseHead(response.status().code(), response.headers().map { HeaderField(it.key, it.value) }, length)
+        val fields = response.headers().map { HeaderField(it.key, it.value) }
+        val endsWithConnection = length == null && !HttpUtil.isTransferEncodingChunked(response)
+        return HttpResponseHead(response.status().code(), fields, length, endsWithConnection)
     }
 
     /** Returns the server's keep-alive timeout, less a second for requests in transit. */
--- a/http/src/main/kotlin/lagoonrudder/http/HttpMessages.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpMessages.kt
@@ -15,11 +15,15 @@
     fun field(name: String): String? = fields.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
 
-/** The head of a response. [length] is null when the response is chunked or delimited by the end of its connection. */
+/**
+ * The head of a response. [length] is null when the response is chunked or delimited by the end of its connection; in the latter
+ * case [endsWithConnection] is set, and nothing tells a complete body from one that was cut.
+ */
 class HttpResponseHead(
     val status: Int,
     val fields: List<HeaderField>,
     val length: Long? = null,
+    val endsWithConnection: Boolean = false,
 ) {
     fun field(name: String): String? = fields.firstOrNull { it.name.equals(name, ignoreCase = true) }?.value
 }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -281,6 +281,28 @@
             }.use { server -> withClient { it.fetch(server.address).leftOrNull().shouldBeInstanceOf<Failure.Interrupted>() } }
         }
 
+        // Clients would get what there is of the head as a complete response with an empty body.
+        test("a head that breaks off anywhere before its blank line is reported as interrupted") {
+            val heads =
+                listOf(
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: r\r\n\r\n",
+                    "HTTP/1.1 200 OK\nRequest-Id: r\nContent-Length: 12\n\n",
+                )
+            for (head in heads) {
+                for (length in 1 until head.length) {
+                    val sent = head.take(length)
+                    ScriptedServer { connection ->
+                        connection.readHead()
+                        connection.send(sent)
+                    }.use { server ->
+                        withClient { client ->
+                            withClue(sent) { client.firstEvent(server.address, "r").shouldBeInstanceOf<HttpEvent.Broken>() }
+                        }
+                    }
+                }
+            }
+        }
+
         test("an invalid response is reported as interrupted") {
             ScriptedServer { connection ->
                 connection.readHead()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -62,7 +62,7 @@
 
 /**
  * The head of a back end's response; [fields] are forwarded unchanged. [isEventStream] is set unless the head states another type
- * of body.
+ * of body, and [endsWithConnection] if the end of the response shows only in the end of its connection.
  */
 class ResponseHead(
     val status: Int,
@@ -71,6 +71,7 @@
     val execution: Execution,
     val number: WeightNumber?,
     val isEventStream: Boolean,
+    val endsWithConnection: Boolean = false,
 ) {
     val isSuccess: Boolean get() = status in SUCCESS
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -210,7 +210,11 @@
 
     private suspend fun onEnd(): DirectAttemptResult {
         val current = head ?: return DirectAttemptResult.Lost("end of the response before its head")
-        if (splitter.hasPartialEvent) return DirectAttemptResult.Lost("stream ended inside an event")
+        val disconnected = current.endsWithConnection
+        if (splitter.hasPartialEvent) return DirectAttemptResult.Lost("stream ended inside an event", disconnected = disconnected)
+        if (disconnected && isStream && current.isSuccess && current.isEventStream && eventsInAttempt == 0) {
+            return DirectAttemptResult.Lost("connection closed before the first event", disconnected = true)
+        }
         // An end proves nothing about the rest of a stream without any event that follows those of another back end.
         if (resuming) return DirectAttemptResult.Lost("stream ended without an event on resume")
         if (!current.isSuccess && !started) {
@@ -239,7 +243,7 @@
         response.write(data)
     }
 
-    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number, isEventStream)
+    private fun ResponseHead.withoutLength() = ResponseHead(status, fields, null, execution, number, isEventStream, endsWithConnection)
 
     private companion object {
         const val MAX_BUFFERED_BYTES = 65_536
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/BrokenResponseTest.kt
@@ -191,6 +191,30 @@
             }
         }
 
+        test("a stream that ends with its connection before its first event is not delivered as an empty success") {
+            runTest {
+                val cut = replies(head(endsWithConnection = true), ResponseEvent.End)
+                val scene = Scene(this, STREAM, 2, cut, replies(head(), event(1), ResponseEvent.End))
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.response.body.toString() shouldBe text(1)
+            }
+            runTest {
+                val cut = replies(head(endsWithConnection = true), bytes(": comment\n\n"), ResponseEvent.End)
+                val scene = Scene(this, RequestKind.Stream(resumable = false, maxEventGap = 1.seconds), 2, cut)
+                (scene.run() is Outcome.Completed) shouldBe false
+                scene.response.ended shouldBe false
+            }
+        }
+
+        test("a stream that ends with its connection after complete events is complete") {
+            runTest {
+                val scene = Scene(this, STREAM, 2, replies(head(endsWithConnection = true), event(1), event(2), ResponseEvent.End))
+                scene.run().shouldBeInstanceOf<Outcome.Completed>()
+                scene.response.body.toString() shouldBe text(1, 2)
+                scene.response.ended shouldBe true
+            }
+        }
+
         test("a caller that does not read until the deadline gets a broken stream") {
             runTest {
                 val scene = Scene(this, STREAM, 2, replies(head(), event(1), event(2), ResponseEvent.End))
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -174,7 +174,10 @@
     execution: Execution = Execution.RUN,
     number: Long? = null,
     isEventStream: Boolean = status == 200,
-) = ResponseEvent.Head(ResponseHead(status, emptyList(), null, execution, number?.let { WeightNumber(it) }, isEventStream))
+    endsWithConnection: Boolean = false,
+) = ResponseEvent.Head(
+    ResponseHead(status, emptyList(), null, execution, number?.let { WeightNumber(it) }, isEventStream, endsWithConnection),
+)
 
 internal fun bytes(text: String) = ResponseEvent.Bytes(text.encodeToByteArray())
 
