Answer every request that a stopping entry daemon has passed on

Callers whose requests came late in the grace period, among them requests that must not be repeated, got a closed connection at its end. The stop waited for fixed times whatever the grace period, took requests without looking at the time that was left for them, and exited with what was still in progress.

The phases of a stop now fit into the grace period. A request that may run only once is refused if its deadline is after the end of the process, others get that end as their deadline, and what is in progress then is answered with 502, which promises nothing.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
+import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
@@ -52,6 +53,7 @@
             placement,
             RetryBudgetShare(settings.bounds.retryBudget),
             core.suspicions,
+            StopController(settings.bounds.stopGrace),
         )
     private val client = PeerClient(core.http)
     private val storeReaders = StoreReaderController(core.peers, core.storeView)
@@ -94,15 +96,20 @@
         val started = core.clock.elapsed()
         val server = callers ?: return
         isShuttingDown = true
+        val schedule = core.thread.decide { control.stop.onStopRequested(started) }
         core.log.info("leaving", "in-hand" to server.activeRequests)
-        delay(LOAD_BALANCER_DRAIN_TIME)
+        delay(schedule.drainAt - core.clock.elapsed())
         server.drain()
-        val deadline = started + settings.bounds.stopGrace - SHUTDOWN_MARGIN
-        delay(CONNECTION_DRAIN_TIME)
+        delay(schedule.stopReadingAt - core.clock.elapsed())
         // A request that is read just before the process exits would get no response.
         server.stopReading()
-        while (server.activeRequests > 0 && core.clock.elapsed() < deadline) delay(SHUTDOWN_CHECK_INTERVAL)
-        core.log.info("stopped", "in-hand" to server.activeRequests, "took" to core.clock.elapsed() - started)
+        while (server.activeRequests > 0 && core.clock.elapsed() < schedule.answerAt) delay(SHUTDOWN_CHECK_INTERVAL)
+        val cut = server.activeRequests
+        if (cut > 0) {
+            server.endRequests(UNKNOWN_OUTCOME)
+            delay(SHUTDOWN_CHECK_INTERVAL)
+        }
+        core.log.info("stopped", "in-hand" to cut, "took" to core.clock.elapsed() - started)
     }
 
     /** Applies a change of the published state. Runs on the control thread. */
@@ -184,11 +191,9 @@
     private companion object {
         val TICK_INTERVAL = 100.milliseconds
         const val MAX_LOGGED_PARTS = 8
-
-        /** The load balancer checks readiness once a second and stops routing here after two failed checks. */
-        val LOAD_BALANCER_DRAIN_TIME = 2_300.milliseconds
-        val CONNECTION_DRAIN_TIME = 400.milliseconds
         val SHUTDOWN_CHECK_INTERVAL = 50.milliseconds
-        val SHUTDOWN_MARGIN = 700.milliseconds
+
+        /** The status of a request that may have run; it promises nothing. */
+        const val UNKNOWN_OUTCOME = 502
     }
 }
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -77,6 +77,9 @@
         state.connections.forEach { it.closeWhenIdle() }
     }
 
+    /** Ends the requests in progress: with [status] if their response has not begun, otherwise so that it looks incomplete. */
+    fun endRequests(status: Int) = state.connections.forEach { it.endRequest(status) }
+
     override fun close() {
         channel.close()
         state.connections.forEach { it.closeNow() }
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -94,6 +94,9 @@
 
     fun closeNow() = onLoop { channel.close() }
 
+    /** Ends the request in progress with [status], or breaks its response off if that has begun. */
+    fun endRequest(status: Int) = onLoop { current?.endWith(status) }
+
     private fun onLoop(action: () -> Unit) {
         if (channel.eventLoop().inEventLoop()) action() else channel.eventLoop().execute(action)
     }
@@ -280,6 +283,18 @@
             finish()
         }
 
+        fun endWith(status: Int) {
+            if (ended) return
+            job?.cancel()
+            if (begun) return abort()
+            closing = true
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
+            setConnection(response)
+            channel.writeAndFlush(response)
+            finish()
+        }
+
         override fun abort() {
             if (ended) return
             ended = true
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -10,12 +10,14 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import lagoonrudder.control.direct.PlacementBounds
 import lagoonrudder.control.direct.RetryBudgetBounds
 import lagoonrudder.daemon.direct.DirectBounds
 import lagoonrudder.daemon.direct.DirectCore
+import lagoonrudder.daemon.direct.DirectDaemon
 import lagoonrudder.daemon.direct.DirectListenSettings
 import lagoonrudder.daemon.direct.DirectSettings
 import lagoonrudder.daemon.direct.DirectSlotSettings
@@ -53,6 +55,7 @@
     private val client = HttpClient(loop, clock)
     private val servers = mutableListOf<HttpServer>()
     private val cores = mutableListOf<DirectCore>()
+    private val daemons = mutableMapOf<DaemonId, DirectDaemon>()
     private val targetCores = mutableMapOf<Int, DirectCore>()
     val store = FakeStore()
     val origin = FakeWeightOrigin()
@@ -84,6 +87,16 @@
         startTarget(index)
     }
 
+    /** Stops entry daemon [index] as the platform does: whatever is in progress at the end of the grace period is cut. */
+    suspend fun stopEntry(index: Int) {
+        val name = DaemonId("entry-$index")
+        withTimeoutOrNull(STOP_GRACE) { daemons.getValue(name).stop() }
+        cores.first { it.settings.name == name }.let {
+            cores -= it
+            it.close()
+        }
+    }
+
     fun stopTarget(index: Int) {
         targetCores.remove(index)?.let {
             it.close()
@@ -117,9 +130,10 @@
     fun publish(
         revision: Int,
         prefix: String = "/a/",
+        kind: String = "stream",
     ) = store.put(
         "op/config",
-        """{"version":$revision,"routes":[{"name":"r","host":"host","prefix":"$prefix","kind":"stream","timeoutMs":5000,
+        """{"version":$revision,"routes":[{"name":"r","host":"host","prefix":"$prefix","kind":"$kind","timeoutMs":5000,
         "targetLatencyMs":400,"service":"${SERVICE.text}","attempts":2,"canResume":true,"gapAimMs":300}],
         "services":[{"name":"${SERVICE.text}","maxConns":50,"engine":{"models":[{"name":"$MODEL_NAME"}],"layers":4,
         "chunks":$CHUNK_COUNT,"chunkBytes":4096}},{"name":"origin","origin":"$originAddress","zone":"one"}],
@@ -127,20 +141,21 @@
         "tenants":[{"name":"customer","apiKeys":["key"]}]}""",
     )
 
-    /** Sends a caller's request to the entry daemon [entry] and returns null when no complete response arrived. */
+    /** Sends a caller's request to the entry daemon [entry] and returns null when no complete response arrived. [id] must be new. */
     suspend fun request(
         entry: Int = 0,
         path: String = "/a/b",
         key: String = "key",
         parts: List<String> = emptyList(),
+        id: String = "request-${requests++}",
     ): HttpResponse? {
         val fields =
             listOf(
                 HeaderField("Host", "host"),
-                HeaderField("Request-Id", "request-${requests++}"),
+                HeaderField("Request-Id", id),
                 HeaderField("Deadline-Ms", "4000"),
                 HeaderField("X-Api-Key", key),
-                HeaderField("Prompt-Prefix", (parts + "own-$requests").joinToString(",") { "$it:100" }),
+                HeaderField("Prompt-Prefix", (parts + "own-$id").joinToString(",") { "$it:100" }),
             )
         val request = HttpRequest("POST", path, fields, "prompt".encodeToByteArray())
         return client.exchange(entryListens[entry].callers, request, Peer(PeerRole.ENTRY, "$entry"), 6.seconds).getOrNull()
@@ -189,7 +204,7 @@
     private fun start(settings: DirectSettings): DirectCore {
         val core = DirectCore(settings, clock)
         cores += core
-        runBlocking { directDaemon(core).start() }
+        daemons[settings.name] = directDaemon(core).also { runBlocking { it.start() } }
         return core
     }
 
@@ -209,12 +224,13 @@
         seeds = entryListens.take(1).map { it.peers },
         store = storeAddress,
         slot = slot,
-        bounds = DirectBounds(PlacementBounds(8.seconds, 1.5, 5.0), RetryBudgetBounds(0.2, 10.seconds, 100.0), 2.seconds),
+        bounds = DirectBounds(PlacementBounds(8.seconds, 1.5, 5.0), RetryBudgetBounds(0.2, 10.seconds, 100.0), STOP_GRACE),
     )
 
     private companion object {
         val SERVICE = ServiceId("engines")
         const val SLOTS = 4
+        val STOP_GRACE = 2.seconds
 
         /** Below the ephemeral port range. */
         val nextPort = AtomicInteger(20_000 + Random.nextInt(8_000))
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -28,6 +28,9 @@
     val homeRegions: List<Set<RegionId>>,
     val isLate: Boolean,
 ) {
+    /** Returns this context with an earlier [deadline]. */
+    fun endingBy(deadline: Duration) = DirectRequestContext(revision, route, customer, service, deadline, priority, homeRegions, isLate)
+
     /** Returns the time left until the deadline. */
     fun timeLeft(clock: Clock): Duration = deadline - clock.elapsed()
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
@@ -8,6 +8,7 @@
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
+import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Clock
@@ -20,6 +21,7 @@
     val placement: PlacementController,
     val retryBudget: RetryBudgetShare,
     val suspicions: SuspicionController,
+    val stop: StopController,
 ) {
     private var confirmation = CompletableDeferred<Unit>()
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -1,9 +1,10 @@
 /**
- * The filters of the direct mode, in order: accounting, identify, send.
+ * The filters of the direct mode, in order: accounting, identify, stop, send.
  */
 package lagoonrudder.traffic.direct
 
 import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.direct.StopDecision
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.Refusal
@@ -24,7 +25,12 @@
     random: Random,
     onEnded: (DirectCall, Outcome?) -> Unit,
 ): List<Filter<DirectCall>> =
-    listOf(DirectAccountingFilter(onEnded), DirectIdentifyFilter(control, random), DirectSendFilter(control, client, DirectLimits()))
+    listOf(
+        DirectAccountingFilter(onEnded),
+        DirectIdentifyFilter(control, random),
+        DirectStopFilter(control),
+        DirectSendFilter(control, client, DirectLimits()),
+    )
 
 /** Reports the outcome of each request to [onEnded]; a null outcome means that the caller disconnected. */
 class DirectAccountingFilter(
@@ -116,3 +122,23 @@
         val CONFIRMATION_TIMEOUT = 400.milliseconds
     }
 }
+
+/** Refuses requests that this process could not end before it stops. */
+class DirectStopFilter(
+    private val control: DirectControl,
+) : Filter<DirectCall> {
+    override suspend fun handle(
+        call: DirectCall,
+        next: Next<DirectCall>,
+    ): Outcome {
+        val context = call.context
+        return when (val decision = control.thread.decide { control.stop.decide(context.route.kind, context.deadline) }) {
+            StopDecision.Serve -> next.proceed(call)
+            is StopDecision.ServeUntil -> {
+                call.identify(context.endingBy(decision.latestEnd))
+                next.proceed(call)
+            }
+            is StopDecision.Refuse -> Outcome.Refused(decision.refusal, Step.IDENTIFY, Peer.SELF)
+        }
+    }
+}
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetBounds
 import lagoonrudder.control.direct.RetryBudgetShare
+import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.Topology
@@ -227,6 +228,7 @@
             placement,
             RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
             suspicions,
+            StopController(8.seconds),
         )
     val link = FakeClient(behaviours.toMutableList())
     val response = FakeResponse()
