Heed what back ends say of themselves in their answers

A back end that leaves says so in all its answers (Server-Leaving), and one that turns a request away may say for how long it wants none (Retry-After). No code read either, so requests went on to back ends that had asked for none. While all back ends of a service want nothing, requests wait as for a place, and a refusal states the time until the first one opens.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -14,6 +14,7 @@
     private val bounds: PlacementBounds,
     private val storeView: StoreViewController,
     private val backEndStates: BackEndStateController,
+    private val notices: BackEndNoticeController,
 ) {
     /** Returns whether [request] may be sent to [backEnd]. */
     fun isEligible(
@@ -25,6 +26,7 @@
         val inHomeRegions = request.homeRegions.all { it.isEmpty() || region in it }
         val isOpen =
             !backEnd.leaving &&
+                !notices.isLeaving(backEnd) &&
                 backEnd.domain !in storeView.evacuated &&
                 !backEndStates.closed(backEnd, now) &&
                 backEnd.id !in request.excluded
@@ -69,7 +71,7 @@
     ): String {
         val all = storeView.backEndsOf(request.service)
         val withoutWeights = all.count { !holdsWeights(it, request, now) }
-        val leaving = all.count { it.leaving }
+        val leaving = all.count { it.leaving || notices.isLeaving(it) }
         return "no back end listed=${all.size} leaving=$leaving without-weights=$withoutWeights passed-over=${request.excluded.size}"
     }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -36,10 +36,11 @@
     private val peers: PeerController,
     backEndStates: BackEndStateController,
     private val suspicions: SuspicionController,
+    private val notices: BackEndNoticeController,
     private val random: Random,
     private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
-    private val eligibility = BackEndEligibility(topology, bounds, storeView, backEndStates)
+    private val eligibility = BackEndEligibility(topology, bounds, storeView, backEndStates, notices)
     private val overload = OverloadController(random, policies)
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
@@ -57,7 +58,7 @@
         if (!request.isLate) queue.onShortage(now)
         if (queue.size >= MAX_QUEUE_LENGTH) return decided(placementOf(request, choice, now))
         return when (val decision = overload.decide(request.service, request.wait, queue.lengths, now)) {
-            is WaitDecision.Refuse -> decided(overloaded(request, "no place predicted within ${decision.predicted}", now))
+            is WaitDecision.Refuse -> decided(overloaded(request, choice, "no place predicted within ${decision.predicted}", now))
             is WaitDecision.Wait -> {
                 if (decision.limit <= Duration.ZERO) return decided(placementOf(request, choice, now))
                 val queued = QueuedRequest(request, decision.inTime && !request.isLate, now, now + decision.limit)
@@ -129,7 +130,7 @@
         val waited = now - queued.queuedAt
         val placement =
             when (choice) {
-                is Choice.Full -> overloaded(queued.request, "no place within $waited", now)
+                is Choice.Full -> overloaded(queued.request, choice, "no place within $waited", now)
                 is Choice.Chosen, is Choice.NoneEligible, is Choice.HeldBack -> placementOf(queued.request, choice, now)
             }
         queued.result.complete(placement)
@@ -145,16 +146,17 @@
     ): Placement =
         when (choice) {
             is Choice.Chosen -> choice.placed
-            is Choice.Full -> overloaded(request, "full back-ends=${choice.backEnds}", now)
+            is Choice.Full -> overloaded(request, choice, "full back-ends=${choice.backEnds}", now)
             is Choice.NoneEligible -> Placement.Refused(Refusal.NoTarget(retryAfter(request, now)), choice.reason)
             is Choice.HeldBack -> Placement.Refused(Refusal.HeldBack(choice.verdict.retryAfter), choice.verdict.reason)
         }
 
     private fun overloaded(
         request: PlacementRequest,
+        choice: Choice.Full,
         reason: String,
         now: Duration,
-    ) = Placement.Refused(Refusal.Overloaded(retryAfter(request, now)), reason)
+    ) = Placement.Refused(Refusal.Overloaded(maxOf(retryAfter(request, now), choice.openIn)), reason)
 
     private fun retryAfter(
         request: PlacementRequest,
@@ -189,9 +191,10 @@
             val placed: Placement.Placed,
         ) : Choice()
 
-        /** All of [backEnds] that could serve the request are at capacity, so it may wait. */
+        /** All of [backEnds] that could serve the request are at capacity, or take none for [openIn], so it may wait. */
         data class Full(
             val backEnds: Int,
+            val openIn: Duration = Duration.ZERO,
         ) : Choice()
 
         data class NoneEligible(
@@ -213,10 +216,12 @@
         if (verdict is Verdict.HeldBack) return Choice.HeldBack(verdict)
         val eligible = storeView.backEndsOf(request.service).filter { eligibility.isEligible(it, request, now) }
         if (eligible.isEmpty()) return Choice.NoneEligible(eligibility.describeNone(request, now))
+        val open = eligible.filter { notices.closedFor(it, now) == Duration.ZERO }
+        if (open.isEmpty()) return Choice.Full(eligible.size, openIn = eligible.minOf { notices.closedFor(it, now) })
         val candidates =
-            eligible
+            open
                 .filter { statsOf(it.id).ejectedUntil <= now }
-                .ifEmpty { listOf(eligible.minBy { statsOf(it.id).ejectedUntil }) }
+                .ifEmpty { listOf(open.minBy { statsOf(it.id).ejectedUntil }) }
         val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) }
         if (available.isEmpty()) return Choice.Full(candidates.size)
         val chosen = available.minBy { score(it, now) }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
@@ -7,17 +7,11 @@
  */
 package lagoonrudder.control.direct.suspicion
 
+import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.PromptPartId
-import lagoonrudder.model.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-/** One run of a back end, from its start to its end. */
-data class BackEndRun(
-    val target: TargetId,
-    val born: Long,
-)
-
 /** Evidence about [part] as exchanged between daemons: the runs that ended on it, and those of them that don't count. */
 data class PartReport(
     val part: PromptPartId,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
@@ -3,6 +3,7 @@
  */
 package lagoonrudder.control.direct.suspicion
 
+import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.PromptPartId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
@@ -71,7 +71,7 @@
         now: Duration,
     ) {
         if (parts.isEmpty()) return
-        evidence.recordCrash(BackEndRun(backEnd.id, backEnd.born), parts, now)
+        evidence.recordCrash(backEnd.run, parts, now)
         reportChanges()
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -11,6 +11,7 @@
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.control.strictInvariants
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.HeldWeights
@@ -37,6 +38,7 @@
     val storeView = StoreViewController(strictInvariants())
     val peers = PeerController(peer("self"), emptyList())
     val slots = BackEndStateController()
+    val notices = BackEndNoticeController()
     val placement =
         PlacementController(
             Topology(NEAR, REGIONS),
@@ -45,6 +47,7 @@
             peers,
             slots,
             SuspicionController(peers),
+            notices,
             Random(seed),
         )
 
@@ -350,4 +353,36 @@
             scene.now += 10.seconds
             scene.place(excluded = setOf(TargetId("b"))).target shouldBe TargetId("a")
         }
+
+        test("a back end that says that it leaves gets no further request, whatever the store says, until it starts anew") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            scene.notices.onNoticeReceived(backEnd("a").run, BackEndNotice.Leaving, scene.now)
+            repeat(4) { scene.place().target shouldBe TargetId("b") }
+            scene.storeView.applyChanges(listOf(item("servers/b", 60, null), registered(backEnd("a", born = 2), 61)), 61, scene.now)
+            scene.place().target shouldBe TargetId("a")
+        }
+
+        test("a back end that wants nothing for some time gets nothing until then, even if no other one is left") {
+            val scene = Scene(listOf(backEnd("a"), backEnd("b")))
+            scene.notices.onNoticeReceived(backEnd("a").run, BackEndNotice.ClosedFor(3.seconds), scene.now)
+            repeat(3) { scene.place().target shouldBe TargetId("b") }
+            scene.notices.onNoticeReceived(backEnd("b").run, BackEndNotice.ClosedFor(5.seconds), scene.now)
+            val refused = scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
+            refused.refusal.retryAfter shouldBe 3.seconds
+            val waiting = scene.place(maxWait = 4.seconds)
+            scene.now += 2_900.milliseconds
+            scene.placement.dispatchQueued(scene.now)
+            waiting.isCompleted shouldBe false
+            scene.now += 100.milliseconds
+            scene.placement.dispatchQueued(scene.now)
+            waiting.target shouldBe TargetId("a")
+        }
+
+        test("a shorter time in a later answer does not end a longer one") {
+            val scene = Scene(listOf(backEnd("a")))
+            scene.notices.onNoticeReceived(backEnd("a").run, BackEndNotice.ClosedFor(3.seconds), scene.now)
+            scene.notices.onNoticeReceived(backEnd("a").run, BackEndNotice.ClosedFor(1.seconds), scene.now)
+            scene.now += 2.seconds
+            scene.place().getCompleted().shouldBeInstanceOf<Placement.Refused>()
+        }
     })
--- a/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
@@ -13,6 +13,7 @@
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.backEnd
 import lagoonrudder.control.direct.peer
+import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.PromptPartId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.SupervisorJob
 import lagoonrudder.control.ControlThread
 import lagoonrudder.control.DumpSection
+import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.ChunkWriteController
 import lagoonrudder.control.direct.LoadOrderController
@@ -26,6 +27,8 @@
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
 import lagoonrudder.http.HttpEventLoop
+import lagoonrudder.model.BackEndNotice
+import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
 import kotlin.time.Duration.Companion.seconds
@@ -49,6 +52,7 @@
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val suspicions = SuspicionController(peers) { logSuspicion(it) }
+    val notices = BackEndNoticeController { run, notice -> logNotice(run, notice) }
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
     val loadOrders = LoadOrderController()
@@ -113,6 +117,14 @@
             is SuspicionChange.Cleared -> log.info("part-cleared", "parts" to change.parts.map { it.text })
         }
 
+    private fun logNotice(
+        run: BackEndRun,
+        notice: BackEndNotice,
+    ) = when (notice) {
+        BackEndNotice.Leaving -> log.info("back-end-leaving", "target" to run.target.text, "born" to run.born)
+        is BackEndNotice.ClosedFor -> log.info("back-end-closed", "target" to run.target.text, "born" to run.born, "for" to notice.duration)
+    }
+
     private fun describe(suspicion: Suspicion) = SuspicionController.describe(suspicion, clock.elapsed())
 
     /** Returns the dump sections that both roles have. Runs on the control thread. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -42,6 +42,7 @@
             core.peers,
             core.slots,
             core.suspicions,
+            core.notices,
             random,
         )
     private val control =
@@ -53,6 +54,7 @@
             placement,
             RetryBudgetShare(settings.bounds.retryBudget),
             core.suspicions,
+            core.notices,
             StopController(settings.bounds.stopGrace),
         )
     private val client = PeerClient(core.http)
@@ -148,7 +150,9 @@
         return core.storeView.expire(now)
     }
 
-    override fun dump() = core.dump() + placement.dump(core.clock.elapsed()) + core.suspicions.dump(core.clock.elapsed())
+    override fun dump() =
+        core.dump() + placement.dump(core.clock.elapsed()) +
+            core.suspicions.dump(core.clock.elapsed()) + core.notices.dump(core.clock.elapsed())
 
     override fun gauges() =
         core.gauges() +
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -147,8 +147,27 @@
     val coldFor: Duration,
     val born: Long,
     val weights: HeldWeights?,
+) {
+    val run: BackEndRun get() = BackEndRun(id, born)
+}
+
+/** One run of a back end, from its start to its end. */
+data class BackEndRun(
+    val target: TargetId,
+    val born: Long,
 )
 
+/** What a back end says of itself in an answer. */
+sealed class BackEndNotice {
+    /** It will end soon and wants no further request. */
+    data object Leaving : BackEndNotice()
+
+    /** It wants no request from this daemon for [duration]. */
+    data class ClosedFor(
+        val duration: Duration,
+    ) : BackEndNotice()
+}
+
 /** A decoded item of the platform's key-value store. */
 sealed class StoreRecord {
     data class Configuration(
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -77,6 +77,16 @@
     private val exchanges = mutableSetOf<HttpExchange>()
     private var isDown = false
 
+    /** Whether this back end says in its answers that it leaves. */
+    var leaving = false
+
+    /** The time for which this back end, if overloaded, asks for no further request. */
+    var retryAfter: Duration? = null
+
+    /** The requests that arrived, whether or not they were executed. */
+    var arrivals = 0
+        private set
+
     /** How long the next orders lie here before this back end decides on them, whether or not their sender still waits. */
     val orderDelays = ArrayDeque<Duration>()
 
@@ -233,6 +243,7 @@
         val loaded = loadedVersion
         val expected = request.field("Expect-Instance")
         val echo = HeaderField("Request-Id", request.field("Request-Id").orEmpty())
+        arrivals++
         val isOtherInstance = expected != null && expected != id
         val isOtherVersion = request.field("Expect-Version")?.let { it.toLong() != loaded } ?: false
         when {
@@ -240,7 +251,7 @@
             loaded == null || loading || behavior == WorkerBehavior.OVERLOADED ->
                 exchange.respond(
                     503,
-                    listOf(echo, HeaderField("Not-Executed", "1")),
+                    listOf(echo, HeaderField("Not-Executed", "1")) + notices(),
                     NO_BYTES,
                 )
             else -> run(exchange, loaded)
@@ -262,7 +273,7 @@
                 HeaderField("Request-Id", exchange.request.field("Request-Id").orEmpty()),
                 HeaderField("Response-Stamp", "stamp-$id"),
                 HeaderField("Weight-Versions", loaded.toString()),
-            )
+            ) + notices()
         exchange.begin(HttpResponseHead(200, fields))
         if (isDeadly(exchange.request)) {
             deadlyArrivals += TimeSource.Monotonic.markNow()
@@ -281,6 +292,12 @@
         exchange.end()
     }
 
+    private fun notices(): List<HeaderField> =
+        buildList {
+            if (leaving) add(HeaderField("Server-Leaving", "1"))
+            retryAfter?.let { add(HeaderField("Retry-After", it.inWholeSeconds.toString())) }
+        }
+
     private fun isDeadly(request: HttpRequest): Boolean {
         val parts =
             request
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.AttemptOutcome
 import lagoonrudder.control.direct.AttemptTimes
+import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.DecodedItem
 import lagoonrudder.control.direct.LoadReport
@@ -305,6 +306,7 @@
                 peers,
                 BackEndStateController(),
                 SuspicionController(peers),
+                BackEndNoticeController(),
                 decisions,
                 policies,
             )
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -4,7 +4,11 @@
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import lagoonrudder.http.HttpResponse
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.TimeSource
 
@@ -59,7 +63,7 @@
                 origin.failsAfter = CHUNK_COUNT + 2
                 declare(2)
                 val declaredAt = TimeSource.Monotonic.markNow()
-                kotlinx.coroutines.delay(2.seconds)
+                delay(2.seconds)
                 // Three entry daemons that each try every 200 ms or, at first, with up to four fetches at a time.
                 origin.failedRequests shouldBeLessThan 60
                 origin.failsAfter = null
@@ -98,6 +102,37 @@
             }
         }
 
+        test("a back end that says in an answer that it leaves gets no further request from that daemon") {
+            withSite(entries = 1, workers = 2) {
+                val leaving = workers.first()
+                leaving.leaving = true
+                eventually { request() != null && leaving.executed.size > 1 }
+                val before = leaving.arrivals
+                repeat(12) { request().text shouldBe COMPLETE_BODY }
+                leaving.arrivals shouldBe before
+            }
+        }
+
+        test("a back end that turns a request away with a time gets no further request from that daemon until then") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                worker.behavior = WorkerBehavior.OVERLOADED
+                worker.retryAfter = 2.seconds
+                request().shouldNotBeNull().head.status shouldBe 503
+                val before = worker.arrivals
+                coroutineScope {
+                    repeat(12) {
+                        launch { request() }
+                        delay(100.milliseconds)
+                    }
+                    worker.arrivals shouldBe before
+                    worker.behavior = WorkerBehavior.NORMAL
+                    worker.retryAfter = null
+                }
+                eventually(4.seconds) { request().text == COMPLETE_BODY }
+            }
+        }
+
         test("unknown API keys and routes are rejected, and a changed route is active within its time limit") {
             withSite(entries = 2, workers = 1) {
                 request(key = "other").shouldNotBeNull().head.status shouldBe 401
@@ -133,7 +168,7 @@
         test("the store receives few calls while nothing changes") {
             withSite(entries = 2, workers = 2) {
                 val before = store.calls
-                kotlinx.coroutines.delay(2.seconds)
+                delay(2.seconds)
                 (store.calls - before) shouldBeLessThan 4
             }
         }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectControl.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import lagoonrudder.control.ControlThread
+import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
@@ -21,6 +22,7 @@
     val placement: PlacementController,
     val retryBudget: RetryBudgetShare,
     val suspicions: SuspicionController,
+    val notices: BackEndNoticeController,
     val stop: StopController,
 ) {
     private var confirmation = CompletableDeferred<Unit>()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -5,6 +5,7 @@
 
 import arrow.core.Either
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.EventId
 import lagoonrudder.model.Failure
@@ -72,6 +73,7 @@
     val number: WeightNumber?,
     val isEventStream: Boolean,
     val endsWithConnection: Boolean = false,
+    val notices: List<BackEndNotice> = emptyList(),
 ) {
     val isSuccess: Boolean get() = status in SUCCESS
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -264,7 +264,10 @@
         while (true) {
             val result =
                 when (val next = awaitEvent(open)) {
-                    is Next.Event -> relay.onEvent(next.event)
+                    is Next.Event -> {
+                        heed(next.event, backEnd)
+                        relay.onEvent(next.event)
+                    }
                     Next.Timeout -> timedOut(backEnd)
                     Next.OutOfTime -> DirectAttemptResult.OutOfTime(timedOut = !relay.receivedAny)
                 }
@@ -276,6 +279,16 @@
         }
     }
 
+    /** Passes on what the back end says of itself, before anything else is decided about this answer. */
+    private suspend fun heed(
+        event: ResponseEvent,
+        backEnd: BackEnd,
+    ) {
+        val notices = (event as? ResponseEvent.Head)?.head?.notices.orEmpty()
+        if (notices.isEmpty()) return
+        control.thread.decide { notices.forEach { control.notices.onNoticeReceived(backEnd.run, it, control.clock.elapsed()) } }
+    }
+
     /** The result of waiting for the next event. */
     private sealed class Next {
         class Event(
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import lagoonrudder.control.ControlThread
+import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.DecodedItem
 import lagoonrudder.control.direct.PeerController
@@ -209,6 +210,7 @@
     private val self = PeerDaemon(DaemonId("self"), DaemonRole.ENTRY, DOMAIN, REGION, null)
     private val peers = PeerController(self, emptyList())
     private val suspicions = SuspicionController(peers)
+    private val notices = BackEndNoticeController()
     private val placement =
         PlacementController(
             Topology(DOMAIN, mapOf(DOMAIN to REGION)),
@@ -217,6 +219,7 @@
             peers,
             BackEndStateController(),
             suspicions,
+            notices,
             Random(1),
         )
     private val control =
@@ -228,6 +231,7 @@
             placement,
             RetryBudgetShare(RetryBudgetBounds(0.2, 10.seconds, retrySlack)),
             suspicions,
+            notices,
             StopController(8.seconds),
         )
     val link = FakeClient(behaviours.toMutableList())
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/EvidenceMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/EvidenceMessages.kt
@@ -8,9 +8,9 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoNumber
-import lagoonrudder.control.direct.suspicion.BackEndRun
 import lagoonrudder.control.direct.suspicion.EvidenceReport
 import lagoonrudder.control.direct.suspicion.PartReport
+import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.PromptPartId
 import lagoonrudder.model.TargetId
 import kotlin.time.Duration.Companion.milliseconds
