Keep the cost of a decision flat while many parts are suspected

Suspicions are now computed once for each change of the evidence and only when they are needed, at most 16 of them, and evidence expires once a second.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
@@ -36,16 +36,22 @@
         val openRuns: Set<BackEndRun> get() = contradictedByRun.filterValues { !it }.keys
     }
 
+    private class Summary(
+        val suspicions: List<Suspicion>,
+        val digest: Long,
+    )
+
     private val entries = mutableMapOf<PromptPartId, Entry>()
     private val crashedAt = mutableMapOf<BackEndRun, Duration>()
 
+    private var summary = Summary(emptyList(), 0)
+    private var isSummaryCurrent = true
+
     /** The uncontradicted crashes, grouped by what they have in common; strongest first. */
-    var suspicions = emptyList<Suspicion>()
-        private set
+    val suspicions: List<Suspicion> get() = currentSummary().suspicions
 
     /** Equal for daemons that know the same; 0 without evidence. It does not depend on clocks. */
-    var digest = 0L
-        private set
+    val digest: Long get() = currentSummary().digest
 
     val partCount: Int get() = entries.size
 
@@ -56,25 +62,21 @@
     ) {
         crashedAt.putIfAbsent(run, now)
         for (part in parts) addRun(entries.getOrPut(part) { Entry() }, run)
-        update(now)
+        onChanged()
     }
 
-    /** Returns whether this changed the evidence. */
     fun recordAnswer(
         parts: Collection<PromptPartId>,
         now: Duration,
-    ): Boolean {
-        if (entries.isEmpty()) return false
-        var changed = false
+    ) {
+        if (entries.isEmpty()) return
         for (part in parts) {
             val entry = entries[part] ?: continue
             entry.answeredAt = now
             val contradicted = entry.openRuns
             contradicted.forEach { entry.contradictedByRun[it] = true }
-            changed = changed || contradicted.isNotEmpty()
+            if (contradicted.isNotEmpty()) onChanged()
         }
-        if (changed) update(now)
-        return changed
     }
 
     fun recordProbe(
@@ -82,26 +84,24 @@
         now: Duration,
     ) {
         for (part in parts) entries[part]?.probedAt = now
-        update(now)
+        onChanged()
     }
 
     /** Returns when the last probe of [parts] began whose result is not known; null if there is none. */
     fun probedAt(parts: Set<PromptPartId>): Duration? = parts.mapNotNull { entries[it]?.probedAt }.maxOrNull()
 
-    /** Adds the evidence of a peer. What is too old, or has no time, is ignored. Returns whether this changed the evidence. */
+    /** Adds the evidence of a peer. What is too old, or has no time, is ignored. */
     fun merge(
         report: EvidenceReport,
         now: Duration,
-    ): Boolean {
-        val before = digest
+    ) {
         for ((run, age) in report.runs) {
             if (age.isNegative() || !age.isFinite()) continue
             val known = crashedAt[run]
             if (known == null || now - age < known) crashedAt[run] = now - age
         }
         for (part in report.parts) mergePart(part, now)
-        update(now)
-        return digest != before
+        onChanged()
     }
 
     private fun mergePart(
@@ -147,21 +147,29 @@
 
     /** Removes what is too old to count. */
     fun expire(now: Duration) {
-        if (entries.isNotEmpty()) update(now)
-    }
-
-    private fun update(now: Duration) {
-        suspicions = suspicionsOf(entries.mapValues { it.value.openRuns }, crashedAt)
+        if (entries.isEmpty()) return
         val accused = suspicions.filter { it.isAccusation }.flatMapTo(mutableSetOf()) { it.parts }
         entries.entries.removeIf { (part, entry) -> !isKept(entry, part in accused, now) }
+        for (entry in entries.values) if (entry.probedAt?.let { now - it >= PROBE_TIMEOUT } == true) entry.probedAt = null
+        onChanged()
+    }
+
+    private fun onChanged() {
         if (entries.size > MAX_PARTS) {
             val kept = entries.entries.sortedWith(compareBy({ -it.value.openRuns.size }, { it.key.text })).take(MAX_PARTS)
             entries.keys.retainAll(kept.mapTo(mutableSetOf()) { it.key })
         }
-        suspicions = suspicions.filter { suspicion -> suspicion.parts.all { it in entries } }
         crashedAt.keys.retainAll(entries.values.flatMapTo(mutableSetOf()) { it.contradictedByRun.keys })
-        for (entry in entries.values) if (entry.probedAt?.let { now - it >= PROBE_TIMEOUT } == true) entry.probedAt = null
-        digest = entries.entries.sumOf { (part, entry) -> digestOf(part, entry) }
+        isSummaryCurrent = false
+    }
+
+    private fun currentSummary(): Summary {
+        if (!isSummaryCurrent) {
+            val digest = entries.entries.sumOf { (part, entry) -> digestOf(part, entry) }
+            summary = Summary(suspicionsOf(entries.mapValues { it.value.openRuns }, crashedAt), digest)
+            isSummaryCurrent = true
+        }
+        return summary
     }
 
     private fun isKept(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
@@ -35,6 +35,8 @@
     }
 }
 
+/** Bounds the cost of a decision; the strongest suspicions come first. */
+private const val MAX_SUSPICIONS = 16
 private const val EPISODES_OF_SUSPICION = 2
 private const val EPISODES_OF_ACCUSATION = 3
 
@@ -53,27 +55,49 @@
     crashedAt: Map<BackEndRun, Duration>,
 ): List<Suspicion> {
     val suspicions = mutableListOf<Suspicion>()
-    var unexplained = runsByPart.filterValues { it.size >= EPISODES_OF_SUSPICION }
-    while (true) {
-        val (_, runs) = unexplained.maxWithOrNull(compareBy({ episodesOf(it.value, crashedAt) }, { it.value.size })) ?: break
-        val episodes = episodesOf(runs, crashedAt)
-        if (episodes < EPISODES_OF_SUSPICION) break
-        val parts = unexplained.filterValues { it == runs }.keys.toSet()
-        suspicions += Suspicion(parts, runs.associateWith { crashedAt.getValue(it) }, episodes)
-        unexplained = unexplained.mapValues { it.value - runs }.filterValues { it.size >= EPISODES_OF_SUSPICION }
+    var unexplained = runsByPart.mapNotNull { (part, runs) -> candidateOf(part, runs.map { Crash(it, crashedAt.getValue(it)) }) }
+    while (suspicions.size < MAX_SUSPICIONS) {
+        val strongest = unexplained.maxWithOrNull(compareBy({ it.episodes }, { it.crashes.size }, { it.part.text })) ?: break
+        val parts = unexplained.filter { it.crashes == strongest.crashes }.mapTo(mutableSetOf()) { it.part }
+        suspicions += Suspicion(parts, strongest.crashes.associate { it.run to it.at }, strongest.episodes)
+        val explained = strongest.crashes.mapTo(mutableSetOf()) { it.run }
+        unexplained = unexplained.mapNotNull { it.without(explained) }
     }
     return suspicions
 }
 
-private fun episodesOf(
-    runs: Set<BackEndRun>,
-    crashedAt: Map<BackEndRun, Duration>,
-): Int {
+private data class Crash(
+    val run: BackEndRun,
+    val at: Duration,
+)
+
+/** A part and the [crashes] that nothing else explains, in their order. */
+private class Candidate(
+    val part: PromptPartId,
+    val crashes: List<Crash>,
+    val episodes: Int,
+) {
+    fun without(explained: Set<BackEndRun>): Candidate? =
+        if (crashes.none { it.run in explained }) this else candidateOf(part, crashes.filter { it.run !in explained })
+}
+
+/** Returns null if [crashes] are too few to suspect [part]. */
+private fun candidateOf(
+    part: PromptPartId,
+    crashes: List<Crash>,
+): Candidate? {
+    if (crashes.size < EPISODES_OF_SUSPICION) return null
+    val ordered = crashes.sortedWith(compareBy({ it.at }, { it.run.target.text }))
+    val episodes = episodesOf(ordered)
+    return if (episodes < EPISODES_OF_SUSPICION) null else Candidate(part, ordered, episodes)
+}
+
+private fun episodesOf(ordered: List<Crash>): Int {
     var count = 0
     var start: Duration? = null
-    for (at in runs.map { crashedAt.getValue(it) }.sorted()) {
-        if (start != null && at - start < EPISODE_LENGTH) continue
-        start = at
+    for (crash in ordered) {
+        if (start != null && crash.at - start < EPISODE_LENGTH) continue
+        start = crash.at
         count++
     }
     return count
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
@@ -57,12 +57,14 @@
 ) {
     private val evidence = CrashEvidence()
     private var accused = emptyList<Suspicion>()
+    private var reported = emptyList<Suspicion>()
+    private var nextExpiry = Duration.ZERO
 
     /** Equal for daemons that know the same; 0 without evidence. */
     val digest: Long get() = evidence.digest
 
     /** The number of accused parts. */
-    val accusedParts: Int get() = accused.sumOf { it.parts.size }
+    val accusedParts: Int get() = evidence.suspicions.filter { it.isAccusation }.sumOf { it.parts.size }
 
     /** Records that [backEnd] closed the connection of a request with [parts] that it had not begun to answer. */
     fun onCrash(
@@ -72,7 +74,6 @@
     ) {
         if (parts.isEmpty()) return
         evidence.recordCrash(backEnd.run, parts, now)
-        reportChanges()
     }
 
     /** Records that an answer to a request with [parts] went on past its start. */
@@ -80,7 +81,8 @@
         parts: Collection<PromptPartId>,
         now: Duration,
     ) {
-        if (evidence.recordAnswer(parts, now)) reportChanges()
+        evidence.recordAnswer(parts, now)
+        reportChanges()
     }
 
     /** Adds what a peer knows. */
@@ -88,11 +90,14 @@
         report: EvidenceReport,
         now: Duration,
     ) {
-        if (evidence.merge(report, now)) reportChanges()
+        evidence.merge(report, now)
+        reportChanges()
     }
 
     /** Removes evidence that is too old; called periodically. */
     fun onTick(now: Duration) {
+        if (now < nextExpiry) return
+        nextExpiry = now + EXPIRY_INTERVAL
         evidence.expire(now)
         reportChanges()
     }
@@ -106,6 +111,7 @@
         mayHaveRun: Boolean,
         now: Duration,
     ): Verdict {
+        reportChanges()
         val suspicion = evidence.suspicions.firstOrNull { parts.containsAll(it.parts) } ?: return Verdict.Free
         return when {
             suspicion.isAccusation -> if (mayProbe(suspicion, now)) Verdict.Probe(suspicion) else heldBack(suspicion, now)
@@ -150,8 +156,11 @@
     }
 
     private fun reportChanges() {
+        val suspicions = evidence.suspicions
+        if (suspicions === reported) return
+        reported = suspicions
         val before = accused
-        accused = evidence.suspicions.filter { it.isAccusation }
+        accused = suspicions.filter { it.isAccusation }
         val known = before.flatMapTo(mutableSetOf()) { it.parts }
         val current = accused.flatMapTo(mutableSetOf()) { it.parts }
         accused.filter { !known.containsAll(it.parts) }.forEach { onChange(SuspicionChange.Accused(it)) }
@@ -172,6 +181,7 @@
         /** The start of a turn in which nobody probes, so that all daemons know of a probe that was sent at the end of the last one. */
         private val HANDOVER_TIME = 1.seconds
         private val MIN_RETRY_AFTER = 1.seconds
+        private val EXPIRY_INTERVAL = 1.seconds
 
         fun namesOf(suspicion: Suspicion): String = suspicion.parts.joinToString("+") { it.text }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -21,6 +21,7 @@
         "control" to ::measureControl,
         "configuration" to ::measureConfiguration,
         "overload" to ::measureOverload,
+        "suspicion" to ::measureSuspicion,
     )
 
 fun main(arguments: Array<String>) {
