Wait for the first answer with a notice in the test of back ends that leave

It waited until the back end had executed two requests in all, the ones from before the notice among them. If the start of the site had sent it none, the notice stops requests after the first one, so the wait could not end. It now waits for one request more than before the notice; what is checked after it is the same.

--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -105,8 +105,9 @@
         test("a back end that says in an answer that it leaves gets no further request from that daemon") {
             withSite(entries = 1, workers = 2) {
                 val leaving = workers.first()
+                val answered = leaving.executed.size
                 leaving.leaving = true
-                eventually { request() != null && leaving.executed.size > 1 }
+                eventually { request() != null && leaving.executed.size > answered }
                 val before = leaving.arrivals
                 repeat(12) { request().text shouldBe COMPLETE_BODY }
                 leaving.arrivals shouldBe before
