Apply a gossip reply in one decision

Each reply was handed to the control thread twice, once for the evidence about crashes and once for the rest, ten times a second for each peer nearby. Behaviour is unchanged.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -191,16 +191,16 @@
     ): Boolean {
         val items = reply.items.map { readItem(it.toItem()) }
         val peer = reply.self.toPeer()
-        val isPeerBehind = core.thread.decide { applyEvidence(reply) }
-        val (change, isBehind) =
+        val (change, isBehind, isPeerBehind) =
             core.thread.decide {
                 val now = core.clock.elapsed()
+                val lacksEvidence = applyEvidence(reply, now)
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
-                if (!isUpdate) return@decide null to isBehind
-                core.storeView.applySettledChanges(items, reply.at, now).also { onChange() } to false
+                if (!isUpdate) return@decide Triple(null, isBehind, lacksEvidence)
+                Triple(core.storeView.applySettledChanges(items, reply.at, now).also { onChange() }, false, lacksEvidence)
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
         if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
@@ -208,9 +208,12 @@
     }
 
     /** Returns whether the peer lacks evidence that this daemon has. Runs on the control thread. */
-    private fun applyEvidence(reply: GossipReply): Boolean {
+    private fun applyEvidence(
+        reply: GossipReply,
+        now: Duration,
+    ): Boolean {
         if (core.self.role != DaemonRole.ENTRY) return false
-        reply.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), core.clock.elapsed()) }
+        reply.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), now) }
         return reply.evidenceDigest != core.suspicions.digest
     }
 
