Send the response that ends a request at a stop like any other

ServerExchange built a complete response in two places, and the daemon had its own copy of the status for an unknown outcome beside that of the handler. Behaviour is unchanged.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -20,6 +20,7 @@
 import lagoonrudder.platform.CallerRequestHandler
 import lagoonrudder.platform.DEFAULT_LIMITS
 import lagoonrudder.platform.ReadinessRequestHandler
+import lagoonrudder.platform.UNKNOWN_OUTCOME_STATUS
 import lagoonrudder.traffic.FilterChain
 import lagoonrudder.traffic.direct.DirectCall
 import lagoonrudder.traffic.direct.DirectControl
@@ -108,7 +109,7 @@
         while (server.activeRequests > 0 && core.clock.elapsed() < schedule.answerAt) delay(SHUTDOWN_CHECK_INTERVAL)
         val cut = server.activeRequests
         if (cut > 0) {
-            server.endRequests(UNKNOWN_OUTCOME)
+            server.endRequests(UNKNOWN_OUTCOME_STATUS)
             delay(SHUTDOWN_CHECK_INTERVAL)
         }
         core.log.info("stopped", "in-hand" to cut, "took" to core.clock.elapsed() - started)
@@ -196,8 +197,5 @@
         val TICK_INTERVAL = 100.milliseconds
         const val MAX_LOGGED_PARTS = 8
         val SHUTDOWN_CHECK_INTERVAL = 50.milliseconds
-
-        /** The status of a request that may have run; it promises nothing. */
-        const val UNKNOWN_OUTCOME = 502
     }
 }
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -243,6 +243,14 @@
         ) {
             if (isClosed()) return
             check(!begun) { "response with status $status after another one has begun" }
+            sendComplete(status, fields, body)
+        }
+
+        private fun sendComplete(
+            status: Int,
+            fields: List<HeaderField>,
+            body: ByteArray,
+        ) {
             val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
             fields.forEach { response.headers().add(it.name, it.value) }
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
@@ -288,11 +296,7 @@
             job?.cancel()
             if (begun) return abort()
             closing = true
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0)
-            setConnection(response)
-            channel.writeAndFlush(response)
-            finish()
+            sendComplete(status, emptyList(), NO_BYTES)
         }
 
         override fun abort() {
