--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
@@ -25,6 +25,16 @@
     /** The time from which a probe may show whether the parts still crash back ends. */
     val heldUntil: Duration get() = crashes.values.max() + holdTime
 
+    /** The parts, for logs. */
+    val name: String get() = parts.joinToString("+") { it.text }
+
+    /** Describes the crashes that speak against the parts, with their back ends and ages, newest first. */
+    fun describe(now: Duration): String {
+        val newestFirst = crashes.entries.sortedByDescending { it.value }
+        val ages = newestFirst.joinToString(",") { "${it.key.target.text}:${(now - it.value).inWholeMilliseconds}ms" }
+        return "part $name crashed $ages"
+    }
+
     private val holdTime: Duration
         get() = (FIRST_HOLD * (1 shl (episodes - EPISODES_OF_ACCUSATION).coerceIn(0, MAX_DOUBLINGS))).coerceAtMost(MAX_HOLD)
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
@@ -152,7 +152,7 @@
                 probedAt != null -> probedAt + PROBE_TIMEOUT - now
                 else -> PROBE_TURN
             }
-        return Verdict.HeldBack(describe(suspicion, now), wait.coerceAtLeast(MIN_RETRY_AFTER))
+        return Verdict.HeldBack(suspicion.describe(now), wait.coerceAtLeast(MIN_RETRY_AFTER))
     }
 
     private fun reportChanges() {
@@ -171,28 +171,16 @@
     fun dump(now: Duration): DumpSection =
         dumpSection("suspicions") {
             entry("parts", evidence.partCount)
-            for (suspicion in evidence.suspicions) entry(namesOf(suspicion), describe(suspicion, now))
+            for (suspicion in evidence.suspicions) entry(suspicion.name, suspicion.describe(now))
         }
 
-    companion object {
+    private companion object {
         /** A daemon may probe for this long before it is the turn of another one, which may get more such requests. */
-        private val PROBE_TURN = 4.seconds
+        val PROBE_TURN = 4.seconds
 
         /** The start of a turn in which nobody probes, so that all daemons know of a probe that was sent at the end of the last one. */
-        private val HANDOVER_TIME = 1.seconds
-        private val MIN_RETRY_AFTER = 1.seconds
-        private val EXPIRY_INTERVAL = 1.seconds
-
-        fun namesOf(suspicion: Suspicion): String = suspicion.parts.joinToString("+") { it.text }
-
-        /** Describes the crashes that speak against the parts, with their back ends and ages, newest first. */
-        fun describe(
-            suspicion: Suspicion,
-            now: Duration,
-        ): String {
-            val crashes = suspicion.crashes.entries.sortedByDescending { it.value }
-            val ages = crashes.joinToString(",") { "${it.key.target.text}:${(now - it.value).inWholeMilliseconds}ms" }
-            return "part ${namesOf(suspicion)} crashed $ages"
-        }
+        val HANDOVER_TIME = 1.seconds
+        val MIN_RETRY_AFTER = 1.seconds
+        val EXPIRY_INTERVAL = 1.seconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -20,7 +20,6 @@
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.SwitchSchedule
 import lagoonrudder.control.direct.WeightSourceController
-import lagoonrudder.control.direct.suspicion.Suspicion
 import lagoonrudder.control.direct.suspicion.SuspicionChange
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.daemon.observe.DaemonMetrics
@@ -112,8 +111,8 @@
 
     private fun logSuspicion(change: SuspicionChange) =
         when (change) {
-            is SuspicionChange.Accused -> log.warning("part-accused", "crashes" to describe(change.suspicion))
-            is SuspicionChange.Probed -> log.info("part-probed", "crashes" to describe(change.suspicion))
+            is SuspicionChange.Accused -> log.warning("part-accused", "crashes" to change.suspicion.describe(clock.elapsed()))
+            is SuspicionChange.Probed -> log.info("part-probed", "crashes" to change.suspicion.describe(clock.elapsed()))
             is SuspicionChange.Cleared -> log.info("part-cleared", "parts" to change.parts.map { it.text })
         }
 
@@ -125,8 +124,6 @@
         is BackEndNotice.ClosedFor -> log.info("back-end-closed", "target" to run.target.text, "born" to run.born, "for" to notice.duration)
     }
 
-    private fun describe(suspicion: Suspicion) = SuspicionController.describe(suspicion, clock.elapsed())
-
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
 
