Show that one corrupted manifest keeps all model workers empty after a loss of power

Cause, as far as known: an entry daemon keeps the first manifest of a version for as long as it runs and never asks for it again when a piece does not match its digest; its peers and the target daemons take the manifest from it.

The other cases move down by one place, in the order of their gravity.

--- a/review/2/SilentStore.java
+++ b/review/3/SilentStore.java
@@ -17,7 +17,7 @@
     private SilentStore() {}
 
     public static void main(String[] arguments) {
-        Case.run("review/2", SilentStore::run);
+        Case.run("review/3", SilentStore::run);
     }
 
     private static String run(Record record, boolean trouble) throws Exception {
--- a/review/4/SlowReaders.java
+++ b/review/5/SlowReaders.java
@@ -31,7 +31,7 @@
     private SlowReaders() {}
 
     public static void main(String[] arguments) {
-        Case.run("review/4", SlowReaders::run);
+        Case.run("review/5", SlowReaders::run);
     }
 
     private static String run(Record record, boolean trouble) throws Exception {
--- a/review/stand-ins/Site.java
+++ b/review/stand-ins/Site.java
@@ -32,6 +32,9 @@
     static final long DRAIN_MS = 2_000;
     static final long GRACE_MS = 8_000;
 
+    /** The service of the model workers. */
+    static final String MODEL_SERVICE = "most-llm";
+
     static final class Daemon {
         final String name;
         final String zone;
@@ -40,9 +43,12 @@
         private final String peers;
         private final String operators;
         private final String store;
+
+        /** The address of the worker on the machine of this daemon; null at an entry daemon. */
+        private final String worker;
         private Process process;
 
-        private Daemon(String name, String zone, String store) {
+        private Daemon(String name, String zone, String store, String worker) {
             this.name = name;
             this.zone = zone;
             this.callers = freeAddress();
@@ -50,6 +56,7 @@
             this.peers = freeAddress();
             this.operators = freeAddress();
             this.store = store;
+            this.worker = worker;
         }
 
         boolean isReady() {
@@ -77,6 +84,9 @@
 
     final Store store = new Store();
     final List<Daemon> daemons = new ArrayList<>();
+
+    /** The target daemons, one beside each model worker. */
+    final List<Daemon> targets = new ArrayList<>();
     private final Path folder;
     private final Record record;
     private final Map<String, String> regions = new LinkedHashMap<>();
@@ -89,13 +99,20 @@
         for (String zone : zones) {
             String name = "front-" + zone + "-" + ++number;
             regions.put(zone, zone.replace("-a", ""));
-            daemons.add(new Daemon(name, zone, store.listenFor(name)));
+            daemons.add(new Daemon(name, zone, store.listenFor(name), null));
         }
     }
 
-    /** Starts all daemons and waits until each is ready. */
+    /** Adds the target daemon of a model worker. */
+    void addTarget(String zone, String worker) throws IOException {
+        String name = "side-" + zone + "-" + (targets.size() + 1);
+        targets.add(new Daemon(name, zone, store.listenFor(name), worker));
+    }
+
+    /** Starts all daemons and waits until each entry daemon is ready. */
     void start() throws IOException, InterruptedException {
         for (Daemon daemon : daemons) start(daemon);
+        for (Daemon target : targets) start(target);
         long until = System.currentTimeMillis() + START_LIMIT_MS;
         for (Daemon daemon : daemons) {
             while (!daemon.isReady()) {
@@ -110,7 +127,7 @@
         Path settings = folder.resolve(daemon.name + ".ini");
         Files.writeString(settings, settings(daemon));
         List<String> command = new ArrayList<>();
-        for (String word : entryCommand().split(" ")) command.add(word.equals("/etc/lagoonrudder/settings.yaml") ? settings.toString() : word);
+        for (String word : command(daemon.worker == null ? "entry" : "target").split(" ")) command.add(word.equals("/etc/lagoonrudder/settings.yaml") ? settings.toString() : word);
         ProcessBuilder builder = new ProcessBuilder(command);
         builder.redirectErrorStream(true);
         builder.redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve(daemon.name + ".log").toFile()));
@@ -125,8 +142,10 @@
 
     @Override
     public void close() {
-        for (Daemon daemon : daemons) if (daemon.process != null) daemon.kill();
-        for (Daemon daemon : daemons) {
+        List<Daemon> all = new ArrayList<>(daemons);
+        all.addAll(targets);
+        for (Daemon daemon : all) if (daemon.process != null) daemon.kill();
+        for (Daemon daemon : all) {
             try {
                 if (daemon.process != null) daemon.process.waitFor(5, TimeUnit.SECONDS);
             } catch (InterruptedException interrupted) {
@@ -142,26 +161,26 @@
         }
     }
 
-    /** Returns the command of the role for entry daemons in the deploy file. */
-    private static String entryCommand() throws IOException {
+    /** Returns the command of a role in the deploy file. */
+    private static String command(String role) throws IOException {
         boolean inRole = false;
         for (String line : Files.readAllLines(Path.of("deploy/system.toml"))) {
-            if (line.startsWith("[")) inRole = line.equals("[roles.entry]");
+            if (line.startsWith("[")) inRole = line.equals("[roles." + role + "]");
             if (inRole && line.startsWith("run = ")) return line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'));
         }
-        throw new CannotRun("deploy/system.toml has no command of the role entry");
+        throw new CannotRun("deploy/system.toml has no command of the role " + role);
     }
 
     private String settings(Daemon daemon) {
         List<String> lines = new ArrayList<>();
-        lines.add("[daemon]\nname = " + daemon.name + "\nrole = entry\ndomain = " + daemon.zone + "\nregion = " + regions.get(daemon.zone));
+        lines.add("[daemon]\nname = " + daemon.name + "\nrole = " + (daemon.worker == null ? "entry" : "target") + "\ndomain = " + daemon.zone + "\nregion = " + regions.get(daemon.zone));
         lines.add("\n[domains]");
         regions.forEach((zone, region) -> lines.add(zone + " = " + region));
-        lines.add("\n[listen]\ncallers = " + daemon.callers + "\nready = " + daemon.ready + "\npeers = " + daemon.peers);
+        if (daemon.worker == null) lines.add("\n[listen]\ncallers = " + daemon.callers + "\nready = " + daemon.ready + "\npeers = " + daemon.peers);
         lines.add("\n[operators]\naddress = " + daemon.operators);
         lines.add("\n[peers]\nseeds = " + String.join(",", daemons.stream().limit(3).map(it -> it.peers).toList()));
         lines.add("\n[store]\naddress = " + daemon.store);
-        lines.add("\n[slot]\nback-end = \nservice = ");
+        lines.add("\n[slot]\nback-end = " + (daemon.worker == null ? "" : daemon.worker) + "\nservice = " + (daemon.worker == null ? "" : MODEL_SERVICE));
         lines.add("\n[bounds]\nversion = 8000ms\ncold-ratio = 1.5\ncold-allowance = 5\nrepeat-ratio = 0.2\nrepeat-window = 10s");
         lines.add("repeat-allowance = 100\nstop-grace = 8s\n");
         return String.join("\n", lines);
