Show that a planned stop cuts streams whose worker pauses

Cause, as far as known: a back end that is silent for half of the callers' patience is given up although no other one can take the stream over, and the response is then broken off.

--- a/review/4/CutWatch.java
+++ b/review/5/CutWatch.java
@@ -23,7 +23,7 @@
     private CutWatch() {}
 
     public static void main(String[] arguments) {
-        Case.run("review/4", CutWatch::run);
+        Case.run("review/5", CutWatch::run);
     }
 
     private static String run(Record record, boolean trouble) throws Exception {
--- a/review/stand-ins/Caller.java
+++ b/review/stand-ins/Caller.java
@@ -1,5 +1,5 @@
 /*
- * A stand-in of a client: it sends requests over kept or new connections and reads their answers, with a pause if it is told to.
+ * A stand-in of a client: it sends requests over kept or new connections and reads their answers.
  */
 import java.io.BufferedInputStream;
 import java.io.IOException;
@@ -24,12 +24,6 @@
     private final InputStream input;
 
     Caller(String address) throws IOException {
-        this(address, 0);
-    }
-
-    /** [receiveBytes] is the size of the buffer for bytes that are not read yet; 0 leaves it to the system. */
-    Caller(String address, int receiveBytes) throws IOException {
-        if (receiveBytes > 0) socket.setReceiveBufferSize(receiveBytes);
         int colon = address.lastIndexOf(':');
         socket.connect(new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))), 1_000);
         socket.setTcpNoDelay(true);
@@ -40,14 +34,14 @@
     /** Sends a request on a new connection and reads its answer. */
     static Answer once(String address, String method, String host, String path, String requestId, String key) {
         try (Caller caller = new Caller(address)) {
-            return caller.call(method, host, path, requestId, key, 0);
+            return caller.call(method, host, path, requestId, key);
         } catch (IOException failed) {
             return new Answer(0, Map.of(), -1, 0);
         }
     }
 
-    /** Sends a request and reads its answer, with a pause of [pauseMs] between its head and its body. */
-    Answer call(String method, String host, String path, String requestId, String key, long pauseMs) throws IOException {
+    /** Sends a request and reads its answer. */
+    Answer call(String method, String host, String path, String requestId, String key) throws IOException {
         byte[] body = "POST".equals(method) ? "order".getBytes(StandardCharsets.UTF_8) : new byte[0];
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Host", host);
@@ -59,18 +53,18 @@
         headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         head.append("\r\n");
         socket.getOutputStream().write((head + new String(body, StandardCharsets.UTF_8)).getBytes(StandardCharsets.ISO_8859_1));
-        return readAnswer(pauseMs);
+        return readAnswer();
     }
 
-    private Answer readAnswer(long pauseMs) throws IOException {
+    private Answer readAnswer() throws IOException {
         String line = HttpListener.readLine(input);
         if (line == null) return new Answer(0, Map.of(), -1, 0);
         int status = Integer.parseInt(line.split(" ")[1]);
         Map<String, String> headers = HttpListener.readHeaders(input);
+        if ("chunked".equals(headers.get("Transfer-Encoding"))) return readChunks(status, headers);
         long expected = Long.parseLong(headers.getOrDefault("Content-Length", "0"));
         long received = 0;
         byte[] buffer = new byte[8_192];
-        Site.sleep(pauseMs);
         try {
             while (received < expected) {
                 int count = input.read(buffer, 0, (int) Math.min(buffer.length, expected - received));
@@ -83,6 +77,23 @@
         return new Answer(status, headers, expected, received);
     }
 
+    /** Reads an answer in chunks. Its length is known only once the last chunk has arrived. */
+    private Answer readChunks(int status, Map<String, String> headers) {
+        long received = 0;
+        try {
+            while (true) {
+                String line = HttpListener.readLine(input);
+                if (line == null) return new Answer(status, headers, -1, received);
+                int size = Integer.parseInt(line.trim(), 16);
+                received += input.readNBytes(size).length;
+                HttpListener.readLine(input);
+                if (size == 0) return new Answer(status, headers, received, received);
+            }
+        } catch (IOException broken) {
+            return new Answer(status, headers, -1, received);
+        }
+    }
+
     @Override
     public void close() {
         try {
--- a/review/stand-ins/HttpListener.java
+++ b/review/stand-ins/HttpListener.java
@@ -67,6 +67,22 @@
             output.flush();
         }
 
+        /** Begins an answer in chunks. */
+        void begin(int status, Map<String, String> headers) throws IOException {
+            StringBuilder head = new StringBuilder("HTTP/1.1 " + status + " status\r\n");
+            headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+            head.append("Transfer-Encoding: chunked\r\n\r\n");
+            output.write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
+            output.flush();
+        }
+
+        /** Sends a chunk; an empty one ends the answer. */
+        void chunk(String text) throws IOException {
+            byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+            output.write((Integer.toHexString(bytes.length) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.UTF_8));
+            output.flush();
+        }
+
         void close() {
             try {
                 socket.close();
--- a/review/stand-ins/Worker.java
+++ b/review/stand-ins/Worker.java
@@ -93,7 +93,7 @@
         record.add("run", "request=" + requestId + " worker=" + id + " service=" + service + " tenant=" + request.headers().get("Tenant"));
         Thread.sleep(workMs);
         headers.put("Response-Stamp", id + "." + requestId);
-        respond(connection, 200, headers, body(request));
+        respond(connection, 200, headers, body());
         record.add("done", "request=" + requestId + " worker=" + id);
     }
 
@@ -103,10 +103,8 @@
         connection.respond(status, headers, body);
     }
 
-    /** Returns the body of an answer, whose length the query may state. */
-    private byte[] body(HttpListener.Request request) {
-        String stated = request.query("bytes");
-        byte[] body = new byte[stated.isEmpty() ? answerBytes : Integer.parseInt(stated)];
+    private byte[] body() {
+        byte[] body = new byte[answerBytes];
         Arrays.fill(body, (byte) 'a');
         return body;
     }
