--- a/review/5/CutWatch.java
+++ b/review/5/CutWatch.java
@@ -8,6 +8,9 @@
 
 final class CutWatch {
     private static final List<String> ZONES = List.of("ost-a", "west-a", "sued-a");
+
+    /** With them one worker of eight leaves, which is inside the share of a scale_in. */
+    private static final int MORE_WORKERS = 5;
     private static final int WORK_MS = 300;
 
     /** The entry of the worker is removed this long after the watches were cut. */
@@ -33,6 +36,10 @@
         try (Site site = new Site(record, ZONES.toArray(new String[0]))) {
             List<Worker> workers = new ArrayList<>();
             for (String zone : ZONES) workers.add(new Worker("i-desk-" + zone, "entry-desk", zone, 6, WORK_MS, 800, record));
+            for (int more = 0; more < MORE_WORKERS; more++) {
+                String zone = ZONES.get(1 + more % 2);
+                workers.add(new Worker("i-desk-" + zone + "-" + more, "entry-desk", zone, 6, WORK_MS, 800, record));
+            }
             for (Worker worker : workers) site.store.put(worker.key(), worker.entry("ready"));
             site.store.put("op/config", configuration());
             site.start();
--- a/review/stand-ins/ModelWorker.java
+++ b/review/stand-ins/ModelWorker.java
@@ -10,6 +10,9 @@
 final class ModelWorker implements AutoCloseable {
     private static final int SLOTS = 16;
     private static final long LOAD_MS = 1_000;
+
+    /** Three intervals of heartbeatMs, after which the entry of a worker that is silent is removed. */
+    private static final long LAPSE_MS = 3 * 1_200;
     private static final long ANSWER_MS = 100;
     private static final int EVENTS = 6;
 
@@ -43,11 +46,15 @@
         return listener.address();
     }
 
-    /** This worker's machine loses power: it says nothing more, and what it held and had staged is gone. Its entry lapses. */
+    /** This worker's machine loses power: it says nothing more, and what it held and had staged is gone. Its entry lapses later. */
     synchronized void losePower() {
         dark = true;
         staged.clear();
-        store.remove("servers/" + id);
+        String entry = "servers/" + id;
+        HttpListener.start("lapse", () -> {
+            Site.sleep(LAPSE_MS);
+            store.remove(entry);
+        });
     }
 
     /** The machine is back, and a new incarnation runs on it. */
--- a/review/stand-ins/Origin.java
+++ b/review/stand-ins/Origin.java
@@ -18,6 +18,7 @@
     private final Record record;
     private final HttpListener listener;
     private final AtomicInteger manifestsToSpoil = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
     private volatile long newest = 1;
 
     Origin(Record record) throws IOException {
@@ -38,6 +39,11 @@
         manifestsToSpoil.set(count);
     }
 
+    /** The number of answers so far. */
+    int answers() {
+        return answers.get();
+    }
+
     static byte[] piece(long version, int number) {
         byte[] bytes = new byte[CHUNK_BYTES];
         for (int index = 0; index < bytes.length; index++) bytes[index] = (byte) (index * 31 + number * 7 + version * 13 + index / 256);
@@ -58,6 +64,7 @@
     }
 
     private void handle(HttpListener.Request request, HttpListener.Connection connection) throws IOException {
+        answers.incrementAndGet();
         String stated = request.query("version");
         long version = stated.isEmpty() ? newest : Long.parseLong(stated);
         if (version > newest) {
