Let a controller decide the calls to the store

When a daemon calls the store, what it asks for and when the store last answered it were spread over the loop that carries the calls, in fields that two threads shared. StoreReaderController now holds them on the control thread, and the loop carries out its steps, so that the decisions can be tested in virtual time.

One change is visible: an answer that brings changes counts as contact when it arrives, not 250 ms later.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -158,6 +158,12 @@
         return order.takeWhile { it != self.daemon }
     }
 
+    /** Returns whether any peer was heard from directly within [limit]. */
+    fun hasHeardWithin(
+        limit: Duration,
+        now: Duration,
+    ): Boolean = knownPeers.values.any { isWithin(it.lastExchangeAt, limit, now) }
+
     private fun isWithin(
         time: Duration?,
         limit: Duration,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -1,30 +1,135 @@
 /**
- * Decides whether an entry daemon reads the platform's store itself.
+ * Decides when a daemon calls the platform's store, and keeps when the store last answered it.
  *
- * Calls to the store are expensive and every change wakes every watch. So in each failure domain the daemon that is first in a hash
- * order watches the store, and the others receive the changes by gossip. There is no election: a daemon reads the store while it
+ * Calls to the store are expensive and every change wakes every watch. So in each failure domain the entry daemon that is first in a
+ * hash order watches the store, and the others receive the changes by gossip. There is no election: a daemon reads the store while it
  * hears of no better ranked one that does, so a reader that stops, freezes or loses the store is replaced within about half a
- * second, and while none reaches the store all of them try.
+ * second, and while none reaches the store all of them try. A target daemon reads the store only while no entry daemon answers it.
  */
 package lagoonrudder.control.direct
 
+import lagoonrudder.model.DaemonRole
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What the loop that reads the store does next. */
+sealed class StoreStep {
+    /** Calls nothing for [duration]. */
+    data class Rest(
+        val duration: Duration,
+    ) : StoreStep()
+
+    /** Reads all items. */
+    data object ReadAll : StoreStep()
+
+    /** Waits up to [wait] for changes after the revision [after]. */
+    data class Watch(
+        val after: Long,
+        val wait: Duration,
+    ) : StoreStep()
+}
 
 class StoreReaderController(
     private val peers: PeerController,
     private val storeView: StoreViewController,
 ) {
+    private var needsFullRead = true
+    private var pollRequested = false
+    private var contactAt: Duration? = null
+    private var lostSince: Duration? = null
+    private var failures = 0
+    private var nextCallAt = Duration.ZERO
+
+    /** Whether the last call failed. */
+    val isLost: Boolean get() = lostSince != null
+
+    /** Returns the time since the store last answered this process; null while it does not read the store and after a failure. */
+    fun contactAge(now: Duration): Duration? = contactAt?.let { now - it }
+
     /** Returns whether to read the store now; a daemon that is not confirmed reads it in any case. */
     fun mustRead(now: Duration): Boolean =
-        !storeView.confirmed || peers.betterRankedStoreReaders(RANK_KEY, STORE_CONTACT_LIMIT, now).isEmpty()
+        !storeView.confirmed ||
+            when (peers.self.role) {
+                DaemonRole.ENTRY -> peers.betterRankedStoreReaders(RANK_KEY, STORE_CONTACT_LIMIT, now).isEmpty()
+                DaemonRole.TARGET -> !peers.hasHeardWithin(PEER_CONTACT_LIMIT, now)
+            }
+
+    /** Returns what to do at [now], when no call is under way. */
+    fun next(now: Duration): StoreStep {
+        if (!mustRead(now)) {
+            stopReading()
+            return StoreStep.Rest(NEED_CHECK_INTERVAL)
+        }
+        if (now < nextCallAt) return StoreStep.Rest(nextCallAt - now)
+        val wait = if (pollRequested || isLost) Duration.ZERO else WATCH_TIMEOUT
+        pollRequested = false
+        return if (needsFullRead) StoreStep.ReadAll else StoreStep.Watch(storeView.at, wait)
+    }
+
+    /** The next call returns immediately, for example after a pause of the process. */
+    fun onPollRequested() {
+        pollRequested = true
+    }
+
+    /** Records the complete response to a read of all items. Returns how long the store was lost; null if it was not. */
+    fun onItemsRead(now: Duration): Duration? {
+        needsFullRead = false
+        return onAnswer(now)
+    }
 
-    companion object {
+    /** Records the response to a watch, which brought [changes]. Returns how long the store was lost; null if it was not. */
+    fun onWatched(
+        changes: Int,
+        now: Duration,
+    ): Duration? {
+        if (changes > 0) nextCallAt = now + CHANGE_BATCH_INTERVAL
+        return onAnswer(now)
+    }
+
+    /** Records that the store has discarded the history that a watch asked for. Returns how long the store was lost. */
+    fun onHistoryLost(now: Duration): Duration? {
+        needsFullRead = true
+        return onAnswer(now)
+    }
+
+    /** Records that a call failed. Returns whether the store is lost with it and was not before. */
+    fun onFailure(now: Duration): Boolean {
+        contactAt = null
+        failures++
+        nextCallAt = now + (INITIAL_RETRY_DELAY * failures).coerceAtMost(MAX_RETRY_DELAY)
+        val isNew = lostSince == null
+        if (isNew) lostSince = now
+        return isNew
+    }
+
+    private fun onAnswer(now: Duration): Duration? {
+        contactAt = now
+        failures = 0
+        return lostSince?.let { now - it }.also { lostSince = null }
+    }
+
+    private fun stopReading() {
+        contactAt = null
+        lostSince = null
+        failures = 0
+    }
+
+    private companion object {
         /** How long the store may leave a watch unanswered while nothing changes. */
         val WATCH_TIMEOUT = 3_000.milliseconds
 
         /** A sound reader hears from the store within the time of a watch and its way. */
-        private val STORE_CONTACT_LIMIT = WATCH_TIMEOUT + 700.milliseconds
-        private const val RANK_KEY = "store-reader"
+        val STORE_CONTACT_LIMIT = WATCH_TIMEOUT + 700.milliseconds
+
+        /** An entry daemon answers a target daemon several times in this time. */
+        val PEER_CONTACT_LIMIT = 2.seconds
+
+        /** Changes that come within this time share one call; back ends renew their registrations all the time. */
+        val CHANGE_BATCH_INTERVAL = 250.milliseconds
+        val NEED_CHECK_INTERVAL = 200.milliseconds
+        val INITIAL_RETRY_DELAY = 150.milliseconds
+        val MAX_RETRY_DELAY = 400.milliseconds
+        const val RANK_KEY = "store-reader"
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.StagingController
+import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.SwitchSchedule
@@ -50,6 +51,7 @@
     val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
+    val storeReader = StoreReaderController(peers, storeView)
     val suspicions = SuspicionController(peers) { logSuspicion(it) }
     val notices = BackEndNoticeController { run, notice -> logNotice(run, notice) }
     val slots = BackEndStateController()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -11,7 +11,6 @@
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
-import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
 import lagoonrudder.model.Outcome
@@ -59,16 +58,8 @@
             StopController(settings.bounds.stopGrace),
         )
     private val client = PeerClient(core.http)
-    private val storeReaders = StoreReaderController(core.peers, core.storeView)
-    private val store = StoreSyncLoop(core, isNeeded = ::mustReadStore, onChange = ::onStoreViewChanged)
-    private val peers =
-        GossipLoop(
-            core,
-            client,
-            loads = placement::inFlight,
-            storeContactAt = { store.lastContactAt },
-            onChange = ::onStoreViewChanged,
-        )
+    private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
+    private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
     private val pauseDetector = PauseDetector(core.clock)
     private var prefetchedVersions = emptyList<DeclaredWeights>()
@@ -124,8 +115,6 @@
         prefetchedVersions = newest
     }
 
-    private suspend fun mustReadStore() = core.thread.decide { storeReaders.mustRead(core.clock.elapsed()) }
-
     private suspend fun isReady() = !isShuttingDown && core.thread.decide { core.storeView.confirmed }
 
     private suspend fun runTicks() {
@@ -145,7 +134,7 @@
     private fun onTick(pause: Duration?): List<TargetId> {
         val now = core.clock.elapsed()
         if (pause != null) core.storeView.requireConfirmation()
-        if (store.isLost) core.storeView.onStoreUnavailable(now)
+        if (core.storeReader.isLost) core.storeView.onStoreUnavailable(now)
         core.suspicions.onTick(now)
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -11,8 +11,8 @@
 ) : DirectDaemon(core),
     DirectDiagnostics {
     private val client = PeerClient(core.http)
-    private val peers = GossipLoop(core, client, loads = { emptyMap() }, storeContactAt = { null }, onChange = ::onStoreViewChanged)
-    private val store = StoreSyncLoop(core, isNeeded = { !peers.hasRecentReply() || !isConfirmed() }, onChange = ::onStoreViewChanged)
+    private val peers = GossipLoop(core, client, loads = { emptyMap() }, onChange = ::onStoreViewChanged)
+    private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
     private val staging = core.settings.slot?.let { StagingLoop(core, it, peers, WeightFetcher(core, client)) }
     private var knownVersions = emptyList<DeclaredWeights>()
 
@@ -36,9 +36,6 @@
         knownVersions = versions
     }
 
-    /** Entry daemons that start at the same time have no state yet, so the first state is read from the store. */
-    private suspend fun isConfirmed() = core.thread.decide { core.storeView.confirmed }
-
     override fun dump() = core.dump()
 
     override fun gauges() = core.gauges()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -20,13 +20,13 @@
 import lagoonrudder.platform.readItem
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
-import lagoonrudder.wire.messages.STORE_CONTACT_UNKNOWN
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
+import lagoonrudder.wire.messages.toMilliseconds
 import lagoonrudder.wire.messages.toPeer
 import lagoonrudder.wire.messages.toReport
 import kotlin.time.Duration
@@ -34,27 +34,22 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target, [storeContactAt] when the store
- * last answered this process; [onChange] runs on the control thread after a reply changed the published state.
+ * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target; [onChange] runs on the control thread
+ * after a reply changed the published state.
  */
 class GossipLoop(
     private val core: DirectCore,
     private val client: PeerClient,
     private val loads: () -> Map<TargetId, Int>,
-    private val storeContactAt: () -> Duration?,
     private val onChange: () -> Unit,
 ) {
     private val exchanges = mutableMapOf<Address, Job>()
-    private var lastReplyAt: Duration? = null
     private var catchingUp = false
 
     /** State of the back end in this daemon's slot, or null at an entry daemon. */
     @Volatile
     var slot: SlotWord? = null
 
-    /** Whether any peer has replied within [RECENT_REPLY_WINDOW]. */
-    fun hasRecentReply(): Boolean = lastReplyAt?.let { core.clock.elapsed() - it < RECENT_REPLY_WINDOW } ?: false
-
     suspend fun run() {
         when (core.self.role) {
             DaemonRole.ENTRY -> exchangeWithAll()
@@ -125,8 +120,6 @@
         now: Duration,
     ): LoadReport = core.peers.loadFor(peer, loads(), now)
 
-    fun storeContactMilliseconds(now: Duration): Long = storeContactAt()?.let { (now - it).inWholeMilliseconds } ?: STORE_CONTACT_UNKNOWN
-
     /** Exchanges with one entry daemon at a time, preferably of this region, and with the next one when that fails. */
     private suspend fun exchangeWithOne() {
         var failures = 0
@@ -154,7 +147,6 @@
         return when (val reply = client.gossip(address, message)) {
             is Either.Left -> false
             is Either.Right -> {
-                lastReplyAt = core.clock.elapsed()
                 val isPeerBehind = applyReply(reply.value, address)
                 if (isPeerBehind && !evidenceIncluded) exchange(address, peersRequested = false, evidenceIncluded = true)
                 true
@@ -178,7 +170,7 @@
             slot?.toMessage(),
             peersRequested,
             load.daemons,
-            storeContactMilliseconds(now),
+            core.storeReader.contactAge(now).toMilliseconds(),
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
         )
@@ -231,8 +223,6 @@
         val MAX_RETRY_DELAY = 2.seconds
         val MEMBERSHIP_CHECK_INTERVAL = 500.milliseconds
 
-        val RECENT_REPLY_WINDOW = 2.seconds
-
         /** The list of live peers is requested once in this many exchanges. */
         const val ROUNDS_PER_PEER_LIST = 4
         const val ROUNDS_PER_FAR_PEER_LIST = 2
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.wire.messages.toGossipSlot
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
+import lagoonrudder.wire.messages.toMilliseconds
 import lagoonrudder.wire.messages.toPeer
 import lagoonrudder.wire.messages.toReport
 
@@ -82,7 +83,7 @@
             at = core.storeView.settledRevision,
             loads = load.inFlight.toMessages(),
             loadDaemons = load.daemons,
-            storeContactMilliseconds = gossip.storeContactMilliseconds(now),
+            storeContactMilliseconds = core.storeReader.contactAge(now).toMilliseconds(),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
             items = if (message.itemsRequested) core.storeView.changesSince(message.at).map { it.toMessage() } else emptyList(),
             evidenceDigest = core.suspicions.digest,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -12,134 +12,95 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
-import lagoonrudder.control.direct.StoreReaderController
+import lagoonrudder.control.direct.StoreStep
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.model.Failure
 import lagoonrudder.platform.StoreClient
 import lagoonrudder.platform.StoreWatchResult
 import lagoonrudder.platform.readItem
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Runs the reads and watches of the store while [isNeeded] returns true. [onChange] runs on the control thread after each
- * response.
+ * Carries out the calls that the store reader's controller decides on. [onChange] runs on the control thread after each response.
  */
 class StoreSyncLoop(
     private val core: DirectCore,
-    private val isNeeded: suspend () -> Boolean,
     private val onChange: () -> Unit,
 ) {
+    private val reader = core.storeReader
     private val store = StoreClient(core.http, core.settings.store)
     private var pendingRequest: Job? = null
-    private var pollRequested = false
-    private var needsFullRead = true
-
-    @Volatile
-    private var lostSince: Duration? = null
-    private var failures = 0
-
-    /** When the store last answered this process; null before the first answer and after a failure. */
-    @Volatile
-    var lastContactAt: Duration? = null
-        private set
 
     /** Cancels a pending watch and requests the store immediately, for example after a pause of the process. */
-    fun pollNow() {
-        pollRequested = true
+    suspend fun pollNow() {
+        core.thread.decide { reader.onPollRequested() }
         pendingRequest?.cancel()
     }
 
     suspend fun run() {
         while (currentCoroutineContext().isActive) {
-            if (!isNeeded()) {
-                lostSince = null
-                lastContactAt = null
-                failures = 0
-                delay(NEED_CHECK_INTERVAL)
-                continue
-            }
-            val result = readOrWatch() ?: continue
-            when (result) {
-                is Either.Left -> onFailure(result.value)
-                is Either.Right -> onSuccess()
+            when (val step = core.thread.decide { reader.next(core.clock.elapsed()) }) {
+                is StoreStep.Rest -> delay(step.duration)
+                StoreStep.ReadAll -> callStore { readAll() }
+                is StoreStep.Watch -> callStore { watch(step) }
             }
         }
     }
 
-    /** Sends one read or watch and applies the response; returns null when [pollNow] cancelled it. */
-    private suspend fun readOrWatch(): Either<Failure, Unit>? =
+    /** Runs [call], which [pollNow] may cancel. */
+    private suspend fun callStore(call: suspend () -> Either<Failure, Unit>) =
         coroutineScope {
-            val wait = if (pollRequested || lostSince != null) Duration.ZERO else StoreReaderController.WATCH_TIMEOUT
-            pollRequested = false
-            val request = async { if (needsFullRead) readAll() else watch(wait) }
+            val request = async { call() }
             pendingRequest = request
             try {
-                request.await()
+                request.await().onLeft { onFailure(it) }
             } catch (cancelled: CancellationException) {
                 currentCoroutineContext().ensureActive()
-                null
             }
         }
 
     private suspend fun readAll(): Either<Failure, Unit> =
         store.readAll().map { response ->
             val items = response.items.map { readItem(it) }
-            needsFullRead = false
-            applyUpdate { core.storeView.applySnapshot(items, response.at, core.clock.elapsed()) }
+            applyAnswer(
+                { core.storeView.applySnapshot(items, response.at, core.clock.elapsed()) },
+                { reader.onItemsRead(core.clock.elapsed()) },
+            )
         }
 
-    private suspend fun watch(wait: Duration): Either<Failure, Unit> {
-        val after = core.thread.decide { core.storeView.at }
-        return store.watch(after, wait).map { watched ->
+    private suspend fun watch(step: StoreStep.Watch): Either<Failure, Unit> =
+        store.watch(step.after, step.wait).map { watched ->
             when (watched) {
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items.map { readItem(it) }
-                    applyUpdate { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) }
-                    if (items.isNotEmpty()) delay(CHANGE_BATCH_INTERVAL)
+                    applyAnswer(
+                        { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) },
+                        { reader.onWatched(items.size, core.clock.elapsed()) },
+                    )
                 }
                 StoreWatchResult.HistoryLost -> {
-                    core.log.warning("store-history-lost", "after" to after)
-                    needsFullRead = true
+                    core.log.warning("store-history-lost", "after" to step.after)
+                    logRegained(core.thread.decide { reader.onHistoryLost(core.clock.elapsed()) })
                 }
             }
         }
-    }
 
-    private suspend fun applyUpdate(update: () -> StoreViewChange) {
-        val (change, at) = core.thread.decide { update().also { onChange() } to core.storeView.at }
+    /** Applies an answer of the store with [update] and tells the reader of it with [record], which returns how long the store was lost. */
+    private suspend fun applyAnswer(
+        update: () -> StoreViewChange,
+        record: () -> Duration?,
+    ) {
+        val (change, at, outage) = core.thread.decide { Triple(update().also { onChange() }, core.storeView.at, record()) }
         core.logChange(change, "store", at)
+        logRegained(outage)
     }
 
     private suspend fun onFailure(failure: Failure) {
-        val now = core.clock.elapsed()
-        lastContactAt = null
-        if (lostSince == null) {
-            lostSince = now
-            core.log.failure("store-lost", failure)
-        }
+        if (core.thread.decide { reader.onFailure(core.clock.elapsed()) }) core.log.failure("store-lost", failure)
         core.http.closeIdle(core.settings.store)
-        failures++
-        delay((INITIAL_RETRY_DELAY * failures).coerceAtMost(MAX_RETRY_DELAY))
-    }
-
-    private suspend fun onSuccess() {
-        lastContactAt = core.clock.elapsed()
-        val since = lostSince ?: return
-        val outage = core.clock.elapsed() - since
-        lostSince = null
-        failures = 0
-        core.log.info("store-regained", "away" to outage)
     }
 
-    /** Whether the last request failed. The control thread reads this to keep back ends whose entries have expired. */
-    val isLost: Boolean get() = lostSince != null
-
-    private companion object {
-        /** Changes that come within this time share one call; back ends renew their registrations all the time. */
-        val CHANGE_BATCH_INTERVAL = 250.milliseconds
-        val NEED_CHECK_INTERVAL = 200.milliseconds
-        val INITIAL_RETRY_DELAY = 150.milliseconds
-        val MAX_RETRY_DELAY = 400.milliseconds
+    private fun logRegained(outage: Duration?) {
+        if (outage != null) core.log.info("store-regained", "away" to outage)
     }
 }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -69,7 +69,7 @@
 )
 
 /** The time since the store last answered a daemon that does not know it. */
-const val STORE_CONTACT_UNKNOWN = -1L
+private const val STORE_CONTACT_UNKNOWN = -1L
 
 /**
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
@@ -138,6 +138,9 @@
 
 val GossipReply.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
 
+/** Returns the age of the last contact with the store as a message carries it. */
+fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: STORE_CONTACT_UNKNOWN
+
 private fun storeContactAge(milliseconds: Long): Duration? = milliseconds.takeIf { it != STORE_CONTACT_UNKNOWN }?.milliseconds
 
 fun SlotWord.toMessage() =
