Replace a reader of the store that gets no response within the time of a change

Cause: a watch waited up to 3 s for a change, so a contact of the reader counted for 3.7 s, longer than the two seconds in which a change must be in force. Silence can't be told from a store in which nothing changes before the watch is over.

Watches now end after 750 ms and a contact counts for 1.15 s. The first call of a daemon that begins to read returns at once, and the daemons of a domain begin in the order of their ranks, so that usually one of them does. The retries of lower ranked daemons are rarer while the store refuses them.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -37,6 +37,12 @@
     val age: Duration,
 )
 
+/** A daemon of a ranking, and the time since the platform's store last answered it; null if it doesn't read the store. */
+data class RankedMember(
+    val daemon: DaemonId,
+    val storeContactAge: Duration?,
+)
+
 /** Requests in flight by back end, at one entry daemon or in all of a failure domain; [daemons] is how many they are the sum of. */
 data class LoadReport(
     val inFlight: Map<TargetId, Int>,
@@ -140,22 +146,18 @@
     }
 
     /**
-     * Returns the members of this failure domain that are ranked before this daemon, among those that are heard from directly
-     * and that the store has answered within [storeContactLimit]; the rank is that of [rendezvousOrder] for [key].
+     * Returns the members of this failure domain that are heard from directly and ranked before this daemon; the rank is that of
+     * [rendezvousOrder] for [key].
      */
-    fun betterRankedStoreReaders(
+    fun betterRankedMembers(
         key: String,
-        storeContactLimit: Duration,
         now: Duration,
-    ): List<DaemonId> {
-        val readers =
-            knownEntries().filter {
-                it.peer.domain == self.domain &&
-                    isWithin(it.lastExchangeAt, DIRECT_CONTACT_TIMEOUT, now) &&
-                    isWithin(it.storeContactAt, storeContactLimit, now)
-            }
-        val order = rendezvousOrder(key, readers.map { it.peer.daemon } + self.daemon) { it.text }
-        return order.takeWhile { it != self.daemon }
+    ): List<RankedMember> {
+        val members =
+            knownEntries()
+                .filter { it.peer.domain == self.domain && isWithin(it.lastExchangeAt, DIRECT_CONTACT_TIMEOUT, now) }
+                .map { known -> RankedMember(known.peer.daemon, known.storeContactAt?.let { now - it }) }
+        return rendezvousOrder(key, members + RankedMember(self.daemon, null)) { it.daemon.text }.takeWhile { it.daemon != self.daemon }
     }
 
     /** Returns whether any peer was heard from directly within [limit]. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -3,8 +3,10 @@
  *
  * Calls to the store are expensive and every change wakes every watch. So in each failure domain the entry daemon that is first in a
  * hash order watches the store, and the others receive the changes by gossip. There is no election: a daemon reads the store while it
- * hears of no better ranked one that does, so a reader that stops, freezes or loses the store is replaced within about half a
- * second, and while none reaches the store all of them try. A target daemon reads the store only while no entry daemon answers it.
+ * hears of no better ranked one that the store has answered lately. A reader that stops or freezes, or that the store refuses, is
+ * replaced within about half a second; one that gets no response, once its last contact is older than a watch takes. Those who
+ * replace it start in the order of their ranks, so that one call is usually enough, and while none reaches the store all of them
+ * try, the lower ranked ones less often. A target daemon reads the store only while no entry daemon answers it.
  */
 package lagoonrudder.control.direct
 
@@ -51,10 +53,17 @@
     fun mustRead(now: Duration): Boolean =
         !storeView.confirmed ||
             when (peers.self.role) {
-                DaemonRole.ENTRY -> peers.betterRankedStoreReaders(RANK_KEY, STORE_CONTACT_LIMIT, now).isEmpty()
+                DaemonRole.ENTRY -> !reliesOnReader(now)
                 DaemonRole.TARGET -> !peers.hasHeardWithin(PEER_CONTACT_LIMIT, now)
             }
 
+    /** Whether a better ranked daemon has heard from the store so lately that this one need not read it. */
+    private fun reliesOnReader(now: Duration): Boolean {
+        val better = peers.betterRankedMembers(RANK_KEY, now)
+        val limit = STORE_CONTACT_LIMIT + REPLACEMENT_DELAY * (better.size - 1).coerceIn(0, MAX_REPLACEMENT_DELAYS)
+        return better.any { it.storeContactAge != null && it.storeContactAge < limit }
+    }
+
     /** Returns what to do at [now], when no call is under way. */
     fun next(now: Duration): StoreStep {
         if (!mustRead(now)) {
@@ -97,7 +106,9 @@
     fun onFailure(now: Duration): Boolean {
         contactAt = null
         failures++
-        nextCallAt = now + (INITIAL_RETRY_DELAY * failures).coerceAtMost(MAX_RETRY_DELAY)
+        val rank = peers.betterRankedMembers(RANK_KEY, now).size
+        val maxDelay = (MAX_RETRY_DELAY + RETRY_DELAY_PER_RANK * rank).coerceAtMost(MAX_RANKED_RETRY_DELAY)
+        nextCallAt = now + (INITIAL_RETRY_DELAY * failures * (1 + rank)).coerceAtMost(maxDelay)
         val isNew = lostSince == null
         if (isNew) lostSince = now
         return isNew
@@ -113,23 +124,32 @@
         contactAt = null
         lostSince = null
         failures = 0
+        pollRequested = true
     }
 
     private companion object {
         /** How long the store may leave a watch unanswered while nothing changes. */
-        val WATCH_TIMEOUT = 3_000.milliseconds
-
-        /** A sound reader hears from the store within the time of a watch and its way. */
-        val STORE_CONTACT_LIMIT = WATCH_TIMEOUT + 700.milliseconds
+        val WATCH_TIMEOUT = 750.milliseconds
 
         /** An entry daemon answers a target daemon several times in this time. */
         val PEER_CONTACT_LIMIT = 2.seconds
 
         /** Changes that come within this time share one call; back ends renew their registrations all the time. */
         val CHANGE_BATCH_INTERVAL = 250.milliseconds
-        val NEED_CHECK_INTERVAL = 200.milliseconds
+
+        /** A sound reader hears from the store within the time between two answers and their way. */
+        val STORE_CONTACT_LIMIT = WATCH_TIMEOUT + CHANGE_BATCH_INTERVAL + 150.milliseconds
+
+        /** The time in which the next ranked daemon calls the store and the others hear of its answer. */
+        val REPLACEMENT_DELAY = 150.milliseconds
+
+        /** A change must be in force two seconds after it, also when several ranks in a row get no response. */
+        const val MAX_REPLACEMENT_DELAYS = 2
+        val NEED_CHECK_INTERVAL = 100.milliseconds
         val INITIAL_RETRY_DELAY = 150.milliseconds
         val MAX_RETRY_DELAY = 400.milliseconds
+        val RETRY_DELAY_PER_RANK = 100.milliseconds
+        val MAX_RANKED_RETRY_DELAY = 2.seconds
         const val RANK_KEY = "store-reader"
     }
 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -21,6 +21,7 @@
         "control" to ::measureControl,
         "configuration" to ::measureConfiguration,
         "overload" to ::measureOverload,
+        "store" to ::measureStoreCalls,
         "suspicion" to ::measureSuspicion,
     )
 
--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -0,0 +1,234 @@
+/**
+ * Entry daemons of several failure domains that read a platform's store and gossip about it, in virtual time.
+ *
+ * The decisions are those of the product: its controllers of the store reader, the store view and the peers. Only the calls to the store
+ * and the exchanges between daemons are stand-ins, with the intervals and timeouts of the real loops.
+ */
+@file:OptIn(ExperimentalCoroutinesApi::class)
+
+package lagoonrudder.standins.virtual
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.direct.DecodedItem
+import lagoonrudder.control.direct.LoadReport
+import lagoonrudder.control.direct.PeerController
+import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StoreReaderController
+import lagoonrudder.control.direct.StoreStep
+import lagoonrudder.control.direct.StoreViewController
+import lagoonrudder.model.Address
+import lagoonrudder.model.CallerLimits
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.DomainId
+import lagoonrudder.model.Invariants
+import lagoonrudder.model.RegionId
+import lagoonrudder.model.Revision
+import lagoonrudder.model.ServingConfiguration
+import lagoonrudder.model.StoreRecord
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** How the store treats the calls of one daemon. */
+sealed class StoreTreatment {
+    data object Answers : StoreTreatment()
+
+    /** Refuses each call at once. */
+    data object Refuses : StoreTreatment()
+
+    /** Gives no response, and the connection stays open. */
+    data object Silent : StoreTreatment()
+
+    /** Answers [factor] times later than usual. */
+    data class Slow(
+        val factor: Int,
+    ) : StoreTreatment()
+}
+
+/** An entry daemon with what it knows; [treatment] is that of its calls. */
+class VirtualStoreDaemon(
+    val peer: PeerDaemon,
+) {
+    var treatment: StoreTreatment = StoreTreatment.Answers
+    val peers = PeerController(peer, emptyList())
+    val storeView = StoreViewController(Invariants {})
+    val reader = StoreReaderController(peers, storeView)
+
+    /** When each revision of the configuration came into force here. */
+    val inForceAt = mutableMapOf<Revision, Duration>()
+}
+
+/** [domains] failure domains with [daemonsPerDomain] entry daemons each. */
+class VirtualStoreSite(
+    domains: Int,
+    daemonsPerDomain: Int,
+    seed: Int = 1,
+) : AutoCloseable {
+    private val scheduler = TestCoroutineScheduler()
+    private val scope = CoroutineScope(StandardTestDispatcher(scheduler))
+    private val random = Random(seed)
+    private val items = sortedMapOf<String, DecodedItem>()
+    private var revision = 1L
+    val daemons =
+        (0 until domains * daemonsPerDomain).map { index ->
+            val domain = "domain-${index % domains}"
+            val address = Address("10.${index / PORTS_PER_HOST}.0.1", 1 + index % PORTS_PER_HOST)
+            VirtualStoreDaemon(PeerDaemon(DaemonId("entry-$index"), DaemonRole.ENTRY, DomainId(domain), RegionId(domain), address))
+        }
+    private val daemonsByDomain = daemons.groupBy { it.peer.domain }
+
+    /** The number of calls to the store so far, answered or not. */
+    var calls = 0
+        private set
+
+    val now: Duration get() = scheduler.currentTime.milliseconds
+
+    init {
+        publish(Revision(1))
+        daemons.forEach { scope.launch { readStore(it) } }
+        daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
+        daemons.forEach { scope.launch { gossipWithOtherDomains(it) } }
+    }
+
+    /** Lets [duration] pass. */
+    fun advance(duration: Duration) {
+        scheduler.advanceTimeBy(duration)
+        scheduler.runCurrent()
+    }
+
+    /** Writes a configuration to the store; its acknowledgement comes at once. */
+    fun publish(configuration: Revision) {
+        revision++
+        val serving = ServingConfiguration(configuration, emptyList(), emptyList(), emptyList(), LIMITS)
+        items[CONFIGURATION_KEY] =
+            DecodedItem(StoreItem(CONFIGURATION_KEY, revision, ByteArray(0)), StoreRecord.Configuration(serving))
+    }
+
+    /** Returns the daemons that the store answered last in each failure domain. */
+    fun readers(): List<VirtualStoreDaemon> =
+        daemonsByDomain.values.mapNotNull { members ->
+            members.filter { it.reader.contactAge(now) != null }.minByOrNull { checkNotNull(it.reader.contactAge(now)) }
+        }
+
+    override fun close() {
+        scope.cancel()
+        scheduler.runCurrent()
+    }
+
+    private suspend fun readStore(daemon: VirtualStoreDaemon) {
+        while (true) {
+            when (val step = daemon.reader.next(now)) {
+                is StoreStep.Rest -> delay(step.duration)
+                StoreStep.ReadAll ->
+                    call(daemon, 0, Duration.ZERO) { changes, at ->
+                        daemon.storeView.applySnapshot(changes, at, now)
+                        daemon.reader.onItemsRead(now)
+                    }
+                is StoreStep.Watch ->
+                    call(daemon, step.after, step.wait) { changes, at ->
+                        daemon.storeView.applyChanges(changes, at, now)
+                        daemon.reader.onWatched(changes.size, now)
+                    }
+            }
+        }
+    }
+
+    private suspend fun call(
+        daemon: VirtualStoreDaemon,
+        after: Long,
+        wait: Duration,
+        onAnswer: (List<DecodedItem>, Long) -> Unit,
+    ) {
+        calls++
+        val answered = withTimeoutOrNull(wait + READ_TIMEOUT) { awaitAnswer(daemon, after, wait) } ?: false
+        if (!answered) {
+            daemon.reader.onFailure(now)
+            return
+        }
+        onAnswer(items.values.filter { it.item.revision > after }, revision)
+        recordInForce(daemon)
+    }
+
+    /** Returns whether the store answered. */
+    private suspend fun awaitAnswer(
+        daemon: VirtualStoreDaemon,
+        after: Long,
+        wait: Duration,
+    ): Boolean {
+        val until = now + wait
+        while (revision <= after && now < until && daemon.treatment != StoreTreatment.Refuses) delay(WATCH_CHECK_INTERVAL)
+        when (val treatment = daemon.treatment) {
+            StoreTreatment.Answers -> delay(ANSWER_TIME)
+            is StoreTreatment.Slow -> delay(ANSWER_TIME * treatment.factor)
+            StoreTreatment.Silent -> awaitCancellation()
+            StoreTreatment.Refuses -> {
+                delay(ANSWER_TIME)
+                return false
+            }
+        }
+        return true
+    }
+
+    private suspend fun gossipWithin(members: List<VirtualStoreDaemon>) {
+        while (true) {
+            for ((index, first) in members.withIndex()) {
+                for (second in members.drop(index + 1)) exchange(first, second)
+            }
+            delay(NEAR_EXCHANGE_INTERVAL)
+        }
+    }
+
+    private suspend fun gossipWithOtherDomains(daemon: VirtualStoreDaemon) {
+        delay(FAR_EXCHANGE_INTERVAL * random.nextDouble())
+        while (true) {
+            for ((domain, members) in daemonsByDomain) if (domain != daemon.peer.domain) exchange(daemon, members.random(random))
+            delay(FAR_EXCHANGE_INTERVAL)
+        }
+    }
+
+    private fun exchange(
+        first: VirtualStoreDaemon,
+        second: VirtualStoreDaemon,
+    ) {
+        for ((receiver, sender) in listOf(first to second, second to first)) {
+            receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(now), now)
+            val settled = sender.storeView.settledRevision
+            if (settled <= receiver.storeView.at) continue
+            scope.launch {
+                delay(EXCHANGE_TIME)
+                val changes = sender.storeView.changesSince(receiver.storeView.at).map { DecodedItem(it, items[it.key]?.published) }
+                receiver.storeView.applySettledChanges(changes, settled, now)
+                recordInForce(receiver)
+            }
+        }
+    }
+
+    private fun recordInForce(daemon: VirtualStoreDaemon) {
+        val serving = daemon.storeView.serving ?: return
+        daemon.inForceAt.getOrPut(serving.revision) { now }
+    }
+
+    private companion object {
+        const val CONFIGURATION_KEY = "op/config"
+        const val PORTS_PER_HOST = 250
+        val LIMITS = CallerLimits(8_192, 65_536, 1.seconds, 5.seconds)
+        val NO_LOAD = LoadReport(emptyMap(), 1)
+        val ANSWER_TIME = 4.milliseconds
+        val READ_TIMEOUT = 1.seconds
+        val WATCH_CHECK_INTERVAL = 5.milliseconds
+        val EXCHANGE_TIME = 6.milliseconds
+        val NEAR_EXCHANGE_INTERVAL = 100.milliseconds
+        val FAR_EXCHANGE_INTERVAL = 450.milliseconds
+    }
+}
