Keep a silent back end until another one provides what comes next

Cause: after half of the caller's patience an attempt counted as lost if its route and the retry budget allowed another one. A place for it was looked for only then, and without one the response that had begun was broken. The request's log line says so: the attempt's result is lost:silent, and the detail that no back end is left.

Another back end now takes over beside the silent one, and both are awaited until one of them provides the next event or a complete answer. Attempts that are awaited count towards the attempts of the route, and a take-over towards the retry budget. Back ends that are silent themselves take nothing over. One silence ejects a back end once, not once for each request in flight.

The paced back end of DirectSendFilterTest began its pause anew when a read was cancelled, which no connection does. It now goes on with the same pause; what the tests check is unchanged.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -2,7 +2,7 @@
  * Tracks what this process recently sent to one back end and the outcomes of those attempts.
  *
  * Consecutive failures and consecutive rejections eject the back end for exponentially growing intervals; a successful
- * response resets both counters.
+ * response resets both counters. One silence of a back end counts once, however many requests it concerns.
  */
 package lagoonrudder.control.direct
 
@@ -33,6 +33,10 @@
     var ejectedUntil = Duration.ZERO
         private set
 
+    /** The attempts in flight that make no progress. */
+    var silent = 0
+        private set
+
     /** What this process may take of the last free places. */
     val claims = PlaceClaims()
 
@@ -72,11 +76,24 @@
             AttemptOutcome.ANSWERED -> onSuccess()
             AttemptOutcome.NOT_RUN -> onRejected(now)
             AttemptOutcome.FAILED -> onFailure(immediately = false, now)
-            AttemptOutcome.TIMED_OUT, AttemptOutcome.UNREACHABLE -> onFailure(immediately = true, now)
+            AttemptOutcome.TIMED_OUT, AttemptOutcome.UNREACHABLE -> onTimedOut(now)
             AttemptOutcome.ABANDONED -> Unit
         }
     }
 
+    /** Records that the back end gave no answer while another one was found for its request. */
+    fun onTimedOut(now: Duration) {
+        if (now >= ejectedUntil) onFailure(immediately = true, now)
+    }
+
+    fun onSilent() {
+        silent++
+    }
+
+    fun onNoLongerSilent() {
+        silent--
+    }
+
     private fun onSuccess() {
         failures = 0
         rejections = 0
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -68,6 +68,27 @@
         }
     }
 
+    /**
+     * Assigns a back end to a request beside those that make no progress with it, [silent]; returns null if none has a place. A back end
+     * that is silent itself is none: when all of a service pause at once, nothing is gained by moving their requests.
+     */
+    fun placeTakeOver(
+        request: PlacementRequest,
+        silent: List<TargetId>,
+        now: Duration,
+    ): Placement.Placed? {
+        val choice = choose(request, late = false, now) { isSpeaking(it, now) }
+        if (choice !is Choice.Chosen) return null
+        silent.forEach { statsOf(it).onTimedOut(now) }
+        return choice.placed
+    }
+
+    /** Records that an attempt at [target] makes no progress. */
+    fun onSilent(target: TargetId) = statsOf(target).onSilent()
+
+    /** Records that an attempt of which [onSilent] told makes progress again or has ended. */
+    fun onNoLongerSilent(target: TargetId) = statsOf(target).onNoLongerSilent()
+
     /** Ends the wait of a queued request: it is placed now or refused. */
     fun onWaitTimeout(
         decision: CompletableDeferred<Placement>,
@@ -206,15 +227,19 @@
         ) : Choice()
     }
 
-    /** Takes a place for [request] at the best back end that has one; the last places of an engine are kept from a [late] one. */
+    /**
+     * Takes a place for [request] at the best back end that has one and is [acceptable]; the last places of an engine are kept from a
+     * [late] one.
+     */
     private fun choose(
         request: PlacementRequest,
         late: Boolean,
         now: Duration,
+        acceptable: (BackEnd) -> Boolean = { true },
     ): Choice {
         val verdict = suspicions.verdict(request.parts, request.mayHaveRun, now)
         if (verdict is Verdict.HeldBack) return Choice.HeldBack(verdict)
-        val eligible = storeView.backEndsOf(request.service).filter { eligibility.isEligible(it, request, now) }
+        val eligible = storeView.backEndsOf(request.service).filter { eligibility.isEligible(it, request, now) && acceptable(it) }
         if (eligible.isEmpty()) return Choice.NoneEligible(eligibility.describeNone(request, now))
         val open = eligible.filter { notices.closedFor(it, now) == Duration.ZERO }
         if (open.isEmpty()) return Choice.Full(eligible.size, openIn = eligible.minOf { notices.closedFor(it, now) })
@@ -231,6 +256,11 @@
         return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now)))
     }
 
+    private fun isSpeaking(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean = statsOf(backEnd.id).let { it.silent == 0 && it.ejectedUntil <= now }
+
     private fun hasPlace(
         backEnd: BackEnd,
         late: Boolean,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
@@ -40,12 +40,21 @@
         service: ServiceId,
         entryDaemons: Int,
         now: Duration,
+    ): Boolean {
+        if (!allows(service, entryDaemons, now)) return false
+        windowOf(service).retries.add(now)
+        return true
+    }
+
+    /** Returns whether the share of one of [entryDaemons] daemons has a retry left. */
+    fun allows(
+        service: ServiceId,
+        entryDaemons: Int,
+        now: Duration,
     ): Boolean {
         val window = windowOf(service)
         val share = (window.requests.count(now) * bounds.ratio + bounds.allowance / entryDaemons) * SAFETY_FACTOR
-        if (window.retries.count(now) + 1 > share) return false
-        window.retries.add(now)
-        return true
+        return window.retries.count(now) + 1 <= share
     }
 
     private fun windowOf(service: ServiceId): Window = windows.getOrPut(service) { Window(bounds.window) }
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -0,0 +1,467 @@
+/**
+ * Sends one request to a back end and retries where that is safe, until it has a response or a definite outcome.
+ *
+ * A request that may run at most once is retried only after proof that it did not run: a connection that was never opened or
+ * a response that says so. Any other failure ends with an unknown outcome. A resumable stream continues after its last
+ * complete event within the same response; any other response that has begun is broken with its back end. Every retry that
+ * may reach a back end counts towards the retry budget that all entry daemons share.
+ *
+ * A back end that makes no progress is not given up for that. Where the request may run twice, another back end takes it over, and both
+ * are read until one of them provides the next event; without a place, an attempt or the budget for that, the first one goes on.
+ */
+package lagoonrudder.traffic.direct
+
+import arrow.core.Either
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
+import lagoonrudder.control.direct.AttemptOutcome
+import lagoonrudder.control.direct.AttemptTimes
+import lagoonrudder.control.direct.Placement
+import lagoonrudder.control.direct.PlacementRequest
+import lagoonrudder.control.direct.PlacementTicket
+import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.model.Address
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Outcome
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Refusal
+import lagoonrudder.model.RequestKind
+import lagoonrudder.model.Step
+import lagoonrudder.model.TargetId
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class DirectSendOperation(
+    private val call: DirectCall,
+    private val control: DirectControl,
+    private val client: BackEndClient,
+    private val limits: DirectLimits,
+) {
+    private val context = call.context
+    private val kind = context.route.kind
+    private val relay = DirectRelay(call, control.clock)
+    private val live = mutableListOf<LiveAttempt>()
+    private val excluded = mutableSetOf<TargetId>()
+    private val usedAddresses = mutableSetOf<Address>()
+    private val parts = call.request.sharedParts.toSet()
+    private var runs = 0
+    private var rejections = 0
+    private var mayHaveRun: DirectAttemptResult.Lost? = null
+    private var nextTakeOverAt = Duration.ZERO
+
+    suspend fun run(): Outcome {
+        // Waits within an attempt have timeouts of their own; this one is for a caller that does not read.
+        return withTimeoutOrNull(context.timeLeft(control.clock) + SLOW_READER_MARGIN) { attempts() } ?: onDeadline()
+    }
+
+    private suspend fun attempts(): Outcome =
+        coroutineScope {
+            try {
+                var outcome: Outcome? = null
+                while (outcome == null) outcome = if (live.isEmpty()) startAttempt() else awaitAttempts(this)
+                outcome
+            } finally {
+                withContext(NonCancellable) { live.toList().forEach { end(it, result = null) } }
+            }
+        }
+
+    /** Places the request and starts an attempt; returns the outcome if no back end can take it. */
+    private suspend fun startAttempt(): Outcome? =
+        when (val placement = place()) {
+            is Placement.Placed -> {
+                startAt(placement)
+                null
+            }
+            is Placement.Refused -> refusedOutcome(placement)
+        }
+
+    private fun startAt(placement: Placement.Placed) {
+        val backEnd = placement.backEnd
+        val attempt =
+            DirectAttempt(
+                caller = call.request,
+                backEnd = backEnd,
+                customer = context.customer?.id,
+                priority = context.priority,
+                timeLeft = context.timeLeft(control.clock),
+                number = placement.number,
+                resumeAfter = relay.lastEvent ?: call.request.resumeAfter,
+                // Two incarnations at one address are both registered until the entry of the earlier one expires.
+                sentBefore = !usedAddresses.add(backEnd.address),
+            )
+        excluded += backEnd.id
+        live +=
+            LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
+                client.send(attempt).mapLeft { DirectAttemptResult.NotRun(reached = false, it.describe()) }
+            }
+    }
+
+    /** What happens next to the attempts that are awaited. */
+    private sealed class Next {
+        class Event(
+            val attempt: LiveAttempt,
+            val event: Either<DirectAttemptResult, ResponseEvent>,
+        ) : Next()
+
+        /** No attempt has made progress for a while. */
+        data object Silence : Next()
+
+        /** No attempt has made progress for so long that another back end may take over. */
+        data object TakeOver : Next()
+
+        data object OutOfTime : Next()
+    }
+
+    /** Awaits and handles what happens next; returns the outcome if that decides it. */
+    private suspend fun awaitAttempts(scope: CoroutineScope): Outcome? =
+        when (val next = awaitNext(scope)) {
+            is Next.Event -> onEvent(next.attempt, next.event)
+            Next.Silence -> {
+                onSilence()
+                null
+            }
+            Next.TakeOver -> {
+                takeOver()
+                null
+            }
+            Next.OutOfTime -> {
+                live.toList().forEach { end(it, DirectAttemptResult.OutOfTime(timedOut = !it.relay.receivedAny)) }
+                onDeadline()
+            }
+        }
+
+    private suspend fun awaitNext(scope: CoroutineScope): Next {
+        val now = control.clock.elapsed()
+        val (next, at) = nextTimeout()
+        if (at <= now) return next
+        val only = live.singleOrNull()
+        return withTimeoutOrNull(at - now) { if (only != null) Next.Event(only, only.next(scope)) else awaitFirst(scope) } ?: next
+    }
+
+    private suspend fun awaitFirst(scope: CoroutineScope): Next.Event =
+        select {
+            for (attempt in live) {
+                attempt.nextIn(scope).onAwait { event ->
+                    attempt.onTaken()
+                    Next.Event(attempt, event)
+                }
+            }
+        }
+
+    /** Returns what happens if no event comes, and when. */
+    private fun nextTimeout(): Pair<Next, Duration> {
+        val deadline = Next.OutOfTime to context.deadline
+        if (!kind.retryable) return deadline
+        val progressAt = live.maxOf { it.relay.progressAt }
+        val silence = progressAt + progressTimeout() / 2
+        val takeOver = maxOf(progressAt + progressTimeout(), nextTakeOverAt)
+        return when {
+            live.any { !it.isReportedSilent } && silence < context.deadline -> Next.Silence to silence
+            mayTakeOver() && takeOver < context.deadline -> Next.TakeOver to takeOver
+            else -> deadline
+        }
+    }
+
+    private fun mayTakeOver(): Boolean = relay.mayContinue && runs + live.size < context.route.attempts
+
+    private fun progressTimeout(): Duration =
+        when (kind) {
+            RequestKind.Idempotent, RequestKind.AtMostOnce -> limits.progress
+            is RequestKind.Stream -> kind.progressTimeout(context.route.latencyObjective)
+        }
+
+    private suspend fun onSilence() {
+        val silent = live.filter { !it.isReportedSilent }.onEach { it.isReportedSilent = true }
+        control.thread.decide { silent.forEach { control.placement.onSilent(it.backEnd.id) } }
+    }
+
+    /** Starts an attempt at another back end if one has a place, and keeps the others. */
+    private suspend fun takeOver() {
+        nextTakeOverAt = control.clock.elapsed() + TAKE_OVER_INTERVAL
+        val request = placementRequest(WaitLimit.Within(Duration.ZERO), mayHaveRun = true)
+        val silent = live.map { it.backEnd }
+        val placed =
+            withContext(NonCancellable) { control.thread.decide { placeTakeOver(request, silent.map { it.id }) }?.also { startAt(it) } }
+        // Connections that are kept to a silent back end may be dead as well.
+        if (placed != null) silent.forEach { client.discardIdleConnections(it) }
+    }
+
+    /** Runs on the control thread. */
+    private fun placeTakeOver(
+        request: PlacementRequest,
+        silent: List<TargetId>,
+    ): Placement.Placed? {
+        val now = control.clock.elapsed()
+        val entries = control.peers.entryCount(now)
+        if (!control.retryBudget.allows(context.service, entries, now)) return null
+        return control.placement.placeTakeOver(request, silent, now)?.also { control.retryBudget.spend(context.service, entries, now) }
+    }
+
+    private suspend fun place(): Placement {
+        val startedAt = control.clock.elapsed()
+        val timeLeft = context.timeLeft(control.clock)
+        if (timeLeft <= Duration.ZERO) return Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
+        val request = placementRequest(waitLimit(timeLeft), mayHaveRun != null)
+        val ticket =
+            withContext(NonCancellable) {
+                control.thread.decide { place(request) }
+            }
+        val decision = ticket.result
+        var received = false
+        try {
+            val placement =
+                withTimeoutOrNull(minOf(ticket.wait, timeLeft)) { decision.await() } ?: run {
+                    control.thread.decide { control.placement.onWaitTimeout(decision, control.clock.elapsed()) }
+                    decision.await()
+                }
+            return placement.also { received = true }
+        } finally {
+            call.queueTime += control.clock.elapsed() - startedAt
+            if (!received) withContext(NonCancellable) { control.thread.decide { releasePlacement(decision) } }
+        }
+    }
+
+    private fun placementRequest(
+        wait: WaitLimit,
+        mayHaveRun: Boolean,
+    ) = PlacementRequest(
+        service = context.service,
+        customer = context.customer?.id,
+        priority = if (relay.started) RESUME_PRIORITY else context.priority,
+        homeRegions = context.homeRegions,
+        excluded = excluded.toSet(),
+        number = relay.number,
+        promptTokens = call.request.promptTokens ?: 0,
+        isLate = context.isLate && !relay.started,
+        wait = wait,
+        timeLeft = context.timeLeft(control.clock),
+        parts = parts,
+        mayHaveRun = mayHaveRun,
+    )
+
+    /** Runs on the control thread. */
+    private fun place(request: PlacementRequest): PlacementTicket {
+        val now = control.clock.elapsed()
+        if (call.attempts.isEmpty()) control.retryBudget.recordRequest(context.service, now)
+        return control.placement.place(request, now)
+    }
+
+    private fun waitLimit(timeLeft: Duration): WaitLimit =
+        when {
+            relay.started -> WaitLimit.Within(limits.resume)
+            call.attempts.isNotEmpty() -> WaitLimit.Within(RETRY_MAX_WAIT)
+            else -> {
+                val objective = context.route.latencyObjective
+                val objectiveLeft = if (context.isLate) Duration.ZERO else objective - (control.clock.elapsed() - call.receivedAt)
+                WaitLimit.ForObjective(objective, objectiveLeft, callerPatience(), timeLeft)
+            }
+        }
+
+    /** Returns how long the caller waits for the first event of a response. */
+    private fun callerPatience(): Duration =
+        when (kind) {
+            RequestKind.Idempotent, RequestKind.AtMostOnce -> Duration.INFINITE
+            is RequestKind.Stream -> kind.callerPatience(context.route.latencyObjective)
+        }
+
+    /** Releases the slot of a request whose coroutine was cancelled while it waited; runs on the control thread. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun releasePlacement(decision: CompletableDeferred<Placement>) {
+        if (!decision.isCompleted) return control.placement.withdraw(decision)
+        val placed = decision.getCompleted() as? Placement.Placed ?: return
+        control.placement.onAttemptEnded(placed.backEnd.id, context.customer?.id, AttemptOutcome.ABANDONED, control.clock.elapsed())
+    }
+
+    /** Handles an event of [attempt], or the result of one that could not be sent; returns the outcome if that decides it. */
+    private suspend fun onEvent(
+        attempt: LiveAttempt,
+        event: Either<DirectAttemptResult, ResponseEvent>,
+    ): Outcome? {
+        val forwardedBefore = attempt.relay.forwardedParts
+        val result =
+            when (event) {
+                is Either.Left -> event.value
+                is Either.Right -> {
+                    heed(event.value, attempt)
+                    attempt.relay.onEvent(event.value)
+                }
+            }
+        if (attempt.relay.forwardedParts > forwardedBefore || result is DirectAttemptResult.Completed) supersedeOthers(attempt)
+        reportProgress(attempt)
+        return result?.let { onResult(attempt, it) }
+    }
+
+    /** Passes on what the back end says of itself, before anything else is decided about this answer. */
+    private suspend fun heed(
+        event: ResponseEvent,
+        attempt: LiveAttempt,
+    ) {
+        val notices = (event as? ResponseEvent.Head)?.head?.notices.orEmpty()
+        if (notices.isEmpty()) return
+        control.thread.decide { notices.forEach { control.notices.onNoticeReceived(attempt.backEnd.run, it, control.clock.elapsed()) } }
+    }
+
+    private suspend fun supersedeOthers(attempt: LiveAttempt) {
+        for (other in live - attempt) {
+            runs++
+            end(other, DirectAttemptResult.Superseded)
+        }
+    }
+
+    private suspend fun reportProgress(attempt: LiveAttempt) {
+        val hasAnswered = parts.isNotEmpty() && attempt.relay.wentOn && !attempt.isAnswerReported
+        val speaksAgain = attempt.isReportedSilent && control.clock.elapsed() - attempt.relay.progressAt < progressTimeout() / 2
+        if (!hasAnswered && !speaksAgain) return
+        if (hasAnswered) attempt.isAnswerReported = true
+        if (speaksAgain) attempt.isReportedSilent = false
+        control.thread.decide {
+            if (hasAnswered) control.suspicions.onAnswered(parts, control.clock.elapsed())
+            if (speaksAgain) control.placement.onNoLongerSilent(attempt.backEnd.id)
+        }
+    }
+
+    private suspend fun onResult(
+        attempt: LiveAttempt,
+        result: DirectAttemptResult,
+    ): Outcome? {
+        end(attempt, result)
+        return when (result) {
+            is DirectAttemptResult.Completed -> Outcome.Completed(result.length, null)
+            is DirectAttemptResult.NotRun -> onNotRun(result)
+            is DirectAttemptResult.Lost -> onLost(result)
+            is DirectAttemptResult.Failed -> onFailed(result)
+            is DirectAttemptResult.OutOfTime, DirectAttemptResult.Superseded -> null
+        }
+    }
+
+    /** Ends [attempt] with [result], null if its caller has left, and reports its outcome to the controllers. */
+    private suspend fun end(
+        attempt: LiveAttempt,
+        result: DirectAttemptResult?,
+    ) {
+        live -= attempt
+        attempt.abandon()
+        if (result != null) call.attempts += AttemptRecord(attempt.backEnd.id, describe(result), attempt.relay.events)
+        val outcome = result?.let { attemptOutcomeOf(it) } ?: AttemptOutcome.ABANDONED
+        withContext(NonCancellable) {
+            control.thread.decide {
+                val now = control.clock.elapsed()
+                if (crashed(attempt, result)) control.suspicions.onCrash(attempt.backEnd, parts, now)
+                if (attempt.isReportedSilent) control.placement.onNoLongerSilent(attempt.backEnd.id)
+                val times = AttemptTimes(now - attempt.startedAt, attempt.relay.firstProgressAt?.let { it - attempt.startedAt })
+                control.placement.onAttemptEnded(attempt.backEnd.id, context.customer?.id, outcome, now, times)
+            }
+        }
+    }
+
+    /** Returns whether the back end may have crashed on this request. */
+    private fun crashed(
+        attempt: LiveAttempt,
+        result: DirectAttemptResult?,
+    ): Boolean = result is DirectAttemptResult.Lost && result.disconnected && !attempt.relay.wentOn
+
+    private suspend fun onNotRun(result: DirectAttemptResult.NotRun): Outcome? {
+        rejections++
+        if (live.isNotEmpty()) return null
+        val retry = rejections <= limits.rejections && (!result.reached || takeRetry())
+        return if (retry) null else finalOutcome(result.detail)
+    }
+
+    private suspend fun onLost(result: DirectAttemptResult.Lost): Outcome? {
+        runs++
+        mayHaveRun = result
+        if (live.isNotEmpty()) return null
+        val retry = kind.retryable && relay.mayContinue && runs < context.route.attempts && takeRetry()
+        return if (retry) null else finalOutcome(result.detail)
+    }
+
+    private suspend fun onFailed(result: DirectAttemptResult.Failed): Outcome? {
+        runs++
+        if (live.isNotEmpty()) return null
+        val retry = kind is RequestKind.Idempotent && runs < context.route.attempts && takeRetry()
+        if (retry) return null
+        return Outcome.Completed(relay.forwardErrorResponse(), null).also { call.lastFailure = failure("status ${result.status}") }
+    }
+
+    private suspend fun takeRetry(): Boolean =
+        control.thread.decide {
+            control.retryBudget.spend(context.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed())
+        }
+
+    private suspend fun refusedOutcome(placement: Placement.Refused): Outcome {
+        if (relay.started || mayHaveRun != null || relay.holdsErrorResponse) return finalOutcome(placement.reason)
+        call.lastFailure = failure(placement.reason)
+        return Outcome.Refused(placement.refusal, Step.CHOOSE_TARGET, Peer.SELF)
+    }
+
+    private suspend fun onDeadline(): Outcome {
+        mayHaveRun = mayHaveRun ?: DirectAttemptResult.Lost("time is over")
+        return finalOutcome("time is over")
+    }
+
+    /**
+     * Returns the outcome of a request that gets no further attempt. A request that ran and failed is never refused: it gets the
+     * error response of its back end.
+     */
+    private suspend fun finalOutcome(detail: String): Outcome {
+        val failure = failure(detail)
+        call.lastFailure = failure
+        return when {
+            relay.started -> Outcome.Broken(failure)
+            relay.holdsErrorResponse -> Outcome.Completed(relay.forwardErrorResponse(), null)
+            mayHaveRun != null -> Outcome.Unknown(failure)
+            else -> Outcome.Refused(Refusal.NoTarget(limits.retryAfter), Step.SEND, failure.peer)
+        }
+    }
+
+    private fun failure(detail: String): Failure =
+        Failure.Interrupted(
+            Step.SEND,
+            Peer(
+                PeerRole.TARGET,
+                call.attempts
+                    .lastOrNull()
+                    ?.target
+                    ?.text ?: "none",
+            ),
+            detail,
+        )
+
+    private fun attemptOutcomeOf(result: DirectAttemptResult): AttemptOutcome =
+        when (result) {
+            is DirectAttemptResult.Completed -> AttemptOutcome.ANSWERED
+            is DirectAttemptResult.NotRun -> if (result.reached) AttemptOutcome.NOT_RUN else AttemptOutcome.UNREACHABLE
+            is DirectAttemptResult.Lost, is DirectAttemptResult.Failed -> AttemptOutcome.FAILED
+            is DirectAttemptResult.OutOfTime -> if (result.timedOut) AttemptOutcome.TIMED_OUT else AttemptOutcome.ABANDONED
+            DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
+        }
+
+    private fun describe(result: DirectAttemptResult): String =
+        when (result) {
+            is DirectAttemptResult.Completed -> "answered"
+            is DirectAttemptResult.NotRun -> "not-run:${result.detail}"
+            is DirectAttemptResult.Lost -> "lost:${result.detail}"
+            is DirectAttemptResult.OutOfTime -> "out-of-time"
+            is DirectAttemptResult.Failed -> "failed:${result.status}"
+            DirectAttemptResult.Superseded -> "superseded"
+        }
+
+    private companion object {
+        /** A stream that has started precedes requests of every priority. */
+        const val RESUME_PRIORITY = -1
+
+        /** A retry is already delayed, so it takes a free slot within this time or none. */
+        val RETRY_MAX_WAIT = 60.milliseconds
+        val SLOW_READER_MARGIN = 200.milliseconds
+
+        /** The time after which another place is looked for if there was none for a request that makes no progress. */
+        val TAKE_OVER_INTERVAL = 200.milliseconds
+    }
+}
--- /dev/null
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -0,0 +1,96 @@
+/**
+ * An attempt at a back end whose response is awaited, and the results that it may have.
+ *
+ * Sending is the first step of reading, so that several attempts of a request can be awaited side by side from their start.
+ */
+package lagoonrudder.traffic.direct
+
+import arrow.core.Either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import lagoonrudder.model.BackEnd
+import kotlin.time.Duration
+
+/** The result of one attempt. */
+internal sealed class DirectAttemptResult {
+    data class Completed(
+        val length: Long,
+    ) : DirectAttemptResult()
+
+    /** The request did not run at the back end. [reached] is set if it arrived there. */
+    data class NotRun(
+        val reached: Boolean,
+        val detail: String,
+    ) : DirectAttemptResult()
+
+    /**
+     * The request may have run at the back end, but there is no response to forward. [disconnected] is set if the back end closed the
+     * connection.
+     */
+    data class Lost(
+        val detail: String,
+        val disconnected: Boolean = false,
+    ) : DirectAttemptResult()
+
+    /** Another attempt has provided the response, or its next event, first. */
+    data object Superseded : DirectAttemptResult()
+
+    /** The deadline of the caller or the route expired; [timedOut] is set if the back end had sent nothing at all. */
+    data class OutOfTime(
+        val timedOut: Boolean,
+    ) : DirectAttemptResult()
+
+    /** The back end ran the request and it failed; [DirectRelay] holds the error response. */
+    data class Failed(
+        val status: Int,
+    ) : DirectAttemptResult()
+}
+
+/** Reads the attempt at [backEnd], which [send] sends. */
+internal class LiveAttempt(
+    val backEnd: BackEnd,
+    val relay: AttemptRelay,
+    val startedAt: Duration,
+    private val send: suspend () -> Either<DirectAttemptResult, OpenAttempt>,
+) {
+    private var open: OpenAttempt? = null
+    private var pending: Deferred<Either<DirectAttemptResult, ResponseEvent>>? = null
+
+    /** Whether the control thread knows that this attempt makes no progress. */
+    var isReportedSilent = false
+
+    /** Whether the suspicions know that the back end went on after the start of its answer. */
+    var isAnswerReported = false
+
+    /** Returns the next event, or the result of an attempt that could not be sent. May be cancelled and called again. */
+    suspend fun next(scope: CoroutineScope): Either<DirectAttemptResult, ResponseEvent> {
+        val sent = open
+        // A cancelled read loses nothing, but a cancelled send may have sent the request.
+        if (sent != null && pending == null) return Either.Right(sent.next())
+        return nextIn(scope).await().also { onTaken() }
+    }
+
+    /** Starts to wait for the next event in [scope], unless that was begun before. The caller reports the event with [onTaken]. */
+    fun nextIn(scope: CoroutineScope): Deferred<Either<DirectAttemptResult, ResponseEvent>> =
+        pending ?: scope.async { sendAndRead() }.also { pending = it }
+
+    fun onTaken() {
+        pending = null
+    }
+
+    private suspend fun sendAndRead(): Either<DirectAttemptResult, ResponseEvent> {
+        val sent =
+            open ?: when (val result = send()) {
+                is Either.Left -> return result
+                is Either.Right -> result.value.also { open = it }
+            }
+        return Either.Right(sent.next())
+    }
+
+    /** Cancels the request at the back end, unless its response is complete. */
+    fun abandon() {
+        pending?.cancel()
+        open?.abandon()
+    }
+}
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -90,10 +90,16 @@
         val interval: Duration,
         val filler: ResponseEvent? = null,
     ) : Behaviour()
+
+    /** Sends each event after its pause. */
+    data class Timed(
+        val events: List<Pair<Duration, ResponseEvent>>,
+    ) : Behaviour()
 }
 
 internal class FakeClient(
     private val behaviours: MutableList<Behaviour>,
+    private val elapsed: () -> Duration,
 ) : BackEndClient {
     val attempts = mutableListOf<DirectAttempt>()
     var abandoned = 0
@@ -105,18 +111,31 @@
             is Behaviour.Replies -> FakeAttempt(behaviour.events, silent = false).right()
             is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
             is Behaviour.Paced -> PacedAttempt(behaviour).right()
+            is Behaviour.Timed -> TimedAttempt(behaviour).right()
         }
     }
 
     override fun discardIdleConnections(backEnd: BackEnd) = Unit
 
+    /** A pause of a back end, which does not begin anew when a read is cancelled. */
+    private inner class ResumablePause {
+        private var startedAt: Duration? = null
+
+        suspend fun await(duration: Duration) {
+            val since = startedAt ?: elapsed().also { startedAt = it }
+            delay(since + duration - elapsed())
+            startedAt = null
+        }
+    }
+
     private inner class PacedAttempt(
         private val behaviour: Behaviour.Paced,
     ) : OpenAttempt {
         private val rest = ArrayDeque(behaviour.events)
+        private val pause = ResumablePause()
 
         override suspend fun next(): ResponseEvent {
-            if (rest.firstOrNull() !is ResponseEvent.Head) delay(behaviour.interval)
+            if (rest.firstOrNull() !is ResponseEvent.Head) pause.await(behaviour.interval)
             return rest.removeFirstOrNull() ?: behaviour.filler ?: ResponseEvent.End
         }
 
@@ -125,6 +144,24 @@
         }
     }
 
+    private inner class TimedAttempt(
+        behaviour: Behaviour.Timed,
+    ) : OpenAttempt {
+        private val rest = ArrayDeque(behaviour.events)
+        private val pause = ResumablePause()
+
+        override suspend fun next(): ResponseEvent {
+            val (duration, event) = rest.firstOrNull() ?: awaitCancellation()
+            pause.await(duration)
+            rest.removeFirst()
+            return event
+        }
+
+        override fun abandon() {
+            abandoned++
+        }
+    }
+
     private inner class FakeAttempt(
         events: List<ResponseEvent>,
         private val silent: Boolean,
@@ -234,7 +271,7 @@
             notices,
             StopController(8.seconds),
         )
-    val link = FakeClient(behaviours.toMutableList())
+    val link = FakeClient(behaviours.toMutableList(), clock::elapsed)
     val response = FakeResponse()
     val inFlight get() = placement.inFlight()
     private val chain = FilterChain(directFilters(control, link, Random(1)) { _, _ -> })
