Take only a store that answered nobody for an outage

Cause: a watch that ended without an answer counted as a loss of the store until the next call, and each removal seen within 2.5 s after a loss waited, in case the registration had only expired. A registration expires after 3.6 s of silence; a cut watch says nothing of that.

A failed call is followed by another one at once. A removal waits only if the store had answered no daemon that is heard of for 2.2 s. Gossip carries how long ago the store answered the sender, and replies how long ago it answered anyone the sender has heard of. So a daemon that relies on another one now also knows of an outage that it did not notice itself.

The tests of StoreViewController that set an outage by hand now state it by what was heard of the store; what they expect is unchanged.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -11,6 +11,7 @@
 package lagoonrudder.control.direct
 
 import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Failure
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -43,10 +44,9 @@
     private var failures = 0
     private var nextCallAt = Duration.ZERO
 
-    /** Whether the last call failed. */
-    val isLost: Boolean get() = lostSince != null
+    private val isLost: Boolean get() = lostSince != null
 
-    /** Returns the time since the store last answered this process; null while it does not read the store and after a failure. */
+    /** Returns the time since the store last answered this process; null while it does not read the store or has lost it. */
     fun contactAge(now: Duration): Duration? = contactAt?.let { now - it }
 
     /** Returns whether to read the store now; a daemon that is not confirmed reads it in any case. */
@@ -102,10 +102,21 @@
         return onAnswer(now)
     }
 
-    /** Records that a call failed. Returns whether the store is lost with it and was not before. */
-    fun onFailure(now: Duration): Boolean {
-        contactAt = null
+    /**
+     * Records that a call failed. Returns whether the store is lost with it and was not before. A watch may be cut at any time, so one
+     * call without an answer proves nothing, and the next one follows at once.
+     */
+    fun onFailure(
+        failure: Failure,
+        now: Duration,
+    ): Boolean {
         failures++
+        if (failures == 1 && failure !is Failure.Declined) {
+            pollRequested = true
+            nextCallAt = now
+            return false
+        }
+        contactAt = null
         val rank = peers.betterRankedMembers(RANK_KEY, now).size
         val maxDelay = (MAX_RETRY_DELAY + RETRY_DELAY_PER_RANK * rank).coerceAtMost(MAX_RANKED_RETRY_DELAY)
         nextCallAt = now + (INITIAL_RETRY_DELAY * failures * (1 + rank)).coerceAtMost(maxDelay)
@@ -115,6 +126,7 @@
     }
 
     private fun onAnswer(now: Duration): Duration? {
+        storeView.onStoreHeard(now)
         contactAt = now
         failures = 0
         return lostSince?.let { now - it }.also { lostSince = null }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -84,6 +84,10 @@
     private var confirmedAt: Duration? = null
     private var graceUntil = Duration.ZERO
 
+    /** When the store last answered this daemon or one that told it; null before that and after a long pause. */
+    var storeHeardAt: Duration? = null
+        private set
+
     /** The store revision up to which this process has seen every change. */
     var at = 0L
         private set
@@ -183,9 +187,15 @@
         return items.values.map { it.item }.filter { it.revision > after && it !in pending }
     }
 
-    /** Records that the store was unavailable until [now]: registrations that expired meanwhile may come back. */
-    fun onStoreUnavailable(now: Duration) {
-        graceUntil = now + REMOVAL_GRACE
+    /**
+     * Records that the store answered this daemon or another one [at] that time. If nobody had heard of it for long, it was away, and
+     * registrations that expired meanwhile may come back.
+     */
+    fun onStoreHeard(at: Duration) {
+        val before = storeHeardAt
+        if (before != null && at <= before) return
+        if (before == null || at - before >= STORE_AWAY_AFTER) graceUntil = at + REMOVAL_GRACE
+        storeHeardAt = at
     }
 
     /** Removes the back ends whose grace period ended without a new registration, and returns them. */
@@ -201,8 +211,9 @@
     }
 
     /** Marks the view as possibly stale after a pause of the process, until the store or a peer confirms it. */
-    fun requireConfirmation() {
+    fun onPaused(pause: Duration) {
         confirmedAt = null
+        if (pause >= STORE_AWAY_AFTER) storeHeardAt = null
     }
 
     /** Whether the store or a peer has confirmed the active configuration since the start and since the last pause. */
@@ -311,8 +322,14 @@
     }
 
     private companion object {
-        /** A live back end registers within two seconds after the store recovers; half a second more covers propagation to here. */
-        val REMOVAL_GRACE = 2_500.milliseconds
+        /** A live back end registers within two seconds after the store recovers, and a change that shares a call comes 250 ms later. */
+        val REMOVAL_GRACE = 2_300.milliseconds
+
+        /**
+         * A registration expires after three heartbeats of silence, 3.6 s. So none can expire in a shorter outage than this, whenever
+         * its last heartbeat was. A watch that gets no response is followed by another call within less.
+         */
+        val STORE_AWAY_AFTER = 2_200.milliseconds
 
         /** Older declarations no longer apply to any back end. */
         const val MAX_DECLARATIONS = 16
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -101,3 +101,9 @@
     inFlight: Map<TargetId, Int>,
     now: Duration,
 ) = onGossipReceived(peer, LoadReport(inFlight, 1), storeContactAge = null, now)
+
+/** Records that the store answers again at [at] after a long outage. */
+internal fun StoreViewController.onStoreBack(at: Duration) {
+    onStoreHeard(at - 10.seconds)
+    onStoreHeard(at)
+}
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -1,6 +1,7 @@
 package lagoonrudder.control.direct
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.datatest.withTests
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
@@ -11,6 +12,7 @@
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -42,7 +44,7 @@
         test("a registration that expired while the store was unavailable stays for a grace period, and permanently if it is renewed") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
-            storeView.onStoreUnavailable(start)
+            storeView.onStoreBack(start)
             storeView.applyChanges(listOf(item("servers/a", 3, null), item("servers/b", 4, null)), 4, start + 100.milliseconds)
             storeView.backEnds.size shouldBe 2
             storeView.applyChanges(listOf(registered(backEnd("b"), 5)), 5, start + 1.seconds)
@@ -51,6 +53,61 @@
             storeView.backEnds.map { it.id.text } shouldContainExactly listOf("b")
         }
 
+        context("what a daemon has heard of the store decides whether a removal that it sees waits") {
+            val seenAt = 20.seconds
+
+            /** The store answers every second from [start] to [until]. */
+            fun StoreViewController.hearUntil(until: Duration) {
+                for (second in start.inWholeSeconds..until.inWholeSeconds) onStoreHeard(second.seconds)
+            }
+
+            /** [heard] is what the daemon knows when it sees the removal; [waits] whether the back end stays meanwhile. */
+            class Case(
+                val name: String,
+                val waits: Boolean,
+                val heard: StoreViewController.() -> Unit,
+            )
+            withTests(
+                nameFn = { it.name },
+                Case("the store answered shortly before", waits = false) { hearUntil(seenAt - 1.seconds) },
+                Case("a call got no response for as long as one may take", waits = false) {
+                    hearUntil(seenAt - 2.seconds)
+                    onStoreHeard(seenAt - 1_850.milliseconds)
+                },
+                Case("it was away for four seconds", waits = true) { hearUntil(seenAt - 4.seconds) },
+                Case("a peer heard of its return first", waits = true) {
+                    hearUntil(seenAt - 5.seconds)
+                    onStoreHeard(seenAt - 1.seconds)
+                },
+                Case("it returned three seconds ago", waits = false) {
+                    hearUntil(seenAt - 8.seconds)
+                    listOf(3, 2, 1).forEach { onStoreHeard(seenAt - it.seconds) }
+                },
+                Case("this process was paused for as long as an outage", waits = true) {
+                    hearUntil(seenAt - 1.seconds)
+                    onPaused(5.seconds)
+                },
+                Case("this process was paused for a second", waits = false) {
+                    hearUntil(seenAt - 1.seconds)
+                    onPaused(1.seconds)
+                },
+                Case("an old word of it came late", waits = false) {
+                    hearUntil(seenAt - 1.seconds)
+                    onStoreHeard(seenAt - 9.seconds)
+                },
+            ) { case ->
+                val storeView = StoreViewController(strictInvariants())
+                storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
+                case.heard(storeView)
+                storeView.onStoreHeard(seenAt)
+                storeView.applyChanges(listOf(item("servers/a", 2, null)), 2, seenAt)
+                (storeView.backEnd(TargetId("a")) != null) shouldBe case.waits
+                storeView.settledRevision shouldBe if (case.waits) 1 else 2
+                storeView.expire(seenAt + 2_500.milliseconds)
+                storeView.backEnd(TargetId("a")).shouldBeNull()
+            }
+        }
+
         test("a registration that is removed while the store is available is removed immediately") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
@@ -101,7 +158,7 @@
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, start)
             storeView.confirmed shouldBe true
-            storeView.requireConfirmation()
+            storeView.onPaused(1.seconds)
             storeView.confirmed shouldBe false
             storeView.applyChanges(emptyList(), 1, start + 1.seconds)
             storeView.confirmed shouldBe true
@@ -111,7 +168,7 @@
             for (storeUnavailable in listOf(true, false)) {
                 val storeView = StoreViewController(strictInvariants())
                 storeView.applyChanges(listOf(registered(backEnd("a"), 2)), 2, 1.seconds)
-                if (storeUnavailable) storeView.onStoreUnavailable(5.seconds)
+                if (storeUnavailable) storeView.onStoreBack(5.seconds)
                 val removed = storeView.applyChanges(listOf(item("servers/a", 3, null), registered(backEnd("a"), 4)), 4, 6.seconds).removed
                 removed.shouldBeEmpty()
                 storeView.expire(60.seconds).shouldBeEmpty()
@@ -122,7 +179,7 @@
         test("a removal settled by a peer takes effect immediately, although this process can't reach the store") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 2)), 2, 1.seconds)
-            storeView.onStoreUnavailable(5.seconds)
+            storeView.onStoreBack(5.seconds)
             storeView.applySettledChanges(listOf(item("servers/a", 3, null)), 3, 5.seconds).removed shouldContainExactly
                 listOf(TargetId("a"))
             storeView.backEnd(TargetId("a")).shouldBeNull()
@@ -131,7 +188,7 @@
         test("peers learn of a pending removal only after it has taken effect") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 2), registered(backEnd("b"), 3)), 3, 1.seconds)
-            storeView.onStoreUnavailable(5.seconds)
+            storeView.onStoreBack(5.seconds)
             storeView.applyChanges(listOf(item("servers/a", 4, null), registered(backEnd("b"), 5)), 5, 5.seconds)
             storeView.settledRevision shouldBe 3
             storeView.changesSince(3).map { it.key } shouldContainExactly listOf("servers/b")
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -133,8 +133,7 @@
 
     private fun onTick(pause: Duration?): List<TargetId> {
         val now = core.clock.elapsed()
-        if (pause != null) core.storeView.requireConfirmation()
-        if (core.storeReader.isLost) core.storeView.onStoreUnavailable(now)
+        if (pause != null) core.storeView.onPaused(pause)
         core.suspicions.onTick(now)
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.storeContactAge
+import lagoonrudder.wire.messages.storeHeardAge
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
@@ -144,10 +145,11 @@
         evidenceIncluded: Boolean = false,
     ): Boolean {
         val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested, evidenceIncluded) }
+        val sentAt = core.clock.elapsed()
         return when (val reply = client.gossip(address, message)) {
             is Either.Left -> false
             is Either.Right -> {
-                val isPeerBehind = applyReply(reply.value, address)
+                val isPeerBehind = applyReply(reply.value, address, sentAt)
                 if (isPeerBehind && !evidenceIncluded) exchange(address, peersRequested = false, evidenceIncluded = true)
                 true
             }
@@ -176,10 +178,11 @@
         )
     }
 
-    /** Returns whether the peer lacks evidence about crashes that this daemon has. */
+    /** Applies the reply to a message sent at [sentAt]. Returns whether the peer lacks evidence about crashes that this daemon has. */
     private suspend fun applyReply(
         reply: GossipReply,
         address: Address,
+        sentAt: Duration,
     ): Boolean {
         val items = reply.items.map { readItem(it.toItem()) }
         val peer = reply.self.toPeer()
@@ -188,6 +191,8 @@
                 val now = core.clock.elapsed()
                 val lacksEvidence = applyEvidence(reply, now)
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
+                // Counted from the request, so that the age never shrinks on its way from daemon to daemon.
+                reply.storeHeardAge?.let { core.storeView.onStoreHeard(sentAt - it) }
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -64,6 +64,7 @@
         val now = core.clock.elapsed()
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
+        message.storeContactAge?.let { core.storeView.onStoreHeard(now - it) }
         val slot = message.slot?.toGossipSlot()
         if (slot != null && core.slots.onGossipReceived(slot, now)) {
             core.log.info(
@@ -88,6 +89,10 @@
             items = if (message.itemsRequested) core.storeView.changesSince(message.at).map { it.toMessage() } else emptyList(),
             evidenceDigest = core.suspicions.digest,
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
+            storeHeardMilliseconds =
+                core.storeView.storeHeardAt
+                    ?.let { now - it }
+                    .toMilliseconds(),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -63,8 +63,8 @@
         store.readAll().map { response ->
             val items = response.items.map { readItem(it) }
             applyAnswer(
-                { core.storeView.applySnapshot(items, response.at, core.clock.elapsed()) },
                 { reader.onItemsRead(core.clock.elapsed()) },
+                { core.storeView.applySnapshot(items, response.at, core.clock.elapsed()) },
             )
         }
 
@@ -74,8 +74,8 @@
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items.map { readItem(it) }
                     applyAnswer(
-                        { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) },
                         { reader.onWatched(items.size, core.clock.elapsed()) },
+                        { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) },
                     )
                 }
                 StoreWatchResult.HistoryLost -> {
@@ -85,18 +85,18 @@
             }
         }
 
-    /** Applies an answer of the store with [update] and tells the reader of it with [record], which returns how long the store was lost. */
+    /** Tells the reader of an answer of the store with [record], which returns how long the store was lost, and applies it with [update]. */
     private suspend fun applyAnswer(
-        update: () -> StoreViewChange,
         record: () -> Duration?,
+        update: () -> StoreViewChange,
     ) {
-        val (change, at, outage) = core.thread.decide { Triple(update().also { onChange() }, core.storeView.at, record()) }
+        val (outage, change, at) = core.thread.decide { Triple(record(), update().also { onChange() }, core.storeView.at) }
         core.logChange(change, "store", at)
         logRegained(outage)
     }
 
     private suspend fun onFailure(failure: Failure) {
-        if (core.thread.decide { reader.onFailure(core.clock.elapsed()) }) core.log.failure("store-lost", failure)
+        if (core.thread.decide { reader.onFailure(failure, core.clock.elapsed()) }) core.log.failure("store-lost", failure)
         core.http.closeIdle(core.settings.store)
     }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -26,14 +26,19 @@
 import lagoonrudder.control.direct.StoreStep
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.model.Address
+import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.DomainId
+import lagoonrudder.model.Failure
 import lagoonrudder.model.Invariants
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.Revision
 import lagoonrudder.model.ServingConfiguration
+import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -80,6 +85,7 @@
     private val random = Random(seed)
     private val items = sortedMapOf<String, DecodedItem>()
     private var revision = 1L
+    private var cuts = 0
     val daemons =
         (0 until domains * daemonsPerDomain).map { index ->
             val domain = "domain-${index % domains}"
@@ -97,6 +103,7 @@
     init {
         publish(Revision(1))
         daemons.forEach { scope.launch { readStore(it) } }
+        scope.launch { expireRemovals() }
         daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
         daemons.forEach { scope.launch { gossipWithOtherDomains(it) } }
     }
@@ -109,10 +116,29 @@
 
     /** Writes a configuration to the store; its acknowledgement comes at once. */
     fun publish(configuration: Revision) {
-        revision++
         val serving = ServingConfiguration(configuration, emptyList(), emptyList(), emptyList(), LIMITS)
-        items[CONFIGURATION_KEY] =
-            DecodedItem(StoreItem(CONFIGURATION_KEY, revision, ByteArray(0)), StoreRecord.Configuration(serving))
+        write(CONFIGURATION_KEY, StoreRecord.Configuration(serving))
+    }
+
+    /** Writes the registration of [backEnd] to the store. */
+    fun register(backEnd: BackEnd) = write(keyOf(backEnd), StoreRecord.Registered(backEnd))
+
+    /** Removes the registration of [backEnd] from the store. */
+    fun remove(backEnd: BackEnd) = write(keyOf(backEnd), null)
+
+    private fun keyOf(backEnd: BackEnd) = "servers/${backEnd.id.text}"
+
+    private fun write(
+        key: String,
+        record: StoreRecord?,
+    ) {
+        revision++
+        items[key] = DecodedItem(StoreItem(key, revision, if (record == null) null else ByteArray(0)), record)
+    }
+
+    /** Ends all watches that are waiting without an answer; new ones are taken at once. */
+    fun cutWatches() {
+        cuts++
     }
 
     /** Returns the daemons that the store answered last in each failure domain. */
@@ -132,13 +158,13 @@
                 is StoreStep.Rest -> delay(step.duration)
                 StoreStep.ReadAll ->
                     call(daemon, 0, Duration.ZERO) { changes, at ->
-                        daemon.storeView.applySnapshot(changes, at, now)
                         daemon.reader.onItemsRead(now)
+                        daemon.storeView.applySnapshot(changes.filter { it.item.value != null }, at, now)
                     }
                 is StoreStep.Watch ->
                     call(daemon, step.after, step.wait) { changes, at ->
-                        daemon.storeView.applyChanges(changes, at, now)
                         daemon.reader.onWatched(changes.size, now)
+                        daemon.storeView.applyChanges(changes, at, now)
                     }
             }
         }
@@ -151,33 +177,61 @@
         onAnswer: (List<DecodedItem>, Long) -> Unit,
     ) {
         calls++
-        val answered = withTimeoutOrNull(wait + READ_TIMEOUT) { awaitAnswer(daemon, after, wait) } ?: false
-        if (!answered) {
-            daemon.reader.onFailure(now)
+        val failure = failureOf(daemon, after, wait)
+        if (failure != null) {
+            daemon.reader.onFailure(failure, now)
             return
         }
         onAnswer(items.values.filter { it.item.revision > after }, revision)
         recordInForce(daemon)
     }
 
-    /** Returns whether the store answered. */
+    /** Waits for the answer of the store and returns why there is none. */
+    private suspend fun failureOf(
+        daemon: VirtualStoreDaemon,
+        after: Long,
+        wait: Duration,
+    ): Failure? {
+        val limit = wait + READ_TIMEOUT
+        val result =
+            withTimeoutOrNull(limit) { awaitAnswer(daemon, after, wait) } ?: return Failure.TimedOut(Step.READ_PLATFORM, STORE, limit)
+        return when (result) {
+            StoreResult.ANSWERED -> null
+            StoreResult.REFUSED -> Failure.Declined(Step.READ_PLATFORM, STORE, "refused")
+            StoreResult.CUT -> Failure.Interrupted(Step.READ_PLATFORM, STORE, "connection closed")
+        }
+    }
+
+    private enum class StoreResult { ANSWERED, REFUSED, CUT }
+
     private suspend fun awaitAnswer(
         daemon: VirtualStoreDaemon,
         after: Long,
         wait: Duration,
-    ): Boolean {
+    ): StoreResult {
         val until = now + wait
-        while (revision <= after && now < until && daemon.treatment != StoreTreatment.Refuses) delay(WATCH_CHECK_INTERVAL)
+        val cutsBefore = cuts
+        while (revision <= after && now < until && daemon.treatment != StoreTreatment.Refuses) {
+            delay(WATCH_CHECK_INTERVAL)
+            if (cuts > cutsBefore) return StoreResult.CUT
+        }
         when (val treatment = daemon.treatment) {
             StoreTreatment.Answers -> delay(ANSWER_TIME)
             is StoreTreatment.Slow -> delay(ANSWER_TIME * treatment.factor)
             StoreTreatment.Silent -> awaitCancellation()
             StoreTreatment.Refuses -> {
                 delay(ANSWER_TIME)
-                return false
+                return StoreResult.REFUSED
             }
         }
-        return true
+        return StoreResult.ANSWERED
+    }
+
+    private suspend fun expireRemovals() {
+        while (true) {
+            daemons.forEach { it.storeView.expire(now) }
+            delay(TICK_INTERVAL)
+        }
     }
 
     private suspend fun gossipWithin(members: List<VirtualStoreDaemon>) {
@@ -201,6 +255,8 @@
         first: VirtualStoreDaemon,
         second: VirtualStoreDaemon,
     ) {
+        second.storeView.storeHeardAt?.let { first.storeView.onStoreHeard(it) }
+        first.reader.contactAge(now)?.let { second.storeView.onStoreHeard(now - it) }
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(now), now)
             val settled = sender.storeView.settledRevision
@@ -225,7 +281,9 @@
         val LIMITS = CallerLimits(8_192, 65_536, 1.seconds, 5.seconds)
         val NO_LOAD = LoadReport(emptyMap(), 1)
         val ANSWER_TIME = 4.milliseconds
+        val STORE = Peer(PeerRole.PLATFORM, "store")
         val READ_TIMEOUT = 1.seconds
+        val TICK_INTERVAL = 100.milliseconds
         val WATCH_CHECK_INTERVAL = 5.milliseconds
         val EXCHANGE_TIME = 6.milliseconds
         val NEAR_EXCHANGE_INTERVAL = 100.milliseconds
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -91,6 +91,10 @@
     @ProtoNumber(10) val evidence: EvidenceMessage? = null,
 )
 
+/**
+ * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
+ * heard of [storeHeardMilliseconds] ago.
+ */
 @Serializable
 class GossipReply(
     @ProtoNumber(1) val self: PeerMessage,
@@ -102,6 +106,7 @@
     @ProtoNumber(7) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
     @ProtoNumber(8) val evidenceDigest: Long = 0,
     @ProtoNumber(9) val evidence: EvidenceMessage? = null,
+    @ProtoNumber(10) val storeHeardMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 @Serializable
@@ -138,6 +143,8 @@
 
 val GossipReply.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
 
+val GossipReply.storeHeardAge: Duration? get() = storeContactAge(storeHeardMilliseconds)
+
 /** Returns the age of the last contact with the store as a message carries it. */
 fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: STORE_CONTACT_UNKNOWN
 
