Send all items to a peer that lags behind the last full read

What could happen: a daemon that missed a removal and caught up from a peer that had started since kept the removed back end, or the evacuation of a failure domain, for as long as it ran.

Cause: a peer sends what changed after a revision from the items and tombstones that it holds, and it holds no tombstone of what was removed before it read all items.

A daemon that is asked for older changes than its last full read now sends all items and says that they are all; the receiver drops what is missing among them and is not newer. A removal that waits is sent as if it had not come.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -2,7 +2,8 @@
  * Keeps this process's view of the items that operators and back ends publish in the platform's store.
  *
  * Every item carries the revision of its last change, and an item is never replaced by an older one, whether that comes from
- * the store, a stale read or a peer. Removed items leave a tombstone, so that peers learn of the removal.
+ * the store, a stale read or a peer. Removed items leave a tombstone, so that peers learn of the removal. What was removed before this
+ * process read all items left none, so a peer that lags behind that read gets all items instead of the changes.
  */
 package lagoonrudder.control.direct
 
@@ -31,6 +32,12 @@
     val value: ByteArray?,
 )
 
+/** Items for a peer: those that changed, or all that there are if [isComplete] is set, so that any other one was removed. */
+class StoreItems(
+    val items: List<StoreItem>,
+    val isComplete: Boolean,
+)
+
 /** An item together with its decoded value; [published] is null for a removed item. */
 class DecodedItem(
     val item: StoreItem,
@@ -70,8 +77,9 @@
     private val invariants: Invariants,
     private val ageAtStart: Duration = 5.seconds,
 ) {
-    /** A back end whose registration was removed by [change], but which is kept [until] then in case it registers again. */
+    /** A back end whose [registration] was removed by [change], but which is kept [until] then in case it registers again. */
     private class PendingRemoval(
+        val registration: StoreItem,
         val change: StoreItem,
         val until: Duration,
     )
@@ -80,10 +88,14 @@
     private val pendingRemovals = mutableMapOf<TargetId, PendingRemoval>()
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
     private val targetsByKey = mutableMapOf<String, TargetId>()
+    private val registrations = mutableMapOf<TargetId, StoreItem>()
     private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
     private var graceUntil = Duration.ZERO
 
+    /** The revision of the last read of all items; every removal after it has left a tombstone. */
+    private var completeAt = 0L
+
     /** When the store last answered this daemon or one that told it; null before that and after a long pause. */
     var storeHeardAt: Duration? = null
         private set
@@ -170,21 +182,39 @@
         now: Duration,
     ): StoreViewChange {
         if (upTo < at) return applyChanges(emptyList(), at, now)
+        return applyChanges(completed(all, upTo), upTo, now)
+    }
+
+    /** Applies all items of a peer that has settled them up to the revision [upTo]. */
+    fun applySettledSnapshot(
+        all: List<DecodedItem>,
+        upTo: Long,
+        now: Duration,
+    ): StoreViewChange = applySettledChanges(completed(all, upTo), upTo, now)
+
+    /** Returns [all] items at the revision [upTo] and the removals of those that are not among them. */
+    private fun completed(
+        all: List<DecodedItem>,
+        upTo: Long,
+    ): List<DecodedItem> {
+        completeAt = maxOf(completeAt, upTo)
         val present = all.mapTo(mutableSetOf()) { it.item.key }
         val removed =
             items.values
                 .filter { it.item.value != null && it.item.key !in present && it.item.revision <= upTo }
                 .map { DecodedItem(StoreItem(it.item.key, upTo, null), null) }
-        return applyChanges(all + removed, upTo, now)
+        return all + removed
     }
 
     /** The revision up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
     val settledRevision: Long get() = pendingRemovals.values.minOfOrNull { it.change.revision - 1 } ?: at
 
-    /** Returns the items that changed after the revision [after], without pending removals, for a peer. */
-    fun changesSince(after: Long): List<StoreItem> {
+    /** Returns what a peer needs that has seen every change up to the revision [after], without pending removals. */
+    fun itemsSince(after: Long): StoreItems {
         val pending = pendingRemovals.values.mapTo(mutableSetOf()) { it.change }
-        return items.values.map { it.item }.filter { it.revision > after && it !in pending }
+        val settled = items.values.map { it.item }.filter { it !in pending }
+        if (after >= completeAt) return StoreItems(settled.filter { it.revision > after }, isComplete = false)
+        return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration }, isComplete = true)
     }
 
     /**
@@ -202,9 +232,7 @@
     fun expire(now: Duration): List<TargetId> {
         val expired = pendingRemovals.filterValues { it.until <= now }
         for ((id, pending) in expired) {
-            pendingRemovals -= id
-            backEndsById -= id
-            targetsByKey -= pending.change.key
+            forget(id, pending.change.key)
         }
         if (expired.isNotEmpty()) backEndsByService = null
         return expired.keys.toList()
@@ -250,7 +278,7 @@
         for (change in applied) {
             when (val published = change.published) {
                 is StoreRecord.Configuration -> next = newerOf(published.set, next)
-                is StoreRecord.Registered -> (if (register(change.item.key, published.backEnd)) added else changed) += published.backEnd
+                is StoreRecord.Registered -> (if (register(change.item, published.backEnd)) added else changed) += published.backEnd
                 is StoreRecord.VersionDeclaration -> declare(published, now, first)?.let { declared += it }
                 is StoreRecord.Unreadable -> unusable += "${change.item.key}: ${published.detail}"
                 is StoreRecord.DomainEvacuation, null -> Unit
@@ -276,11 +304,12 @@
     }
 
     private fun register(
-        key: String,
+        item: StoreItem,
         backEnd: BackEnd,
     ): Boolean {
         pendingRemovals -= backEnd.id
-        targetsByKey[key] = backEnd.id
+        targetsByKey[item.key] = backEnd.id
+        registrations[backEnd.id] = item
         return backEndsById.put(backEnd.id, backEnd) == null
     }
 
@@ -292,13 +321,21 @@
         if (change.published is StoreRecord.Registered) return null
         val id = targetsByKey[change.item.key] ?: return null
         if (hold && change.item.value == null) {
-            pendingRemovals[id] = PendingRemoval(change.item, graceUntil)
+            pendingRemovals[id] = PendingRemoval(registrations.getValue(id), change.item, graceUntil)
             return null
         }
+        forget(id, change.item.key)
+        return id
+    }
+
+    private fun forget(
+        id: TargetId,
+        key: String,
+    ) {
         pendingRemovals -= id
         backEndsById -= id
-        targetsByKey -= change.item.key
-        return id
+        registrations -= id
+        targetsByKey -= key
     }
 
     private fun declare(
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -150,7 +150,7 @@
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
             storeView.applyChanges(listOf(item("servers/a", 3, null)), 3, start)
-            storeView.changesSince(1).map { it.key to (it.value == null) } shouldContainExactlyInAnyOrder
+            storeView.itemsSince(1).items.map { it.key to (it.value == null) } shouldContainExactlyInAnyOrder
                 listOf("servers/a" to true, "servers/b" to false)
         }
 
@@ -191,10 +191,49 @@
             storeView.onStoreBack(5.seconds)
             storeView.applyChanges(listOf(item("servers/a", 4, null), registered(backEnd("b"), 5)), 5, 5.seconds)
             storeView.settledRevision shouldBe 3
-            storeView.changesSince(3).map { it.key } shouldContainExactly listOf("servers/b")
+            storeView.itemsSince(3).items.map { it.key } shouldContainExactly listOf("servers/b")
             storeView.expire(60.seconds)
             storeView.settledRevision shouldBe 5
-            storeView.changesSince(3).map { it.key }.sorted() shouldContainExactly listOf("servers/a", "servers/b")
+            storeView
+                .itemsSince(3)
+                .items
+                .map { it.key }
+                .sorted() shouldContainExactly listOf("servers/a", "servers/b")
+        }
+
+        // A daemon that read all items after the removal has no tombstone of it, and sent none to those that lagged behind.
+        test("a removal that a daemon missed reaches it through a peer that has started since") {
+            val lagging = StoreViewController(strictInvariants())
+            val evacuation = item("op/evacuate/near", 3, StoreRecord.DomainEvacuation(NEAR))
+            lagging.applyChanges(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2), evacuation), 3, start)
+            val started = StoreViewController(strictInvariants())
+            started.applySnapshot(listOf(registered(backEnd("b"), 2)), 6, start)
+            val sent = started.itemsSince(lagging.at)
+            sent.isComplete shouldBe true
+            sent.items.map { it.key } shouldContainExactly listOf("servers/b")
+            val change = lagging.applySettledSnapshot(listOf(registered(backEnd("b"), 2)), started.settledRevision, start)
+            change.removed shouldContainExactly listOf(TargetId("a"))
+            change.evacuated shouldBe emptySet()
+            lagging.backEnds.map { it.id.text } shouldContainExactly listOf("b")
+            started.itemsSince(lagging.at).isComplete shouldBe false
+        }
+
+        test("all items for a peer include a back end whose removal waits, and an item that the peer knows in a later form stays") {
+            val storeView = StoreViewController(strictInvariants())
+            storeView.applySnapshot(listOf(registered(backEnd("a"), 4), registered(backEnd("b"), 5)), 6, 1.seconds)
+            storeView.onStoreBack(5.seconds)
+            storeView.applyChanges(listOf(item("servers/a", 8, null)), 8, 5.seconds)
+            val sent = storeView.itemsSince(2)
+            sent.isComplete shouldBe true
+            sent.items.map { it.key to it.revision } shouldContainExactlyInAnyOrder listOf("servers/a" to 4L, "servers/b" to 5L)
+            val peer = StoreViewController(strictInvariants())
+            peer.applyChanges(listOf(registered(backEnd("c"), 9)), 9, 5.seconds)
+            peer.applySettledSnapshot(
+                listOf(registered(backEnd("a"), 4), registered(backEnd("b"), 5)),
+                storeView.settledRevision,
+                5.seconds,
+            )
+            peer.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b", "c")
         }
 
         test("an odd item removes no back end but the one of its own key") {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -10,9 +10,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.DecodedItem
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.model.Address
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.TargetId
@@ -197,13 +199,25 @@
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
                 if (!isUpdate) return@decide Triple(null, isBehind, lacksEvidence)
-                Triple(core.storeView.applySettledChanges(items, reply.at, now).also { onChange() }, false, lacksEvidence)
+                Triple(applyItems(items, reply, now).also { onChange() }, false, lacksEvidence)
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
         if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
         return isPeerBehind
     }
 
+    /** Runs on the control thread. */
+    private fun applyItems(
+        items: List<DecodedItem>,
+        reply: GossipReply,
+        now: Duration,
+    ): StoreViewChange =
+        if (reply.itemsComplete) {
+            core.storeView.applySettledSnapshot(items, reply.at, now)
+        } else {
+            core.storeView.applySettledChanges(items, reply.at, now)
+        }
+
     /** Returns whether the peer lacks evidence that this daemon has. Runs on the control thread. */
     private fun applyEvidence(
         reply: GossipReply,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -79,6 +79,7 @@
         message.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), now) }
         val needsEvidence = peer.role == DaemonRole.ENTRY && message.evidenceDigest != core.suspicions.digest
         val load = gossip.loadFor(peer, now)
+        val items = if (message.itemsRequested) core.storeView.itemsSince(message.at) else null
         return GossipReply(
             self = core.self.toMessage(),
             at = core.storeView.settledRevision,
@@ -86,7 +87,8 @@
             loadDaemons = load.daemons,
             storeContactMilliseconds = core.storeReader.contactAge(now).toMilliseconds(),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
-            items = if (message.itemsRequested) core.storeView.changesSince(message.at).map { it.toMessage() } else emptyList(),
+            items = items?.items.orEmpty().map { it.toMessage() },
+            itemsComplete = items?.isComplete ?: false,
             evidenceDigest = core.suspicions.digest,
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
             storeHeardMilliseconds =
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -84,6 +84,7 @@
     private val scope = CoroutineScope(StandardTestDispatcher(scheduler))
     private val random = Random(seed)
     private val items = sortedMapOf<String, DecodedItem>()
+    private val records = mutableMapOf<StoreItem, StoreRecord?>()
     private var revision = 1L
     private var cuts = 0
     val daemons =
@@ -133,7 +134,9 @@
         record: StoreRecord?,
     ) {
         revision++
-        items[key] = DecodedItem(StoreItem(key, revision, if (record == null) null else ByteArray(0)), record)
+        val item = StoreItem(key, revision, if (record == null) null else ByteArray(0))
+        records[item] = record
+        items[key] = DecodedItem(item, record)
     }
 
     /** Ends all watches that are waiting without an answer; new ones are taken at once. */
@@ -263,8 +266,13 @@
             if (settled <= receiver.storeView.at) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
-                val changes = sender.storeView.changesSince(receiver.storeView.at).map { DecodedItem(it, items[it.key]?.published) }
-                receiver.storeView.applySettledChanges(changes, settled, now)
+                val sent = sender.storeView.itemsSince(receiver.storeView.at)
+                val changes = sent.items.map { DecodedItem(it, records[it]) }
+                if (sent.isComplete) {
+                    receiver.storeView.applySettledSnapshot(changes, settled, now)
+                } else {
+                    receiver.storeView.applySettledChanges(changes, settled, now)
+                }
                 recordInForce(receiver)
             }
         }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -93,7 +93,7 @@
 
 /**
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
- * heard of [storeHeardMilliseconds] ago.
+ * heard of [storeHeardMilliseconds] ago. [items] are those that changed, or all that there are if [itemsComplete] is set.
  */
 @Serializable
 class GossipReply(
@@ -107,6 +107,7 @@
     @ProtoNumber(8) val evidenceDigest: Long = 0,
     @ProtoNumber(9) val evidence: EvidenceMessage? = null,
     @ProtoNumber(10) val storeHeardMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(11) val itemsComplete: Boolean = false,
 )
 
 @Serializable
