Apply the limits in force to kept connections

What could happen: a caller that sent a request over a connection that had been idle for longer than an earlier configuration allowed, though not longer than the newest one does, lost the connection under a whole request, without an answer or a refusal. A body that newer limits allow got 413.

Cause: a connection kept the limits that were in force when it was opened. A longer idle timeout is in force for callers up to two seconds before the process knows it, so closing after the known timeout is too early as well.

Evidence: 'a kept connection follows a longer idle timeout' loses its second request and 'a kept connection takes a body that newer limits allow' gets 413 without the change.

The limits are now read for each request and at the end of each idle time, and an idle connection is kept two seconds longer than callers use it. The limit of a head is still that of the time when the connection was opened.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -89,7 +89,10 @@
         /** Limits for endpoints that only processes of this system call. */
         val PEER_LIMITS = CallerLimits(headerBytes = 8_192, bodyBytes = 8_388_608, headerTimeout = 3.seconds, idleTimeout = 30.seconds)
 
-        /** Binds [address] and passes requests to [handler]. [limits] is evaluated for each new connection. */
+        /**
+         * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
+         * for each new connection.
+         */
         fun start(
             loop: HttpEventLoop,
             scope: CoroutineScope,
@@ -110,7 +113,7 @@
                     .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                     .childHandler(
                         object : ChannelInitializer<SocketChannel>() {
-                            override fun initChannel(channel: SocketChannel) = state.connect(channel, limits())
+                            override fun initChannel(channel: SocketChannel) = state.connect(channel, limits)
                         },
                     )
             return HttpServer(bootstrap.bind(address.host, address.port).syncUninterruptibly().channel(), state)
@@ -143,12 +146,13 @@
 
     fun connect(
         channel: SocketChannel,
-        limits: CallerLimits,
+        limits: () -> CallerLimits,
     ) {
+        val maxHeaderBytes = limits().headerBytes
         val decoder =
             HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.headerBytes)
-                .setMaxHeaderSize(limits.headerBytes)
+                .setMaxInitialLineLength(maxHeaderBytes)
+                .setMaxHeaderSize(maxHeaderBytes)
                 .setMaxChunkSize(CHUNK_BYTES)
         val connection = ServerConnection(channel, limits, this)
         channel.pipeline().addLast(ReadNotifier { connection.onBytesReceived() }, HttpServerCodec(decoder), connection)
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -33,12 +33,13 @@
 import java.util.concurrent.TimeUnit
 import kotlin.coroutines.resume
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import io.netty.handler.codec.http.HttpRequest as NettyRequest
 import io.netty.util.concurrent.ScheduledFuture as NettyTimer
 
 internal class ServerConnection(
     private val channel: SocketChannel,
-    private val limits: CallerLimits,
+    private val limits: () -> CallerLimits,
     private val server: ServerState,
 ) : ChannelInboundHandlerAdapter() {
     private val pending = ArrayDeque<HttpRequest>()
@@ -48,9 +49,12 @@
     private var timer: NettyTimer<*>? = null
     private var awaited = Awaited.REQUEST
 
+    /** How long the connection has been idle at the end of the current timer. */
+    private var idleAtTimeout = Duration.ZERO
+
     override fun channelActive(context: ChannelHandlerContext) {
         server.connections += this
-        startTimer(limits.idleTimeout, Awaited.REQUEST)
+        awaitRequest(idleFor = Duration.ZERO)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -86,7 +90,7 @@
 
     /** Called for every read. The first bytes of a request start the timeout for its head. */
     fun onBytesReceived() {
-        if (awaited == Awaited.REQUEST && current == null && reading == null && !closing) startTimer(limits.headerTimeout, Awaited.HEAD)
+        if (awaited == Awaited.REQUEST && current == null && reading == null && !closing) startTimer(limits().headerTimeout, Awaited.HEAD)
     }
 
     /** Closes the connection now if no request is being read or processed, otherwise after the next response. */
@@ -110,19 +114,19 @@
         val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val hasUnknownCoding = codings.isNotEmpty() && codings.singleOrNull()?.equals("chunked", ignoreCase = true) != true
         if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST)
-        if (HttpUtil.getContentLength(message, 0L) > limits.bodyBytes) return reject(CONTENT_TOO_LARGE)
+        if (HttpUtil.getContentLength(message, 0L) > limits().bodyBytes) return reject(CONTENT_TOO_LARGE)
         if (HttpUtil.is100ContinueExpected(message)) {
             channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
         reading = RequestReader(message)
-        startTimer(limits.idleTimeout, Awaited.BODY)
+        startTimer(limits().idleTimeout, Awaited.BODY)
     }
 
     private fun readBody(content: HttpContent) {
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST)
         if (!request.append(content)) return reject(CONTENT_TOO_LARGE)
-        if (content !is LastHttpContent) return startTimer(limits.idleTimeout, Awaited.BODY)
+        if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
         reading = null
         if (!request.keepAlive) closing = true
         pending.addLast(request.toRequest())
@@ -133,7 +137,7 @@
     private fun processNext() {
         val request = pending.removeFirstOrNull()
         if (request == null) {
-            if (closing || server.draining) closeAfterLinger() else startTimer(limits.idleTimeout, Awaited.REQUEST)
+            if (closing || server.draining) closeAfterLinger() else awaitRequest(idleFor = Duration.ZERO)
             return
         }
         channel.config().isAutoRead = true
@@ -181,6 +185,17 @@
         timer = channel.eventLoop().schedule({ channel.close() }, ServerState.LINGER.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
+    /** Waits for a request on a connection that has been idle for [idleFor], and closes it if none comes. */
+    private fun awaitRequest(idleFor: Duration) {
+        val timeout = limits().idleTimeout + CALLER_LEAD
+        if (idleFor >= timeout) {
+            channel.close()
+            return
+        }
+        idleAtTimeout = timeout
+        startTimer(timeout - idleFor, Awaited.REQUEST)
+    }
+
     private fun startTimer(
         timeout: Duration,
         awaited: Awaited,
@@ -192,7 +207,8 @@
 
     private fun onTimeout(awaited: Awaited) {
         when (awaited) {
-            Awaited.REQUEST -> channel.close()
+            // The limits may have changed since the timer was started.
+            Awaited.REQUEST -> awaitRequest(idleAtTimeout)
             Awaited.HEAD -> reject(REQUEST_TIMEOUT)
             Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT)
         }
@@ -213,11 +229,12 @@
         private val target = message.uri()
         private val fields = message.headers().map { HeaderField(it.key, it.value) }
         private val body = ByteArrayOutputStream(0)
+        private val maxBytes = limits().bodyBytes
         val keepAlive = HttpUtil.isKeepAlive(message)
 
         fun append(content: HttpContent): Boolean {
             val size = content.content().readableBytes()
-            if (body.size() + size > limits.bodyBytes) return false
+            if (body.size() + size > maxBytes) return false
             body.write(ByteBufUtil.getBytes(content.content()))
             return true
         }
@@ -330,6 +347,9 @@
 
     private companion object {
         const val MAX_PIPELINED = 4
+
+        /** Callers may go by a longer idle timeout this long before the process knows it. */
+        val CALLER_LEAD = 2.seconds
         const val BAD_REQUEST = 400
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -26,7 +26,7 @@
 private val LIMITS = CallerLimits(headerBytes = 1_000, bodyBytes = 100, headerTimeout = 300.milliseconds, idleTimeout = 500.milliseconds)
 
 private class TestServer(
-    limits: CallerLimits = LIMITS,
+    @Volatile var limits: CallerLimits = LIMITS,
     handler: HttpHandler? = null,
 ) : AutoCloseable {
     private val loop = HttpEventLoop("test")
@@ -133,6 +133,33 @@
             TestServer().use { serving -> serving.connect().readRest() shouldBe "" }
         }
 
+        // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
+        test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
+            for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
+                TestServer().use { serving ->
+                    val client = serving.connect()
+                    client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                    Thread.sleep(changedAfter.inWholeMilliseconds)
+                    serving.limits = LIMITS.copy(idleTimeout = 10.seconds)
+                    Thread.sleep(3_000 - changedAfter.inWholeMilliseconds)
+                    client.send("GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                    client.readRest() shouldEndWith "\r\n\r\n"
+                    serving.handled.map { it.target } shouldBe listOf("/1", "/2")
+                }
+            }
+        }
+
+        test("a kept connection takes a body that newer limits allow") {
+            TestServer().use { serving ->
+                val client = serving.connect()
+                client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.limits = LIMITS.copy(bodyBytes = 1_000)
+                client.send("POST /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 500\r\n\r\n${"x".repeat(500)}")
+                client.readRest() shouldEndWith "x".repeat(500)
+            }
+        }
+
         test("closing the connection cancels the handler") {
             val cancelled = CompletableDeferred<Unit>()
             val handler =
