Log the end of every request with its reason

An unexpected error ended a request as caller-left, and a request that was rejected or dropped before the handler left no line, so a whole request that got neither an answer nor a refusal could not be told from a caller that left.

The accounting filter now tells a caller that left from an error, and the server reports each request that its handler does not see, with the status of its response, or null if the connection is closed without one.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectDaemon.kt
@@ -17,7 +17,7 @@
             core.scope,
             core.settings.operators,
             { HttpServer.PEER_LIMITS },
-            OperatorRequestHandler(core, diagnostics),
+            handler = OperatorRequestHandler(core, diagnostics),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -13,7 +13,7 @@
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
-import lagoonrudder.model.Outcome
+import lagoonrudder.http.UnhandledRequest
 import lagoonrudder.model.TargetId
 import lagoonrudder.platform.BackEndHttpClient
 import lagoonrudder.platform.CallerRequestHandler
@@ -23,6 +23,7 @@
 import lagoonrudder.traffic.FilterChain
 import lagoonrudder.traffic.direct.DirectCall
 import lagoonrudder.traffic.direct.DirectControl
+import lagoonrudder.traffic.direct.RequestEnd
 import lagoonrudder.traffic.direct.directFilters
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -76,9 +77,10 @@
         val listen = checkNotNull(settings.listen)
         val chain = FilterChain(directFilters(control, BackEndHttpClient(core.http), random, ::recordRequestEnd))
         val endpoint = PeerEndpoint(core, chunks, peers, ::onStoreViewChanged)
-        HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, endpoint)
-        HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, ReadinessRequestHandler { isReady() })
-        callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, CallerRequestHandler(chain, core.clock))
+        HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, handler = endpoint)
+        HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, handler = ReadinessRequestHandler { isReady() })
+        callers =
+            HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logUnhandled, CallerRequestHandler(chain, core.clock))
         startOperatorServer(this)
         core.scope.launch { store.run() }
         core.scope.launch { peers.run() }
@@ -151,13 +153,19 @@
                 "parts_accused" to core.suspicions.accusedParts,
             )
 
+    private fun logUnhandled(request: UnhandledRequest) =
+        core.log.warning("request-unhandled", "caller" to request.caller, "status" to request.status, "reason" to request.reason)
+
     private fun recordRequestEnd(
         call: DirectCall,
-        outcome: Outcome?,
+        end: RequestEnd,
     ) {
         val context = call.contextOrNull
         val took = core.clock.elapsed() - call.receivedAt
-        if (outcome == null) core.metrics.recordCallerDisconnect(took) else core.metrics.recordRequest(outcome, took)
+        when (end) {
+            is RequestEnd.Decided -> core.metrics.recordRequest(end.outcome, took)
+            RequestEnd.CallerLeft, is RequestEnd.Failed -> core.metrics.recordCallerDisconnect(took)
+        }
         call.timeToFirstEvent?.let { core.metrics.recordFirstEvent(it) }
         core.log.info(
             "request-ended",
@@ -166,16 +174,23 @@
             "customer" to context?.customer?.id?.text,
             "revision" to context?.revision?.number,
             "late" to context?.isLate,
-            "outcome" to (outcome?.code ?: "caller-left"),
+            "outcome" to codeOf(end),
             "took-ms" to took.inWholeMilliseconds,
             "first-ms" to call.timeToFirstEvent?.inWholeMilliseconds,
             "waited-ms" to call.queueTime.inWholeMilliseconds,
             "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}:events=${it.events}" },
             "parts" to sharedPartsOf(call),
-            "detail" to call.lastFailure?.detail,
+            "detail" to if (end is RequestEnd.Failed) end.error.toString() else call.lastFailure?.detail,
         )
     }
 
+    private fun codeOf(end: RequestEnd): String =
+        when (end) {
+            is RequestEnd.Decided -> end.outcome.code
+            RequestEnd.CallerLeft -> "caller-left"
+            is RequestEnd.Failed -> "failed"
+        }
+
     private fun sharedPartsOf(call: DirectCall): String {
         val parts = call.request.sharedParts.take(MAX_LOGGED_PARTS)
         return parts.joinToString(",") { it.text }
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -54,6 +54,15 @@
     fun abort()
 }
 
+/**
+ * A request of which the handler does not hear. [status] is that of the response to it; null if the connection is closed without one.
+ */
+class UnhandledRequest(
+    val caller: String,
+    val status: Int?,
+    val reason: String,
+)
+
 class HttpServer private constructor(
     private val channel: Channel,
     private val state: ServerState,
@@ -91,16 +100,17 @@
 
         /**
          * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
-         * for each new connection.
+         * for each new connection. [onUnhandled] is called on the event loop thread.
          */
         fun start(
             loop: HttpEventLoop,
             scope: CoroutineScope,
             address: Address,
             limits: () -> CallerLimits,
+            onUnhandled: (UnhandledRequest) -> Unit = {},
             handler: HttpHandler,
         ): HttpServer {
-            val state = ServerState(scope, loop.dispatcher, handler)
+            val state = ServerState(scope, loop.dispatcher, handler, onUnhandled)
             val bootstrap =
                 ServerBootstrap()
                     .group(loop.group)
@@ -131,6 +141,7 @@
     val scope: CoroutineScope,
     val dispatcher: kotlinx.coroutines.CoroutineDispatcher,
     val handler: HttpHandler,
+    val onUnhandled: (UnhandledRequest) -> Unit,
 ) {
     val connections: MutableSet<ServerConnection> = ConcurrentHashMap.newKeySet()
     val activeRequests =
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -108,13 +108,14 @@
     private fun readHead(message: NettyRequest) {
         if (server.readingStopped) return refuseAndClose()
         val failure = message.decoderResult().cause()
-        if (failure != null) return reject(statusOf(failure))
+        if (failure != null) return reject(statusOf(failure), "unreadable head: ${failure.message}")
         val hasDuplicateLength = message.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size > 1
         val hasLengthAndChunks = HttpUtil.isTransferEncodingChunked(message) && message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
         val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val hasUnknownCoding = codings.isNotEmpty() && codings.singleOrNull()?.equals("chunked", ignoreCase = true) != true
-        if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST)
-        if (HttpUtil.getContentLength(message, 0L) > limits().bodyBytes) return reject(CONTENT_TOO_LARGE)
+        if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST, "ambiguous length")
+        val length = HttpUtil.getContentLength(message, 0L)
+        if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
         if (HttpUtil.is100ContinueExpected(message)) {
             channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
         }
@@ -124,8 +125,8 @@
 
     private fun readBody(content: HttpContent) {
         val request = reading ?: return
-        if (content.decoderResult().isFailure) return reject(BAD_REQUEST)
-        if (!request.append(content)) return reject(CONTENT_TOO_LARGE)
+        if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
+        if (!request.append(content)) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
         if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
         reading = null
         if (!request.keepAlive) closing = true
@@ -165,19 +166,29 @@
     /** Closes the connection without processing the new request. A request in progress runs to completion first. */
     private fun refuseAndClose() {
         closing = true
+        reportUnhandled(null, "the server has stopped reading")
         if (current == null) channel.close()
     }
 
     /** Responds with [status] to a request that does not reach the handler, and closes the connection. */
-    private fun reject(status: Int) {
+    private fun reject(
+        status: Int,
+        reason: String,
+    ) {
         closing = true
         reading = null
-        if (current != null) return
+        if (current != null) return reportUnhandled(null, "$reason, behind a request in progress")
+        reportUnhandled(status, reason)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         channel.writeAndFlush(response).addListener(ChannelFutureListener { closeAfterLinger() })
     }
 
+    private fun reportUnhandled(
+        status: Int?,
+        reason: String,
+    ) = server.onUnhandled(UnhandledRequest(channel.remoteAddress().toString(), status, reason))
+
     private fun closeAfterLinger() {
         closing = true
         channel.shutdownOutput()
@@ -209,8 +220,8 @@
         when (awaited) {
             // The limits may have changed since the timer was started.
             Awaited.REQUEST -> awaitRequest(idleAtTimeout)
-            Awaited.HEAD -> reject(REQUEST_TIMEOUT)
-            Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT)
+            Awaited.HEAD -> reject(REQUEST_TIMEOUT, "head not complete in ${limits().headerTimeout}")
+            Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT, "body without progress for ${limits().idleTimeout}")
         }
     }
 
@@ -229,7 +240,7 @@
         private val target = message.uri()
         private val fields = message.headers().map { HeaderField(it.key, it.value) }
         private val body = ByteArrayOutputStream(0)
-        private val maxBytes = limits().bodyBytes
+        val maxBytes = limits().bodyBytes
         val keepAlive = HttpUtil.isKeepAlive(message)
 
         fun append(content: HttpContent): Boolean {
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -38,7 +38,8 @@
         }
     val failures = LinkedBlockingQueue<Throwable>()
     private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
-    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, handler ?: echo)
+    val unhandled = LinkedBlockingQueue<UnhandledRequest>()
+    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { unhandled += it }, handler ?: echo)
 
     fun connect() = scriptedClient(server.port)
 
@@ -133,6 +134,21 @@
             TestServer().use { serving -> serving.connect().readRest() shouldBe "" }
         }
 
+        test("each request that the handler does not see is reported once, with its response") {
+            TestServer().use { serving ->
+                val rejected = serving.connect()
+                rejected.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n" + "x".repeat(101))
+                rejected.readRest() shouldStartWith "HTTP/1.1 413"
+                serving.unhandled.single().status shouldBe 413
+            }
+            withActiveRequest { serving, _, busy, release ->
+                busy.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n")
+                release.complete(Unit)
+                busy.readRest() shouldEndWith "done"
+                serving.unhandled.single().status shouldBe null
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -183,7 +183,7 @@
     }
 
     private fun listen(handler: HttpHandler): Address {
-        val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { HttpServer.PEER_LIMITS }, handler)
+        val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { HttpServer.PEER_LIMITS }, handler = handler)
         servers += server
         return Address("127.0.0.1", server.port)
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -3,6 +3,7 @@
  */
 package lagoonrudder.traffic.direct
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.StopDecision
 import lagoonrudder.model.Outcome
@@ -23,7 +24,7 @@
     control: DirectControl,
     client: BackEndClient,
     random: Random,
-    onEnded: (DirectCall, Outcome?) -> Unit,
+    onEnded: (DirectCall, RequestEnd) -> Unit,
 ): List<Filter<DirectCall>> =
     listOf(
         DirectAccountingFilter(onEnded),
@@ -32,20 +33,40 @@
         DirectSendFilter(control, client, DirectLimits()),
     )
 
-/** Reports the outcome of each request to [onEnded]; a null outcome means that the caller disconnected. */
+/** How a request ended. */
+sealed class RequestEnd {
+    data class Decided(
+        val outcome: Outcome,
+    ) : RequestEnd()
+
+    data object CallerLeft : RequestEnd()
+
+    /** An error that nothing handled; the caller's connection is closed. */
+    data class Failed(
+        val error: Throwable,
+    ) : RequestEnd()
+}
+
+/** Reports the end of each request to [onEnded], once. */
 class DirectAccountingFilter(
-    private val onEnded: (DirectCall, Outcome?) -> Unit,
+    private val onEnded: (DirectCall, RequestEnd) -> Unit,
 ) : Filter<DirectCall> {
     override suspend fun handle(
         call: DirectCall,
         next: Next<DirectCall>,
     ): Outcome {
-        var outcome: Outcome? = null
-        try {
-            return next.proceed(call).also { outcome = it }
-        } finally {
-            onEnded(call, outcome)
-        }
+        val outcome =
+            try {
+                next.proceed(call)
+            } catch (cancelled: CancellationException) {
+                onEnded(call, RequestEnd.CallerLeft)
+                throw cancelled
+            } catch (error: Throwable) {
+                onEnded(call, RequestEnd.Failed(error))
+                throw error
+            }
+        onEnded(call, RequestEnd.Decided(outcome))
+        return outcome
     }
 }
 
