Read responses of the store item by item

Cause: a response was kept as bytes, as text, as a tree and as decoded values at once, and with the heap of the deploy file that ended the loop that reads the store. A response over 16 MB would have been asked for again and again.

StorePageReader finds the items in the bytes as they arrive, decodes one at a time and drops what nobody needs. An item, the other fields and the time for a response are bounded. A response that can't be read is followed by a read of all items, whose pages the platform bounds.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -111,6 +111,8 @@
         now: Duration,
     ): Boolean {
         failures++
+        // Pages are bounded where the response to a watch is not.
+        if (failure is Failure.Damaged) needsFullRead = true
         if (failures == 1 && failure !is Failure.Declined) {
             pollRequested = true
             nextCallAt = now
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreReaderControllerTest.kt
@@ -0,0 +1,56 @@
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import lagoonrudder.control.strictInvariants
+import lagoonrudder.model.Failure
+import lagoonrudder.model.Peer
+import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Step
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class StoreReaderControllerTest :
+    FunSpec({
+        val store = Peer(PeerRole.PLATFORM, "store")
+
+        fun reader() = StoreReaderController(PeerController(peer("self"), emptyList()), StoreViewController(strictInvariants()))
+
+        test("the first call reads all items, and the next ones wait for changes") {
+            val reader = reader()
+            reader.next(1.seconds) shouldBe StoreStep.ReadAll
+            reader.onItemsRead(1.seconds)
+            reader.next(1.seconds).shouldBeInstanceOf<StoreStep.Watch>()
+            reader.onWatched(changes = 3, 2.seconds)
+            reader.next(2.seconds).shouldBeInstanceOf<StoreStep.Rest>()
+            reader.next(2.3.seconds).shouldBeInstanceOf<StoreStep.Watch>()
+        }
+
+        test("a cut watch is followed by a call that returns at once, and only a second failure loses the store") {
+            val reader = reader()
+            reader.onItemsRead(1.seconds)
+            val cut = Failure.Interrupted(Step.READ_PLATFORM, store, "connection closed")
+            reader.onFailure(cut, 2.seconds) shouldBe false
+            reader.next(2.seconds).shouldBeInstanceOf<StoreStep.Watch>().wait shouldBe Duration.ZERO
+            reader.contactAge(2.seconds) shouldBe 1.seconds
+            reader.onFailure(cut, 2.1.seconds) shouldBe true
+            reader.contactAge(2.1.seconds) shouldBe null
+            reader.next(2.1.seconds).shouldBeInstanceOf<StoreStep.Rest>()
+            reader.onWatched(changes = 0, 3.1.seconds) shouldBe 1.seconds
+        }
+
+        test("a refusal loses the store at once") {
+            val reader = reader()
+            reader.onItemsRead(1.seconds)
+            reader.onFailure(Failure.Declined(Step.READ_PLATFORM, store, "status 503"), 2.seconds) shouldBe true
+        }
+
+        test("after a response that can't be read all items are read") {
+            val reader = reader()
+            reader.onItemsRead(1.seconds)
+            reader.onFailure(Failure.Damaged(Step.READ_PLATFORM, store, "too long"), 2.seconds)
+            reader.next(2.seconds + 500.milliseconds) shouldBe StoreStep.ReadAll
+        }
+    })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -17,7 +17,6 @@
 import lagoonrudder.model.Failure
 import lagoonrudder.platform.StoreClient
 import lagoonrudder.platform.StoreWatchResult
-import lagoonrudder.platform.readItem
 import kotlin.time.Duration
 
 /**
@@ -61,10 +60,9 @@
 
     private suspend fun readAll(): Either<Failure, Unit> =
         store.readAll().map { response ->
-            val items = response.items.map { readItem(it) }
             applyAnswer(
                 { reader.onItemsRead(core.clock.elapsed()) },
-                { core.storeView.applySnapshot(items, response.at, core.clock.elapsed()) },
+                { core.storeView.applySnapshot(response.items, response.at, core.clock.elapsed()) },
             )
         }
 
@@ -72,7 +70,7 @@
         store.watch(step.after, step.wait).map { watched ->
             when (watched) {
                 is StoreWatchResult.Changes -> {
-                    val items = watched.response.items.map { readItem(it) }
+                    val items = watched.response.items
                     applyAnswer(
                         { reader.onWatched(items.size, core.clock.elapsed()) },
                         { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) },
--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -26,6 +26,17 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/**
+ * Bounds of a response: the time until its head, between two parts of it and altogether, and the bytes of its body, which may have no
+ * end.
+ */
+data class ResponseLimits(
+    val first: Duration,
+    val next: Duration,
+    val total: Duration,
+    val maxBytes: Long,
+)
+
 /**
  * Sends requests over pooled connections. All functions must be called on the event loop thread.
  *
@@ -84,16 +95,31 @@
         maxBytes: Int = MAX_RESPONSE_BYTES,
         newConnection: Boolean = false,
     ): Either<Failure, HttpResponse> {
+        val body = ByteArrayOutputStream(0)
+        val limits = ResponseLimits(first = timeout, next = timeout, total = timeout, maxBytes = maxBytes.toLong())
+        return receive(address, request, peer, limits, newConnection) { _, bytes -> body.write(bytes) }
+            .map { HttpResponse(it, body.toByteArray()) }
+    }
+
+    /** Sends [request] and passes the body of its response to [onBody] as it arrives. Returns the head once the response is complete. */
+    suspend fun receive(
+        address: Address,
+        request: HttpRequest,
+        peer: Peer,
+        limits: ResponseLimits,
+        newConnection: Boolean = false,
+        onBody: (HttpResponseHead, ByteArray) -> Unit,
+    ): Either<Failure, HttpResponseHead> {
         var call: HttpCall? = null
         try {
             val result =
-                withTimeoutOrNull(timeout) {
+                withTimeoutOrNull(limits.total) {
                     when (val sent = send(address, request, peer, newConnection = newConnection)) {
                         is Either.Left -> sent
-                        is Either.Right -> readResponse(sent.value.also { call = it }, peer, maxBytes)
+                        is Either.Right -> readResponse(sent.value.also { call = it }, peer, limits, onBody)
                     }
                 }
-            return result ?: Failure.TimedOut(Step.SEND, peer, timeout).left()
+            return result ?: Failure.TimedOut(Step.SEND, peer, limits.total).left()
         } finally {
             call?.abandon()
         }
@@ -107,18 +133,26 @@
     private suspend fun readResponse(
         call: HttpCall,
         peer: Peer,
-        maxBytes: Int,
-    ): Either<Failure, HttpResponse> {
+        limits: ResponseLimits,
+        onBody: (HttpResponseHead, ByteArray) -> Unit,
+    ): Either<Failure, HttpResponseHead> {
         var head: HttpResponseHead? = null
-        val body = ByteArrayOutputStream(0)
+        var bytes = 0L
         while (true) {
-            when (val event = call.next()) {
+            val limit = if (head == null) limits.first else limits.next
+            val event = withTimeoutOrNull(limit) { call.next() } ?: return Failure.TimedOut(Step.SEND, peer, limit).left()
+            when (event) {
                 is HttpEvent.Head -> head = event.head
-                is HttpEvent.Bytes -> body.write(event.data)
-                HttpEvent.End -> return HttpResponse(checkNotNull(head), body.toByteArray()).right()
+                is HttpEvent.Bytes -> {
+                    bytes += event.data.size
+                    if (bytes > limits.maxBytes) {
+                        return Failure.Damaged(Step.SEND, peer, "response body exceeds ${limits.maxBytes} bytes").left()
+                    }
+                    onBody(checkNotNull(head), event.data)
+                }
+                HttpEvent.End -> return checkNotNull(head).right()
                 is HttpEvent.Broken -> return Failure.Interrupted(Step.SEND, peer, event.detail).left()
             }
-            if (body.size() > maxBytes) return Failure.Damaged(Step.SEND, peer, "response body exceeds $maxBytes bytes").left()
         }
     }
 
