--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -6,7 +6,9 @@
 
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import lagoonrudder.control.ControlThread
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.BackEndNoticeController
@@ -60,6 +62,12 @@
     val chunkWrites = ChunkWriteController()
     val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
 
+    /** Starts [loop], which is started again after an error. */
+    fun launchLoop(
+        name: String,
+        loop: suspend () -> Unit,
+    ): Job = scope.launch { keepRunning(name, log, loop) }
+
     /** Logs a change of the published state, which came from [source] at store revision [at]. */
     fun logChange(
         change: StoreViewChange,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -82,9 +82,9 @@
         callers =
             HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logUnhandled, CallerRequestHandler(chain, core.clock))
         startOperatorServer(this)
-        core.scope.launch { store.run() }
-        core.scope.launch { peers.run() }
-        core.scope.launch { runTicks() }
+        core.launchLoop("store") { store.run() }
+        core.launchLoop("gossip") { peers.run() }
+        core.launchLoop("ticks") { runTicks() }
         core.log.info("started", "role" to "entry", "callers" to listen.callers, "peers" to listen.peers, "store" to settings.store)
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -3,7 +3,6 @@
  */
 package lagoonrudder.daemon.direct
 
-import kotlinx.coroutines.launch
 import lagoonrudder.control.direct.DeclaredWeights
 
 class DirectTargetDaemon(
@@ -19,9 +18,9 @@
     override suspend fun start() {
         val slot = core.settings.slot
         startOperatorServer(this)
-        core.scope.launch { peers.run() }
-        core.scope.launch { store.run() }
-        if (staging != null) core.scope.launch { staging.run() }
+        core.launchLoop("gossip") { peers.run() }
+        core.launchLoop("store") { store.run() }
+        if (staging != null) core.launchLoop("staging") { staging.run() }
         core.log.info("started", "role" to "target", "service" to slot?.service?.text, "back-end" to slot?.backEnd)
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -6,6 +6,7 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -67,12 +68,18 @@
     }
 
     private suspend fun exchangeWithAll() {
-        core.scope.launch { exchangeWithOtherDomains() }
+        coroutineScope {
+            launch { exchangeWithOtherDomains() }
+            exchangeWithNear()
+        }
+    }
+
+    private suspend fun exchangeWithNear() {
         while (currentCoroutineContext().isActive) {
             val addresses = core.thread.decide { core.peers.nearAddresses(core.clock.elapsed()) }
             val removed = exchanges.keys - addresses.toSet()
             removed.forEach { exchanges.remove(it)?.cancel() }
-            for (address in addresses) exchanges.getOrPut(address) { core.scope.launch { exchangePeriodically(address) } }
+            for (address in addresses) exchanges.getOrPut(address) { core.launchLoop("gossip-near") { exchangePeriodically(address) } }
             delay(MEMBERSHIP_CHECK_INTERVAL)
         }
     }
