Let a daemon that reads the store again call it at once

A daemon that stopped reading kept the time of its next call from an earlier failure, up to two seconds ahead for a low rank, and would have waited that long when it had to replace a reader.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -81,7 +81,7 @@
         }
     }
 
-    /** Records that the back end gave no answer while another one was found for its request. */
+    /** Records that the back end gave no answer in time, or no connection; it changes nothing while the back end is ejected. */
     fun onTimedOut(now: Duration) {
         if (now >= ejectedUntil) onFailure(immediately = true, now)
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -138,6 +138,7 @@
         contactAt = null
         lostSince = null
         failures = 0
+        nextCallAt = Duration.ZERO
         pollRequested = true
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreReaderControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreReaderControllerTest.kt
@@ -8,6 +8,7 @@
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
 import lagoonrudder.model.Step
+import lagoonrudder.model.StoreRecord
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -47,6 +48,22 @@
             reader.onFailure(Failure.Declined(Step.READ_PLATFORM, store, "status 503"), 2.seconds) shouldBe true
         }
 
+        test("a daemon that reads the store again calls it at once, whatever failed before") {
+            val peers = PeerController(peer("self"), emptyList())
+            val storeView = StoreViewController(strictInvariants())
+            storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, 1.seconds)
+            val reader = StoreReaderController(peers, storeView)
+            val others = (1..9).map { peer("near-$it") }
+            others.forEach { peers.onGossipReceived(it, LoadReport(emptyMap(), 1), null, 1.9.seconds) }
+            reader.onFailure(Failure.Declined(Step.READ_PLATFORM, store, "status 503"), 2.seconds)
+            reader.next(2.seconds).shouldBeInstanceOf<StoreStep.Rest>()
+            others.forEach { peers.onGossipReceived(it, LoadReport(emptyMap(), 1), 10.milliseconds, 2.seconds) }
+            reader.mustRead(2.01.seconds) shouldBe false
+            reader.next(2.01.seconds)
+            others.forEach { peers.onGossipReceived(it, LoadReport(emptyMap(), 1), null, 2.02.seconds) }
+            reader.next(2.03.seconds) shouldBe StoreStep.ReadAll
+        }
+
         test("after a response that can't be read all items are read") {
             val reader = reader()
             reader.onItemsRead(1.seconds)
