Tell in the log why a request was cancelled and which response was cut

A request that a stop ended was logged like one whose caller had left, a cancelled wait that leaked from a filter likewise, and a response that was complete but never written to its connection was logged as completed.

Each close of a connection now has a reason, and a response of which the last bytes were not written is reported with it. A request that fails is no longer counted with the callers that left. The line of a configuration names its idle timeout.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -81,6 +81,7 @@
                 "revision" to it.revision.number,
                 "routes" to it.routes.size,
                 "customers" to it.customers.size,
+                "idle-timeout" to it.limits.idleTimeout,
                 "source" to source,
                 "at" to at,
             )
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -13,7 +13,7 @@
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
-import lagoonrudder.http.UnhandledRequest
+import lagoonrudder.http.ServerReport
 import lagoonrudder.model.TargetId
 import lagoonrudder.platform.BackEndHttpClient
 import lagoonrudder.platform.CallerRequestHandler
@@ -80,7 +80,7 @@
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, handler = endpoint)
         HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, handler = ReadinessRequestHandler { isReady() })
         callers =
-            HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logUnhandled, CallerRequestHandler(chain, core.clock))
+            HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logReport, CallerRequestHandler(chain, core.clock))
         startOperatorServer(this)
         core.launchLoop("store") { store.run() }
         core.launchLoop("gossip") { peers.run() }
@@ -153,8 +153,13 @@
                 "parts_accused" to core.suspicions.accusedParts,
             )
 
-    private fun logUnhandled(request: UnhandledRequest) =
-        core.log.warning("request-unhandled", "caller" to request.caller, "status" to request.status, "reason" to request.reason)
+    private fun logReport(report: ServerReport) =
+        when (report) {
+            is ServerReport.Unhandled ->
+                core.log.warning("request-unhandled", "caller" to report.caller, "status" to report.status, "reason" to report.reason)
+            is ServerReport.ResponseCut ->
+                core.log.warning("response-cut", "caller" to report.caller, "target" to report.target, "reason" to report.reason)
+        }
 
     private fun recordRequestEnd(
         call: DirectCall,
@@ -162,10 +167,7 @@
     ) {
         val context = call.contextOrNull
         val took = core.clock.elapsed() - call.receivedAt
-        when (end) {
-            is RequestEnd.Decided -> core.metrics.recordRequest(end.outcome, took)
-            RequestEnd.CallerLeft, is RequestEnd.Failed -> core.metrics.recordCallerDisconnect(took)
-        }
+        core.metrics.recordRequest(codeOf(end), took)
         call.timeToFirstEvent?.let { core.metrics.recordFirstEvent(it) }
         core.log.info(
             "request-ended",
@@ -180,17 +182,27 @@
             "waited-ms" to call.queueTime.inWholeMilliseconds,
             "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}:events=${it.events}" },
             "parts" to sharedPartsOf(call),
-            "detail" to if (end is RequestEnd.Failed) end.error.toString() else call.lastFailure?.detail,
+            "detail" to detailOf(call, end),
         )
     }
 
     private fun codeOf(end: RequestEnd): String =
         when (end) {
             is RequestEnd.Decided -> end.outcome.code
-            RequestEnd.CallerLeft -> "caller-left"
+            is RequestEnd.Cancelled -> "cancelled"
             is RequestEnd.Failed -> "failed"
         }
 
+    private fun detailOf(
+        call: DirectCall,
+        end: RequestEnd,
+    ): String? =
+        when (end) {
+            is RequestEnd.Decided -> call.lastFailure?.detail
+            is RequestEnd.Cancelled -> end.reason
+            is RequestEnd.Failed -> end.error.toString()
+        }
+
     private fun sharedPartsOf(call: DirectCall): String {
         val parts = call.request.sharedParts.take(MAX_LOGGED_PARTS)
         return parts.joinToString(",") { it.text }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/entry/EntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/entry/EntryDaemon.kt
@@ -141,7 +141,7 @@
         outcome: Outcome,
         took: Duration,
     ) {
-        core.metrics.recordRequest(outcome, took)
+        core.metrics.recordRequest(outcome.code, took)
         val request = call.contextOrNull()
         core.log.info(
             "request-ended",
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/observe/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/observe/DaemonMetrics.kt
@@ -10,7 +10,6 @@
 import lagoonrudder.control.ControlThread
 import lagoonrudder.model.Invariant
 import lagoonrudder.model.Invariants
-import lagoonrudder.model.Outcome
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.DurationUnit
@@ -34,15 +33,11 @@
         }
     }
 
+    /** Records a request that ended after [duration]; [outcome] is the stable name of how. */
     fun recordRequest(
-        outcome: Outcome,
+        outcome: String,
         duration: Duration,
-    ) {
-        requestTimer(outcome.code).record(duration.toJavaDuration())
-    }
-
-    /** Records a request whose caller disconnected before there was an outcome. */
-    fun recordCallerDisconnect(duration: Duration) = requestTimer("caller-left").record(duration.toJavaDuration())
+    ) = requestTimer(outcome).record(duration.toJavaDuration())
 
     fun recordFirstEvent(latency: Duration) =
         Timer
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -54,14 +54,24 @@
     fun abort()
 }
 
-/**
- * A request of which the handler does not hear. [status] is that of the response to it; null if the connection is closed without one.
- */
-class UnhandledRequest(
-    val caller: String,
-    val status: Int?,
-    val reason: String,
-)
+/** An end of a request that its handler does not see. [caller] is the address at the other end of the connection. */
+sealed class ServerReport {
+    abstract val caller: String
+
+    /** A request that does not reach the handler. [status] is that of the response to it; null if the connection is closed without one. */
+    data class Unhandled(
+        override val caller: String,
+        val status: Int?,
+        val reason: String,
+    ) : ServerReport()
+
+    /** A complete response of which the last bytes were never written to the connection, which was closed for [reason]. */
+    data class ResponseCut(
+        override val caller: String,
+        val target: String,
+        val reason: String,
+    ) : ServerReport()
+}
 
 class HttpServer private constructor(
     private val channel: Channel,
@@ -100,17 +110,17 @@
 
         /**
          * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
-         * for each new connection. [onUnhandled] is called on the event loop thread.
+         * for each new connection. [onReport] is called on the event loop thread.
          */
         fun start(
             loop: HttpEventLoop,
             scope: CoroutineScope,
             address: Address,
             limits: () -> CallerLimits,
-            onUnhandled: (UnhandledRequest) -> Unit = {},
+            onReport: (ServerReport) -> Unit = {},
             handler: HttpHandler,
         ): HttpServer {
-            val state = ServerState(scope, loop.dispatcher, handler, onUnhandled)
+            val state = ServerState(scope, loop.dispatcher, handler, onReport)
             val bootstrap =
                 ServerBootstrap()
                     .group(loop.group)
@@ -141,7 +151,7 @@
     val scope: CoroutineScope,
     val dispatcher: kotlinx.coroutines.CoroutineDispatcher,
     val handler: HttpHandler,
-    val onUnhandled: (UnhandledRequest) -> Unit,
+    val onReport: (ServerReport) -> Unit,
 ) {
     val connections: MutableSet<ServerConnection> = ConcurrentHashMap.newKeySet()
     val activeRequests =
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -23,6 +24,7 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CancellableContinuation
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -48,6 +50,7 @@
     private var closing = false
     private var timer: NettyTimer<*>? = null
     private var awaited = Awaited.REQUEST
+    private var closeReason = CloseReason.CALLER
 
     /** How long the connection has been idle at the end of the current timer. */
     private var idleAtTimeout = Duration.ZERO
@@ -72,7 +75,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        channel.close()
+        close(CloseReason.ERROR)
     }
 
     override fun channelRead(
@@ -94,13 +97,18 @@
     }
 
     /** Closes the connection now if no request is being read or processed, otherwise after the next response. */
-    fun closeWhenIdle() = onLoop { if (current == null && reading == null) channel.close() }
+    fun closeWhenIdle() = onLoop { if (current == null && reading == null) close(CloseReason.STOP) }
 
-    fun closeNow() = onLoop { channel.close() }
+    fun closeNow() = onLoop { close(CloseReason.STOP) }
 
     /** Ends the request in progress with [status], or breaks its response off if that has begun. */
     fun endRequest(status: Int) = onLoop { current?.endWith(status) }
 
+    private fun close(reason: CloseReason) {
+        closeReason = reason
+        channel.close()
+    }
+
     private fun onLoop(action: () -> Unit) {
         if (channel.eventLoop().inEventLoop()) action() else channel.eventLoop().execute(action)
     }
@@ -167,7 +175,7 @@
     private fun refuseAndClose() {
         closing = true
         reportUnhandled(null, "the server has stopped reading")
-        if (current == null) channel.close()
+        if (current == null) close(CloseReason.STOP)
     }
 
     /** Responds with [status] to a request that does not reach the handler, and closes the connection. */
@@ -184,25 +192,30 @@
         channel.writeAndFlush(response).addListener(ChannelFutureListener { closeAfterLinger() })
     }
 
+    private fun caller() = channel.remoteAddress().toString()
+
     private fun reportUnhandled(
         status: Int?,
         reason: String,
-    ) = server.onUnhandled(UnhandledRequest(channel.remoteAddress().toString(), status, reason))
+    ) = server.onReport(ServerReport.Unhandled(caller(), status, reason))
 
     private fun closeAfterLinger() {
         closing = true
+        closeReason = CloseReason.LAST_RESPONSE
         channel.shutdownOutput()
         timer?.cancel(false)
-        timer = channel.eventLoop().schedule({ channel.close() }, ServerState.LINGER.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        timer =
+            channel.eventLoop().schedule(
+                { close(CloseReason.LAST_RESPONSE) },
+                ServerState.LINGER.inWholeMilliseconds,
+                TimeUnit.MILLISECONDS,
+            )
     }
 
     /** Waits for a request on a connection that has been idle for [idleFor], and closes it if none comes. */
     private fun awaitRequest(idleFor: Duration) {
         val timeout = limits().idleTimeout + CALLER_LEAD
-        if (idleFor >= timeout) {
-            channel.close()
-            return
-        }
+        if (idleFor >= timeout) return close(CloseReason.IDLE)
         idleAtTimeout = timeout
         startTimer(timeout - idleFor, Awaited.REQUEST)
     }
@@ -233,6 +246,18 @@
 
     private enum class Awaited { REQUEST, HEAD, BODY }
 
+    /** Why the connection is closed; [text] is its name in reports. */
+    private enum class CloseReason(
+        val text: String,
+    ) {
+        CALLER("closed by the caller"),
+        ERROR("error on the connection"),
+        STOP("the server stops"),
+        LAST_RESPONSE("its last response was given"),
+        IDLE("idle timeout"),
+        ABORTED("response aborted"),
+    }
+
     private inner class RequestReader(
         message: NettyRequest,
     ) {
@@ -283,8 +308,7 @@
             fields.forEach { response.headers().add(it.name, it.value) }
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
             setConnection(response)
-            channel.writeAndFlush(response)
-            finish()
+            finish(channel.writeAndFlush(response))
         }
 
         override suspend fun begin(head: HttpResponseHead) {
@@ -315,13 +339,12 @@
             if (isClosed()) return
             val due = bytesLeft ?: 0
             check(due == 0L) { "body shorter than its stated length: $due bytes are missing" }
-            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-            finish()
+            finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
         }
 
         fun endWith(status: Int) {
             if (ended) return
-            job?.cancel()
+            job?.cancel(CancellationException("the server ended the request with status $status"))
             if (begun) return abort()
             closing = true
             sendComplete(status, emptyList(), NO_BYTES)
@@ -330,7 +353,7 @@
         override fun abort() {
             if (ended) return
             ended = true
-            channel.close()
+            close(CloseReason.ABORTED)
         }
 
         fun onWritable() {
@@ -339,13 +362,16 @@
         }
 
         fun onCallerDisconnected() {
-            if (!ended) job?.cancel()
+            if (!ended) job?.cancel(CancellationException("the caller closed its connection"))
         }
 
         private fun isClosed() = ended || !channel.isActive
 
-        private fun finish() {
+        private fun finish(lastWrite: ChannelFuture) {
             ended = true
+            lastWrite.addListener {
+                if (!it.isSuccess) server.onReport(ServerReport.ResponseCut(caller(), request.target, closeReason.text))
+            }
             channel.eventLoop().execute { onResponseSent() }
         }
 
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -38,8 +38,9 @@
         }
     val failures = LinkedBlockingQueue<Throwable>()
     private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
-    val unhandled = LinkedBlockingQueue<UnhandledRequest>()
-    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { unhandled += it }, handler ?: echo)
+    val reports = LinkedBlockingQueue<ServerReport>()
+    val unhandled: List<ServerReport.Unhandled> get() = reports.filterIsInstance<ServerReport.Unhandled>()
+    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, handler ?: echo)
 
     fun connect() = scriptedClient(server.port)
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -4,6 +4,8 @@
 package lagoonrudder.traffic.direct
 
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.StopDecision
 import lagoonrudder.model.Outcome
@@ -39,7 +41,10 @@
         val outcome: Outcome,
     ) : RequestEnd()
 
-    data object CallerLeft : RequestEnd()
+    /** The request was ended from outside the filters: [reason] tells whether its caller left or its server ended it. */
+    data class Cancelled(
+        val reason: String,
+    ) : RequestEnd()
 
     /** An error that nothing handled; the caller's connection is closed. */
     data class Failed(
@@ -59,7 +64,9 @@
             try {
                 next.proceed(call)
             } catch (cancelled: CancellationException) {
-                onEnded(call, RequestEnd.CallerLeft)
+                // A cancelled wait that leaks from the filters ends the request as well, though nobody has cancelled that.
+                val isCancelled = !currentCoroutineContext().isActive
+                onEnded(call, if (isCancelled) RequestEnd.Cancelled(cancelled.message.orEmpty()) else RequestEnd.Failed(cancelled))
                 throw cancelled
             } catch (error: Throwable) {
                 onEnded(call, RequestEnd.Failed(error))
