Let a response end once it is written to its connection

What callers saw: of a response that they read slowly the end never came. The connection was closed under it by the idle timeout, which a configuration may have shortened meanwhile, by the close after the last request, or by a stop.

Cause: an exchange ended as soon as its last bytes were handed to the channel. From then on the connection counted as idle, its output could be shut down, and a stop counted no active request and ended the process; each of these drops what still waits in the process.

The test of the send filter needs the new function of a response.

An exchange now stays in progress until its last write has succeeded, within the deadline of the request; the place at the back end is free before. A caller that has not read its response by then gets it cut, and the request is logged as broken instead of completed. A response of the daemon itself is kept for 30 s at most.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -50,7 +50,10 @@
 
     suspend fun end()
 
-    /** Closes the connection so that the response can't appear complete. */
+    /** Suspends until the whole response was written to the connection, which may take as long as the caller does not read. */
+    suspend fun awaitTaken()
+
+    /** Closes the connection so that the response can't appear complete, unless the whole of it was written. */
     fun abort()
 }
 
@@ -80,7 +83,7 @@
     /** The bound port. */
     val port: Int get() = (channel.localAddress() as java.net.InetSocketAddress).port
 
-    /** The number of requests being processed. */
+    /** The number of requests being processed and of responses that are not written completely. */
     val activeRequests: Int get() = state.activeRequests.get()
 
     /** Closes idle connections now, and every other connection after its next response. */
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -4,15 +4,11 @@
 package lagoonrudder.http
 
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
-import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
@@ -23,17 +19,13 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
-import kotlinx.coroutines.CancellableContinuation
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.HeaderField
 import java.io.ByteArrayOutputStream
 import java.util.concurrent.TimeUnit
-import kotlin.coroutines.resume
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import io.netty.handler.codec.http.HttpRequest as NettyRequest
@@ -102,7 +94,13 @@
     fun closeNow() = onLoop { close(CloseReason.STOP) }
 
     /** Ends the request in progress with [status], or breaks its response off if that has begun. */
-    fun endRequest(status: Int) = onLoop { current?.endWith(status) }
+    fun endRequest(status: Int) =
+        onLoop {
+            current?.let {
+                closing = true
+                it.endWith(status)
+            }
+        }
 
     private fun close(reason: CloseReason) {
         closeReason = reason
@@ -152,13 +150,14 @@
         channel.config().isAutoRead = true
         awaited = Awaited.REQUEST
         timer?.cancel(false)
-        val exchange = ServerExchange(request)
+        val exchange = ServerExchange(request, channel, ExchangeEnds())
         current = exchange
         server.activeRequests.incrementAndGet()
         exchange.job =
             server.scope.launch(server.dispatcher, CoroutineStart.UNDISPATCHED) {
                 try {
                     server.handler.handle(exchange)
+                    withTimeoutOrNull(UNREAD_LIMIT) { exchange.awaitTaken() } ?: exchange.abort()
                 } finally {
                     server.activeRequests.decrementAndGet()
                     if (!exchange.ended) exchange.abort()
@@ -166,7 +165,22 @@
             }
     }
 
-    private fun onResponseSent() {
+    /** What the exchange in progress asks of this connection and tells it. */
+    private inner class ExchangeEnds : ServerExchange.Connection {
+        override fun isLast(): Boolean {
+            val isLast = (closing && pending.isEmpty()) || server.draining
+            if (isLast) closing = true
+            return isLast
+        }
+
+        override fun onTaken() = channel.eventLoop().execute { onResponseTaken() }
+
+        override fun onCut(target: String) = server.onReport(ServerReport.ResponseCut(caller(), target, closeReason.text))
+
+        override fun close() = close(CloseReason.ABORTED)
+    }
+
+    private fun onResponseTaken() {
         current = null
         if (channel.isActive) processNext()
     }
@@ -278,113 +292,12 @@
         fun toRequest() = HttpRequest(method, target, fields, body.toByteArray())
     }
 
-    private inner class ServerExchange(
-        override val request: HttpRequest,
-    ) : HttpExchange {
-        var job: Job? = null
-        var ended = false
-        private var begun = false
-
-        /** The bytes of the body that are still due; null if the response has no stated length. */
-        private var bytesLeft: Long? = null
-        private var writer: CancellableContinuation<Unit>? = null
-
-        override suspend fun respond(
-            status: Int,
-            fields: List<HeaderField>,
-            body: ByteArray,
-        ) {
-            if (isClosed()) return
-            check(!begun) { "response with status $status after another one has begun" }
-            sendComplete(status, fields, body)
-        }
-
-        private fun sendComplete(
-            status: Int,
-            fields: List<HeaderField>,
-            body: ByteArray,
-        ) {
-            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body))
-            fields.forEach { response.headers().add(it.name, it.value) }
-            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
-            setConnection(response)
-            finish(channel.writeAndFlush(response))
-        }
-
-        override suspend fun begin(head: HttpResponseHead) {
-            if (isClosed()) return
-            check(!begun) { "response with status ${head.status} after another one has begun" }
-            begun = true
-            bytesLeft = head.length
-            val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(head.status))
-            head.fields.forEach { response.headers().add(it.name, it.value) }
-            val length = head.length
-            if (length == null) HttpUtil.setTransferEncodingChunked(response, true) else HttpUtil.setContentLength(response, length)
-            setConnection(response)
-            channel.writeAndFlush(response)
-        }
-
-        override suspend fun write(bytes: ByteArray) {
-            if (isClosed() || bytes.isEmpty()) return
-            bytesLeft?.let {
-                check(bytes.size <= it) { "body longer than its stated length: ${bytes.size} bytes, expected at most $it" }
-                bytesLeft = it - bytes.size
-            }
-            channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
-            if (channel.isWritable) return
-            suspendCancellableCoroutine { writer = it }
-        }
-
-        override suspend fun end() {
-            if (isClosed()) return
-            val due = bytesLeft ?: 0
-            check(due == 0L) { "body shorter than its stated length: $due bytes are missing" }
-            finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
-        }
-
-        fun endWith(status: Int) {
-            if (ended) return
-            job?.cancel(CancellationException("the server ended the request with status $status"))
-            if (begun) return abort()
-            closing = true
-            sendComplete(status, emptyList(), NO_BYTES)
-        }
-
-        override fun abort() {
-            if (ended) return
-            ended = true
-            close(CloseReason.ABORTED)
-        }
-
-        fun onWritable() {
-            writer?.takeIf { it.isActive }?.resume(Unit)
-            writer = null
-        }
-
-        fun onCallerDisconnected() {
-            if (!ended) job?.cancel(CancellationException("the caller closed its connection"))
-        }
-
-        private fun isClosed() = ended || !channel.isActive
-
-        private fun finish(lastWrite: ChannelFuture) {
-            ended = true
-            lastWrite.addListener {
-                if (!it.isSuccess) server.onReport(ServerReport.ResponseCut(caller(), request.target, closeReason.text))
-            }
-            channel.eventLoop().execute { onResponseSent() }
-        }
-
-        private fun setConnection(response: io.netty.handler.codec.http.HttpResponse) {
-            val last = (closing && pending.isEmpty()) || server.draining
-            if (last) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-            if (last) closing = true
-        }
-    }
-
     private companion object {
         const val MAX_PIPELINED = 4
 
+        /** How long the end of a response may wait for its caller to read it, unless the handler sets a shorter time. */
+        val UNREAD_LIMIT = 30.seconds
+
         /** Callers may go by a longer idle timeout this long before the process knows it. */
         val CALLER_LEAD = 2.seconds
         const val BAD_REQUEST = 400
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -134,4 +134,7 @@
     suspend fun write(bytes: ByteArray)
 
     suspend fun end()
+
+    /** Suspends until nothing of the response waits in this process any more. */
+    suspend fun awaitTaken()
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -122,7 +122,12 @@
         head: ResponseHead,
         body: ByteArray,
     ): Long {
-        if (started) response.end() else response.respond(head, body)
+        if (started) {
+            response.end()
+        } else {
+            begun = head
+            response.respond(head, body)
+        }
         return forwarded + body.size
     }
 
@@ -137,6 +142,7 @@
     /** Forwards the error response of a back end and returns its length. */
     suspend fun forwardErrorResponse(): Long {
         val (head, body) = checkNotNull(errorResponse)
+        begun = head
         response.respond(head, body)
         return body.size.toLong()
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -57,8 +57,11 @@
     private var nextTakeOverAt = Duration.ZERO
 
     suspend fun run(): Outcome {
-        // Waits within an attempt have timeouts of their own; this one is for a caller that does not read.
-        return withTimeoutOrNull(context.timeLeft(control.clock) + SLOW_READER_MARGIN) { attempts() } ?: onDeadline()
+        // Waits within an attempt have timeouts of their own; these are for a caller that does not read.
+        val outcome = withTimeoutOrNull(context.timeLeft(control.clock) + SLOW_READER_MARGIN) { attempts() } ?: return onDeadline()
+        if (!relay.started) return outcome
+        val taken = withTimeoutOrNull(context.timeLeft(control.clock) + SLOW_READER_MARGIN) { call.response.awaitTaken() }
+        return if (taken == null) finalOutcome("the caller has not read its response in time") else outcome
     }
 
     private suspend fun attempts(): Outcome =
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -9,11 +9,13 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.StandardTestDispatcher
 import kotlinx.coroutines.test.TestScope
+import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.currentTime
 import kotlinx.coroutines.test.runTest
 import lagoonrudder.control.ControlThread
@@ -182,6 +184,9 @@
 
     /** The time that the caller takes to read each write. */
     var readTime = Duration.ZERO
+
+    /** The time that the caller takes to read the rest after the end. */
+    var lastReadTime = Duration.ZERO
     val body = StringBuilder()
     var ended = false
 
@@ -206,6 +211,8 @@
     override suspend fun end() {
         ended = true
     }
+
+    override suspend fun awaitTaken() = delay(lastReadTime)
 }
 
 internal fun head(
@@ -469,6 +476,28 @@
             RequestKind.Stream(resumable = true, maxEventGap = null).progressTimeout(100.milliseconds) shouldBe 1.seconds
         }
 
+        // A response that was handed to the connection counted as delivered, and its end was lost with the connection.
+        test("a request ends once its caller has taken the end of the response, and broken if that is too late") {
+            val events = listOf(head(), event(1), ResponseEvent.End)
+            runTest {
+                val scene = Scene(this, STREAM, 2, Behaviour.Replies(events))
+                scene.response.lastReadTime = 3.seconds
+                val running = async { scene.run(timeLeft = 4.seconds) }
+                advanceTimeBy(1.seconds)
+                running.isActive shouldBe true
+                scene.inFlight shouldBe emptyMap()
+                running.await().shouldBeInstanceOf<Outcome.Completed>()
+            }
+            for (kind in listOf(RequestKind.Idempotent, STREAM)) {
+                runTest {
+                    val scene = Scene(this, kind, 2, Behaviour.Replies(events))
+                    scene.response.lastReadTime = 5.seconds
+                    scene.run(timeLeft = 4.seconds).shouldBeInstanceOf<Outcome.Broken>()
+                    scene.link.attempts shouldHaveSize 1
+                }
+            }
+        }
+
         test("a slow stream whose events come in time is not cut, even if its caller reads slowly") {
             val events = listOf(head(), event(1), event(2), event(3))
             runTest {
