Answer every request that was read, also behind another one or at a stop

What callers saw: a whole request that was read got neither an answer nor a refusal. It was dropped when it came behind a request in progress and broke a limit, and when it was read after a stopping server had stopped reading. A head that was half read when a drain began lost its connection, and so did a request that followed a response whose head had not said Connection: close.

Cause: the connection treated these as its own to drop: it closed after the response in progress, or at once, and counted a connection with half a head as idle.

What was read is now queued as a whole request or as a rejection, and either is answered in its turn. A stopping daemon refuses with 503 and a time to return. Only a connection whose caller has been told, or that is idle, is closed. A request that is lost behind a broken response is reported.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StopController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StopController.kt
@@ -13,13 +13,14 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * The times of a stop: from [drainAt] on connections are closed between requests, from [stopReadingAt] on no request is read, and at
- * [answerAt] those still in progress get an answer, so that they have it before the process is killed.
+ * The times of a stop: from [drainAt] on connections are closed between requests, from [stopReadingAt] on every request gets the
+ * [refusal], and at [answerAt] those still in progress get an answer, so that they have it before the process is killed.
  */
 data class StopSchedule(
     val drainAt: Duration,
     val stopReadingAt: Duration,
     val answerAt: Duration,
+    val refusal: Refusal,
 )
 
 /** What a daemon does with a new request. */
@@ -49,7 +50,8 @@
         val margin = minOf(ANSWER_MARGIN, grace * SHORTEST_PHASE)
         val drain = minOf(LOAD_BALANCER_TIME, grace * LONGEST_DRAIN)
         val closing = minOf(CONNECTION_CLOSING_TIME, grace * SHORTEST_PHASE)
-        return StopSchedule(now + drain, now + drain + closing, now + grace - margin)
+        val refusal = Refusal.NotServing(RETRY_AFTER, "this process stops")
+        return StopSchedule(now + drain, now + drain + closing, now + grace - margin, refusal)
     }
 
     /** Decides about a request of [kind] whose caller or route stops waiting at [deadline]. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -20,6 +20,7 @@
 import lagoonrudder.platform.DEFAULT_LIMITS
 import lagoonrudder.platform.ReadinessRequestHandler
 import lagoonrudder.platform.UNKNOWN_OUTCOME_STATUS
+import lagoonrudder.platform.refusalResponse
 import lagoonrudder.traffic.FilterChain
 import lagoonrudder.traffic.direct.DirectCall
 import lagoonrudder.traffic.direct.DirectControl
@@ -97,8 +98,8 @@
         delay(schedule.drainAt - core.clock.elapsed())
         server.drain()
         delay(schedule.stopReadingAt - core.clock.elapsed())
-        // A request that is read just before the process exits would get no response.
-        server.stopReading()
+        // A request that is read just before the process exits would get no other response.
+        server.stopReading(refusalResponse(schedule.refusal))
         while (server.activeRequests > 0 && core.clock.elapsed() < schedule.answerAt) delay(SHUTDOWN_CHECK_INTERVAL)
         val cut = server.activeRequests
         if (cut > 0) {
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -92,9 +92,12 @@
         state.connections.forEach { it.closeWhenIdle() }
     }
 
-    /** Stops accepting connections and reading requests. Requests in progress run to completion. */
-    fun stopReading() {
-        state.readingStopped = true
+    /**
+     * Stops accepting connections and answers every further request with [refusal], which must have no body. Requests in progress run
+     * to completion.
+     */
+    fun stopReading(refusal: HttpResponse) {
+        state.refusal = refusal
         channel.close()
         state.connections.forEach { it.closeWhenIdle() }
     }
@@ -164,9 +167,9 @@
     @Volatile
     var draining = false
 
-    /** Whether further requests are refused. */
+    /** The response to every further request; null while they are processed. */
     @Volatile
-    var readingStopped = false
+    var refusal: HttpResponse? = null
 
     fun connect(
         channel: SocketChannel,
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.HeaderField
 import java.io.ByteArrayOutputStream
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -36,7 +37,7 @@
     private val limits: () -> CallerLimits,
     private val server: ServerState,
 ) : ChannelInboundHandlerAdapter() {
-    private val pending = ArrayDeque<HttpRequest>()
+    private val pending = ArrayDeque<Received>()
     private var reading: RequestReader? = null
     private var current: ServerExchange? = null
     private var closing = false
@@ -56,6 +57,7 @@
         server.connections -= this
         timer?.cancel(false)
         current?.onCallerDisconnected()
+        repeat(pending.size) { reportUnhandled(null, "connection closed before the request in front was answered: ${closeReason.text}") }
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -67,6 +69,7 @@
         context: ChannelHandlerContext,
         cause: Throwable,
     ) {
+        if (cause !is IOException) reportUnhandled(null, "unexpected error on the connection: $cause")
         close(CloseReason.ERROR)
     }
 
@@ -85,11 +88,12 @@
 
     /** Called for every read. The first bytes of a request start the timeout for its head. */
     fun onBytesReceived() {
-        if (awaited == Awaited.REQUEST && current == null && reading == null && !closing) startTimer(limits().headerTimeout, Awaited.HEAD)
+        val awaitsRequest = awaited == Awaited.REQUEST || awaited == Awaited.LAST_REQUEST
+        if (awaitsRequest && current == null && reading == null && !closing) startTimer(limits().headerTimeout, Awaited.HEAD)
     }
 
     /** Closes the connection now if no request is being read or processed, otherwise after the next response. */
-    fun closeWhenIdle() = onLoop { if (current == null && reading == null) close(CloseReason.STOP) }
+    fun closeWhenIdle() = onLoop { if (isIdle) close(CloseReason.STOP) }
 
     fun closeNow() = onLoop { close(CloseReason.STOP) }
 
@@ -102,6 +106,9 @@
             }
         }
 
+    /** Whether nothing is being read, processed or sent. */
+    private val isIdle: Boolean get() = current == null && reading == null && awaited == Awaited.REQUEST && !closing
+
     private fun close(reason: CloseReason) {
         closeReason = reason
         channel.close()
@@ -112,7 +119,7 @@
     }
 
     private fun readHead(message: NettyRequest) {
-        if (server.readingStopped) return refuseAndClose()
+        server.refusal?.let { return reject(it.head.status, "the server has stopped reading", it.head.fields) }
         val failure = message.decoderResult().cause()
         if (failure != null) return reject(statusOf(failure), "unreadable head: ${failure.message}")
         val hasDuplicateLength = message.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size > 1
@@ -122,13 +129,19 @@
         if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST, "ambiguous length")
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
-        if (HttpUtil.is100ContinueExpected(message)) {
-            channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-        }
         reading = RequestReader(message)
+        if (current == null) sendContinue()
         startTimer(limits().idleTimeout, Awaited.BODY)
     }
 
+    /** Tells a caller that waits for it to send its body, once no other response is in progress. */
+    private fun sendContinue() {
+        val request = reading ?: return
+        if (!request.expectsContinue) return
+        request.expectsContinue = false
+        channel.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+    }
+
     private fun readBody(content: HttpContent) {
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
@@ -136,17 +149,30 @@
         if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
         reading = null
         if (!request.keepAlive) closing = true
-        pending.addLast(request.toRequest())
+        pending.addLast(Received.Whole(request.toRequest()))
         if (pending.size >= MAX_PIPELINED) channel.config().isAutoRead = false
         if (current == null) processNext()
     }
 
     private fun processNext() {
-        val request = pending.removeFirstOrNull()
-        if (request == null) {
-            if (closing || server.draining) closeAfterLinger() else awaitRequest(idleFor = Duration.ZERO)
-            return
+        when (val next = pending.removeFirstOrNull()) {
+            is Received.Whole -> process(next.request)
+            is Received.Rejected -> respond(next)
+            null ->
+                when {
+                    closing -> closeAfterLinger()
+                    reading != null -> sendContinue()
+                    else -> awaitNext()
+                }
         }
+    }
+
+    /** Waits for the next request. One that is on its way when the server stops still gets its refusal. */
+    private fun awaitNext() {
+        if (server.refusal == null) awaitRequest(idleFor = Duration.ZERO) else startTimer(ServerState.LINGER, Awaited.LAST_REQUEST)
+    }
+
+    private fun process(request: HttpRequest) {
         channel.config().isAutoRead = true
         awaited = Awaited.REQUEST
         timer?.cancel(false)
@@ -168,7 +194,7 @@
     /** What the exchange in progress asks of this connection and tells it. */
     private inner class ExchangeEnds : ServerExchange.Connection {
         override fun isLast(): Boolean {
-            val isLast = (closing && pending.isEmpty()) || server.draining
+            val isLast = pending.isEmpty() && (closing || server.draining)
             if (isLast) closing = true
             return isLast
         }
@@ -185,24 +211,24 @@
         if (channel.isActive) processNext()
     }
 
-    /** Closes the connection without processing the new request. A request in progress runs to completion first. */
-    private fun refuseAndClose() {
-        closing = true
-        reportUnhandled(null, "the server has stopped reading")
-        if (current == null) close(CloseReason.STOP)
-    }
-
-    /** Responds with [status] to a request that does not reach the handler, and closes the connection. */
+    /** Responds with [status] to a request that does not reach the handler, after those in front of it, and closes the connection. */
     private fun reject(
         status: Int,
         reason: String,
+        fields: List<HeaderField> = emptyList(),
     ) {
         closing = true
         reading = null
-        if (current != null) return reportUnhandled(null, "$reason, behind a request in progress")
-        reportUnhandled(status, reason)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        pending.addLast(Received.Rejected(status, reason, fields))
+        if (current == null) processNext()
+    }
+
+    private fun respond(rejected: Received.Rejected) {
+        reportUnhandled(rejected.status, rejected.reason)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejected.status))
+        rejected.fields.forEach { response.headers().add(it.name, it.value) }
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        startTimer(UNREAD_LIMIT, Awaited.CALLER_TO_READ)
         channel.writeAndFlush(response).addListener(ChannelFutureListener { closeAfterLinger() })
     }
 
@@ -248,6 +274,8 @@
             // The limits may have changed since the timer was started.
             Awaited.REQUEST -> awaitRequest(idleAtTimeout)
             Awaited.HEAD -> reject(REQUEST_TIMEOUT, "head not complete in ${limits().headerTimeout}")
+            Awaited.LAST_REQUEST -> close(CloseReason.STOP)
+            Awaited.CALLER_TO_READ -> close(CloseReason.UNREAD)
             Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT, "body without progress for ${limits().idleTimeout}")
         }
     }
@@ -258,7 +286,21 @@
             else -> BAD_REQUEST
         }
 
-    private enum class Awaited { REQUEST, HEAD, BODY }
+    private enum class Awaited { REQUEST, HEAD, BODY, LAST_REQUEST, CALLER_TO_READ }
+
+    /** What was read and is answered in its turn. */
+    private sealed class Received {
+        class Whole(
+            val request: HttpRequest,
+        ) : Received()
+
+        /** A request that the handler does not see. */
+        class Rejected(
+            val status: Int,
+            val reason: String,
+            val fields: List<HeaderField>,
+        ) : Received()
+    }
 
     /** Why the connection is closed; [text] is its name in reports. */
     private enum class CloseReason(
@@ -269,6 +311,7 @@
         STOP("the server stops"),
         LAST_RESPONSE("its last response was given"),
         IDLE("idle timeout"),
+        UNREAD("the caller does not read its response"),
         ABORTED("response aborted"),
     }
 
@@ -281,6 +324,7 @@
         private val body = ByteArrayOutputStream(0)
         val maxBytes = limits().bodyBytes
         val keepAlive = HttpUtil.isKeepAlive(message)
+        var expectsContinue = HttpUtil.is100ContinueExpected(message)
 
         fun append(content: HttpContent): Boolean {
             val size = content.content().readableBytes()
