--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -10,6 +10,7 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -61,17 +62,31 @@
     ) : StoreTreatment()
 }
 
-/** An entry daemon with what it knows; [treatment] is that of its calls. */
+/** An entry daemon with what it knows; [treatment] is that of its calls. A start forgets all that it knew. */
 class VirtualStoreDaemon(
     val peer: PeerDaemon,
 ) {
     var treatment: StoreTreatment = StoreTreatment.Answers
-    val peers = PeerController(peer, emptyList())
-    val storeView = StoreViewController(Invariants {})
-    val reader = StoreReaderController(peers, storeView)
+    var peers = PeerController(peer, emptyList())
+        private set
+    var storeView = StoreViewController(Invariants {})
+        private set
+    var reader = StoreReaderController(peers, storeView)
+        private set
 
     /** When each revision of the configuration came into force here. */
     val inForceAt = mutableMapOf<Revision, Duration>()
+
+    /** The calls to the store; null while the process is stopped or paused. */
+    internal var reading: Job? = null
+
+    val isRunning: Boolean get() = reading != null
+
+    internal fun forgetAll() {
+        peers = PeerController(peer, emptyList())
+        storeView = StoreViewController(Invariants {})
+        reader = StoreReaderController(peers, storeView)
+    }
 }
 
 /** [domains] failure domains with [daemonsPerDomain] entry daemons each. */
@@ -103,7 +118,7 @@
 
     init {
         publish(Revision(1))
-        daemons.forEach { scope.launch { readStore(it) } }
+        daemons.forEach { it.reading = launchReading(it) }
         scope.launch { expireRemovals() }
         daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
         daemons.forEach { scope.launch { gossipWithOtherDomains(it) } }
@@ -115,6 +130,34 @@
         scheduler.runCurrent()
     }
 
+    /** Ends the process of [daemon]. */
+    fun stop(daemon: VirtualStoreDaemon) {
+        daemon.reading?.cancel()
+        daemon.reading = null
+    }
+
+    /** Starts the process of [daemon] anew. */
+    fun start(daemon: VirtualStoreDaemon) {
+        daemon.forgetAll()
+        daemon.reading = launchReading(daemon)
+    }
+
+    /** Suspends the process of [daemon] for [duration]. */
+    fun pause(
+        daemon: VirtualStoreDaemon,
+        duration: Duration,
+    ) {
+        stop(daemon)
+        scope.launch {
+            delay(duration)
+            daemon.storeView.onPaused(duration)
+            daemon.reader.onPollRequested()
+            daemon.reading = launchReading(daemon)
+        }
+    }
+
+    private fun launchReading(daemon: VirtualStoreDaemon) = scope.launch { readStore(daemon) }
+
     /** Writes a configuration to the store; its acknowledgement comes at once. */
     fun publish(configuration: Revision) {
         val serving = ServingConfiguration(configuration, emptyList(), emptyList(), emptyList(), LIMITS)
@@ -147,7 +190,7 @@
     /** Returns the daemons that the store answered last in each failure domain. */
     fun readers(): List<VirtualStoreDaemon> =
         daemonsByDomain.values.mapNotNull { members ->
-            members.filter { it.reader.contactAge(now) != null }.minByOrNull { checkNotNull(it.reader.contactAge(now)) }
+            members.filter { it.isRunning && it.reader.contactAge(now) != null }.minByOrNull { checkNotNull(it.reader.contactAge(now)) }
         }
 
     override fun close() {
@@ -232,7 +275,7 @@
 
     private suspend fun expireRemovals() {
         while (true) {
-            daemons.forEach { it.storeView.expire(now) }
+            daemons.filter { it.isRunning }.forEach { it.storeView.expire(now) }
             delay(TICK_INTERVAL)
         }
     }
@@ -258,6 +301,7 @@
         first: VirtualStoreDaemon,
         second: VirtualStoreDaemon,
     ) {
+        if (!first.isRunning || !second.isRunning) return
         second.storeView.storeHeardAt?.let { first.storeView.onStoreHeard(it) }
         first.reader.contactAge(now)?.let { second.storeView.onStoreHeard(now - it) }
         for ((receiver, sender) in listOf(first to second, second to first)) {
@@ -266,6 +310,7 @@
             if (settled <= receiver.storeView.at) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
+                if (!receiver.isRunning || !sender.isRunning) return@launch
                 val sent = sender.storeView.itemsSince(receiver.storeView.at)
                 val changes = sent.items.map { DecodedItem(it, records[it]) }
                 if (sent.isComplete) {
