Learn from peers whether the store was away before a daemon started

Cause: StoreViewController kept the time of the last answer that it had heard of, and took the first one after the start for the end of an outage. What peers said of earlier answers came too late to change that, and a removal that waits is not passed on.

A daemon now keeps the span of time in which the store kept answering, and the grace ends 2.3 s after its beginning. Gossip carries both ends; a peer's span is joined with the own one unless the store may have been away between them. So the first contact with any peer that has heard the store before ends a grace that isn't due, also for removals that wait already, and in an outage no peer can know of such a span. A daemon in its grace asks a peer whose request tells of an earlier beginning. The beginning counts from the arrival of a message and the end from the request, so that a span never grows on its way. A daemon whose pause no tick has noticed yet tells no span, as its clock may not have counted the pause.

A daemon that starts alone, or all at once, still lets removals wait.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -72,6 +72,28 @@
                 unusable.isEmpty()
 }
 
+/**
+ * A registration expires after three heartbeats of silence, 3.6 s. So none can expire in a shorter outage than this, whenever its last
+ * heartbeat was. A watch that gets no response is followed by another call within less.
+ */
+private val STORE_AWAY_AFTER = 2_200.milliseconds
+
+/**
+ * The time in which the store kept answering daemons: the first and the last answer that is known, with no gap between answers that is
+ * as long as an outage.
+ */
+data class StoreContact(
+    val since: Duration,
+    val until: Duration,
+) {
+    /** Returns this contact and [other] as one, or the later one if the store may have been away between them. */
+    fun joinedWith(other: StoreContact): StoreContact {
+        val (earlier, later) = if (since <= other.since) this to other else other to this
+        if (later.since - earlier.until >= STORE_AWAY_AFTER) return later
+        return StoreContact(earlier.since, maxOf(earlier.until, later.until))
+    }
+}
+
 /** [ageAtStart] is the assumed age of a version that was declared before this process started, whose real age is unknown. */
 class StoreViewController(
     private val invariants: Invariants,
@@ -91,13 +113,12 @@
     private val registrations = mutableMapOf<TargetId, StoreItem>()
     private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
-    private var graceUntil = Duration.ZERO
 
     /** The revision of the last read of all items; every removal after it has left a tombstone. */
     private var completeAt = 0L
 
-    /** When the store last answered this daemon or one that told it; null before that and after a long pause. */
-    var storeHeardAt: Duration? = null
+    /** The store's latest contact with this daemon and with those that told it; null before that and after a long pause. */
+    var storeContact: StoreContact? = null
         private set
 
     /** The store revision up to which this process has seen every change. */
@@ -150,7 +171,7 @@
         changes: List<DecodedItem>,
         upTo: Long,
         now: Duration,
-    ): StoreViewChange = applyChanges(changes, upTo, now, holdRemovals = now < graceUntil)
+    ): StoreViewChange = applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
 
     /**
      * Applies changes that a peer has settled: its removals take effect immediately, whatever the state of this process's
@@ -217,20 +238,30 @@
         return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration }, isComplete = true)
     }
 
+    /** Records that the store answered this daemon or another one [at] that time. */
+    fun onStoreHeard(at: Duration) = onStoreHeard(StoreContact(at, at))
+
     /**
-     * Records that the store answered this daemon or another one [at] that time. If nobody had heard of it for long, it was away, and
-     * registrations that expired meanwhile may come back.
+     * Records a contact of the store with this daemon or another one. If nobody had heard of the store for long before it, the store was
+     * away, and registrations that expired meanwhile may come back. What a daemon hears later from others may show that it was not.
      */
-    fun onStoreHeard(at: Duration) {
-        val before = storeHeardAt
-        if (before != null && at <= before) return
-        if (before == null || at - before >= STORE_AWAY_AFTER) graceUntil = at + REMOVAL_GRACE
-        storeHeardAt = at
+    fun onStoreHeard(contact: StoreContact) {
+        storeContact = storeContact?.joinedWith(contact) ?: contact
     }
 
-    /** Removes the back ends whose grace period ended without a new registration, and returns them. */
+    /** Whether registrations that expired before the store's contact began may still come back. */
+    private fun mayReturn(now: Duration): Boolean = storeContact?.let { now < it.since + REMOVAL_GRACE } ?: false
+
+    /** Whether a peer that knows of a contact [since] then can show that removals need not wait, although this daemon lets them. */
+    fun isGraceRefutedBy(
+        since: Duration,
+        now: Duration,
+    ): Boolean = mayReturn(now) && since + REMOVAL_GRACE <= now
+
+    /** Removes the back ends whose grace period ended without a new registration or proved needless, and returns them. */
     fun expire(now: Duration): List<TargetId> {
-        val expired = pendingRemovals.filterValues { it.until <= now }
+        val isGraceOver = storeContact != null && !mayReturn(now)
+        val expired = pendingRemovals.filterValues { isGraceOver || it.until <= now }
         for ((id, pending) in expired) {
             forget(id, pending.change.key)
         }
@@ -241,7 +272,7 @@
     /** Marks the view as possibly stale after a pause of the process, until the store or a peer confirms it. */
     fun onPaused(pause: Duration) {
         confirmedAt = null
-        if (pause >= STORE_AWAY_AFTER) storeHeardAt = null
+        if (pause >= STORE_AWAY_AFTER) storeContact = null
     }
 
     /** Whether the store or a peer has confirmed the active configuration since the start and since the last pause. */
@@ -252,6 +283,7 @@
             entry("at", at)
             entry("revision", serving?.revision?.number)
             entry("confirmed", confirmed)
+            entry("store-contact", storeContact)
             entry("evacuated", evacuated.map { it.text })
             entry("declared", declaredByModel.values.map { "${it.last().model.text}:${it.last().number.number}" })
             entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
@@ -320,8 +352,9 @@
     ): TargetId? {
         if (change.published is StoreRecord.Registered) return null
         val id = targetsByKey[change.item.key] ?: return null
-        if (hold && change.item.value == null) {
-            pendingRemovals[id] = PendingRemoval(registrations.getValue(id), change.item, graceUntil)
+        val graceEnd = storeContact?.let { it.since + REMOVAL_GRACE }
+        if (hold && graceEnd != null && change.item.value == null) {
+            pendingRemovals[id] = PendingRemoval(registrations.getValue(id), change.item, graceEnd)
             return null
         }
         forget(id, change.item.key)
@@ -362,12 +395,6 @@
         /** A live back end registers within two seconds after the store recovers, and a change that shares a call comes 250 ms later. */
         val REMOVAL_GRACE = 2_300.milliseconds
 
-        /**
-         * A registration expires after three heartbeats of silence, 3.6 s. So none can expire in a shorter outage than this, whenever
-         * its last heartbeat was. A watch that gets no response is followed by another call within less.
-         */
-        val STORE_AWAY_AFTER = 2_200.milliseconds
-
         /** Older declarations no longer apply to any back end. */
         const val MAX_DECLARATIONS = 16
     }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -108,6 +108,40 @@
             }
         }
 
+        // A daemon that had just started took its first contact for the end of an outage, although its peers had heard the store before.
+        context("what others know of the store decides how long a daemon that has just started lets a removal wait") {
+            val startedAt = 20.seconds
+
+            class Case(
+                val name: String,
+                val goneAt: Duration,
+                val heard: StoreContact?,
+            )
+            withTests(
+                nameFn = { it.name },
+                Case("nothing", goneAt = startedAt + 2_300.milliseconds, heard = null),
+                Case("it has answered all the while", goneAt = startedAt + 1.seconds, heard = StoreContact(2.seconds, 20.9.seconds)),
+                Case("it answered shortly before", goneAt = startedAt + 1.seconds, heard = StoreContact(2.seconds, 18.seconds)),
+                Case("it answered long before", goneAt = startedAt + 2_300.milliseconds, heard = StoreContact(2.seconds, 17.seconds)),
+                Case(
+                    "it returned a second before",
+                    goneAt = startedAt + 1_300.milliseconds,
+                    heard = StoreContact(19.seconds, 20.5.seconds),
+                ),
+            ) { case ->
+                val storeView = StoreViewController(strictInvariants())
+                storeView.onStoreHeard(startedAt)
+                storeView.applySnapshot(listOf(registered(backEnd("a"), 1)), 1, startedAt)
+                storeView.applyChanges(listOf(item("servers/a", 2, null)), 2, startedAt + 100.milliseconds)
+                storeView.settledRevision shouldBe 1
+                case.heard?.let { storeView.onStoreHeard(it) }
+                storeView.expire(case.goneAt - 1.milliseconds).isEmpty() shouldBe (case.goneAt > startedAt + 1.seconds)
+                storeView.expire(case.goneAt)
+                storeView.backEnd(TargetId("a")).shouldBeNull()
+                storeView.settledRevision shouldBe 2
+            }
+        }
+
         test("a registration that is removed while the store is available is removed immediately") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -18,6 +18,7 @@
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.StagingController
+import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.StoreViewController
@@ -33,8 +34,12 @@
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** How often an entry daemon looks for pauses and for what has expired. */
+internal val TICK_INTERVAL = 100.milliseconds
+
 class DirectCore(
     val settings: DirectSettings,
     val clock: Clock,
@@ -51,6 +56,7 @@
         )
     val http = HttpClient(loop, clock)
     val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
+    val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val storeReader = StoreReaderController(peers, storeView)
@@ -135,6 +141,12 @@
         is BackEndNotice.ClosedFor -> log.info("back-end-closed", "target" to run.target.text, "born" to run.born, "for" to notice.duration)
     }
 
+    /**
+     * Returns the store's contact to tell peers of; null after a pause that no tick has noticed yet, as the monotonic clock may not have
+     * counted it. Runs on the control thread.
+     */
+    fun contactToTell(): StoreContact? = storeView.storeContact.takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
+
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -62,7 +62,6 @@
     private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
     private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
-    private val pauseDetector = PauseDetector(core.clock)
     private var prefetchedVersions = emptyList<DeclaredWeights>()
     private var callers: HttpServer? = null
 
@@ -122,7 +121,7 @@
     private suspend fun runTicks() {
         while (currentCoroutineContext().isActive) {
             delay(TICK_INTERVAL)
-            val pause = pauseDetector.check(TICK_INTERVAL)
+            val pause = core.pauseDetector.check(TICK_INTERVAL)
             val expired = core.thread.decide { onTick(pause) }
             expired.forEach { core.log.info("back-end-gone", "target" to it.text, "source" to "lapsed") }
             if (pause != null) {
@@ -209,7 +208,6 @@
     }
 
     private companion object {
-        val TICK_INTERVAL = 100.milliseconds
         const val MAX_LOGGED_PARTS = 8
         val SHUTDOWN_CHECK_INTERVAL = 50.milliseconds
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -24,8 +24,8 @@
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
-import lagoonrudder.wire.messages.storeHeardAge
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
@@ -184,6 +184,7 @@
             core.storeReader.contactAge(now).toMilliseconds(),
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
+            core.contactToTell()?.let { now - it.since }.toMilliseconds(),
         )
     }
 
@@ -200,8 +201,7 @@
                 val now = core.clock.elapsed()
                 val lacksEvidence = applyEvidence(reply, now)
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
-                // Counted from the request, so that the age never shrinks on its way from daemon to daemon.
-                reply.storeHeardAge?.let { core.storeView.onStoreHeard(sentAt - it) }
+                reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
@@ -14,6 +14,7 @@
 class PauseDetector(
     private val clock: Clock,
 ) {
+    @Volatile
     private var last = clock.read()
 
     /** Returns how much later than [expected] this call follows the last one, or null when that is within the tolerance. */
@@ -24,6 +25,9 @@
         return delay.takeIf { it > MAX_TICK_DELAY }
     }
 
+    /** Returns whether the next [check] would find a pause if it came now. */
+    fun isOverdue(expected: Duration): Boolean = clock.read().since(last) - expected > MAX_TICK_DELAY
+
     private companion object {
         val MAX_TICK_DELAY = 700.milliseconds
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -18,7 +18,9 @@
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
 import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
+import lagoonrudder.wire.messages.storeSince
 import lagoonrudder.wire.messages.toGossipSlot
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
@@ -55,16 +57,23 @@
                 exchange.respond(BAD_REQUEST, emptyList(), NO_BYTES)
                 return
             }
-        val (reply, isBehind) = core.thread.decide { replyTo(message) to (message.at > core.storeView.at) }
-        if (isBehind) gossip.catchUp(message.self.toPeer())
+        val (reply, knowsLess) = core.thread.decide { replyTo(message) to knowsLessThanSender(message) }
+        if (knowsLess) gossip.catchUp(message.self.toPeer())
         exchange.respond(OK, emptyList(), encodeMessage(GossipReply.serializer(), reply))
     }
 
+    /** Whether the sender knows of later changes, or of a longer contact with the store. Runs on the control thread. */
+    private fun knowsLessThanSender(message: GossipMessage): Boolean {
+        val now = core.clock.elapsed()
+        val since = message.storeSince(now)
+        return message.at > core.storeView.at || (since != null && core.storeView.isGraceRefutedBy(since, now))
+    }
+
     private fun replyTo(message: GossipMessage): GossipReply {
         val now = core.clock.elapsed()
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
-        message.storeContactAge?.let { core.storeView.onStoreHeard(now - it) }
+        message.storeContact(now)?.let { core.storeView.onStoreHeard(it) }
         val slot = message.slot?.toGossipSlot()
         if (slot != null && core.slots.onGossipReceived(slot, now)) {
             core.log.info(
@@ -80,6 +89,7 @@
         val needsEvidence = peer.role == DaemonRole.ENTRY && message.evidenceDigest != core.suspicions.digest
         val load = gossip.loadFor(peer, now)
         val items = if (message.itemsRequested) core.storeView.itemsSince(message.at) else null
+        val contact = core.contactToTell()
         return GossipReply(
             self = core.self.toMessage(),
             at = core.storeView.settledRevision,
@@ -91,10 +101,8 @@
             itemsComplete = items?.isComplete ?: false,
             evidenceDigest = core.suspicions.digest,
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
-            storeHeardMilliseconds =
-                core.storeView.storeHeardAt
-                    ?.let { now - it }
-                    .toMilliseconds(),
+            storeHeardMilliseconds = contact?.let { now - it.until }.toMilliseconds(),
+            storeSinceMilliseconds = contact?.let { now - it.since }.toMilliseconds(),
         )
     }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreStep
@@ -302,8 +303,8 @@
         second: VirtualStoreDaemon,
     ) {
         if (!first.isRunning || !second.isRunning) return
-        second.storeView.storeHeardAt?.let { first.storeView.onStoreHeard(it) }
-        first.reader.contactAge(now)?.let { second.storeView.onStoreHeard(now - it) }
+        second.storeView.storeContact?.let { first.storeView.onStoreHeard(it) }
+        first.storeView.storeContact?.let { tell(first, it, second) }
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(now), now)
             val settled = sender.storeView.settledRevision
@@ -323,6 +324,20 @@
         }
     }
 
+    /** Lets [receiver] learn from a request of [sender], which knows of [contact], and ask it if the request can't tell enough. */
+    private fun tell(
+        sender: VirtualStoreDaemon,
+        contact: StoreContact,
+        receiver: VirtualStoreDaemon,
+    ) {
+        sender.reader.contactAge(now)?.let { receiver.storeView.onStoreHeard(StoreContact(contact.since, now - it)) }
+        if (!receiver.storeView.isGraceRefutedBy(contact.since, now)) return
+        scope.launch {
+            delay(EXCHANGE_TIME)
+            sender.storeView.storeContact?.let { receiver.storeView.onStoreHeard(it) }
+        }
+    }
+
     private fun recordInForce(daemon: VirtualStoreDaemon) {
         val serving = daemon.storeView.serving ?: return
         daemon.inForceAt.getOrPut(serving.revision) { now }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -13,6 +13,7 @@
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
+import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.DaemonId
@@ -68,14 +69,14 @@
     @ProtoNumber(4) val value: ByteArray,
 )
 
-/** The time since the store last answered a daemon that does not know it. */
+/** The time since an answer of the store to a daemon that does not know it. */
 private const val STORE_CONTACT_UNKNOWN = -1L
 
 /**
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
  * after it, [peersRequested] for the live peers. [loads] are the requests in flight of [loadDaemons] daemons, and the store last
- * answered the sender [storeContactMilliseconds] ago. [evidenceDigest] is that of the sender's evidence about crashes, which is sent
- * itself only if the receiver's digest differs.
+ * answered the sender [storeContactMilliseconds] ago; as far as it knows, the store has kept answering for [storeSinceMilliseconds].
+ * [evidenceDigest] is that of the sender's evidence about crashes, which is sent itself only if the receiver's digest differs.
  */
 @Serializable
 data class GossipMessage(
@@ -89,11 +90,13 @@
     @ProtoNumber(8) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
     @ProtoNumber(9) val evidenceDigest: Long = 0,
     @ProtoNumber(10) val evidence: EvidenceMessage? = null,
+    @ProtoNumber(11) val storeSinceMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 /**
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
- * heard of [storeHeardMilliseconds] ago. [items] are those that changed, or all that there are if [itemsComplete] is set.
+ * heard of [storeHeardMilliseconds] ago; it has kept answering for [storeSinceMilliseconds]. [items] are those that changed, or all that
+ * there are if [itemsComplete] is set.
  */
 @Serializable
 class GossipReply(
@@ -108,6 +111,7 @@
     @ProtoNumber(9) val evidence: EvidenceMessage? = null,
     @ProtoNumber(10) val storeHeardMilliseconds: Long = STORE_CONTACT_UNKNOWN,
     @ProtoNumber(11) val itemsComplete: Boolean = false,
+    @ProtoNumber(12) val storeSinceMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 @Serializable
@@ -144,9 +148,32 @@
 
 val GossipReply.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
 
-val GossipReply.storeHeardAge: Duration? get() = storeContactAge(storeHeardMilliseconds)
+/**
+ * Returns since when the store has kept answering, by a message that arrived at [receivedAt]. A beginning before the real one would hide
+ * an outage, so the time that the message took isn't subtracted.
+ */
+fun GossipMessage.storeSince(receivedAt: Duration): Duration? = storeContactAge(storeSinceMilliseconds)?.let { receivedAt - it }
+
+/** Returns the store's contact with the sender of a message that arrived at [receivedAt]; null if it doesn't read the store. */
+fun GossipMessage.storeContact(receivedAt: Duration): StoreContact? {
+    val last = receivedAt - (storeContactAge ?: return null)
+    return StoreContact(minOf(storeSince(receivedAt) ?: last, last), last)
+}
+
+/**
+ * Returns the store's contact with the daemons that the sender has heard of. Its end counts from the request, sent at [sentAt], so that
+ * its age never shrinks on its way from daemon to daemon; its beginning counts from the arrival of the reply.
+ */
+fun GossipReply.storeContact(
+    sentAt: Duration,
+    receivedAt: Duration,
+): StoreContact? {
+    val last = sentAt - (storeContactAge(storeHeardMilliseconds) ?: return null)
+    val since = storeContactAge(storeSinceMilliseconds)?.let { receivedAt - it }
+    return StoreContact(minOf(since ?: last, last), last)
+}
 
-/** Returns the age of the last contact with the store as a message carries it. */
+/** Returns the age of an answer of the store as a message carries it. */
 fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: STORE_CONTACT_UNKNOWN
 
 private fun storeContactAge(milliseconds: Long): Duration? = milliseconds.takeIf { it != STORE_CONTACT_UNKNOWN }?.milliseconds
