Test a silent sound back end beside each change of the configuration

What callers may see: the report tells of whole requests that got neither an answer nor a refusal beside a configuration. The tests of a pause knew no configuration, and those of a configuration no pause.

Fakes stand for the connections, so this shows nothing of them.

--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -53,6 +53,7 @@
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServiceShare
 import lagoonrudder.model.ServingConfiguration
+import lagoonrudder.model.ServingCustomer
 import lagoonrudder.model.ServingRoute
 import lagoonrudder.model.ServingService
 import lagoonrudder.model.Step
@@ -70,6 +71,7 @@
 private val REGION = RegionId("first")
 private val SERVICE = ServiceId("service")
 private val OBJECTIVE = 400.milliseconds
+private val CONNECT_TIMEOUT = 500.milliseconds
 
 /** The scripted behaviour of a back end for one attempt. */
 internal sealed class Behaviour {
@@ -95,6 +97,20 @@
     data class Timed(
         val events: List<Pair<Duration, ResponseEvent>>,
     ) : Behaviour()
+
+    /** Refuses no connection and accepts none. */
+    data object Unconnected : Behaviour()
+
+    /** Answers each attempt in its own way. */
+    data class Answers(
+        val answer: (DirectAttempt) -> Behaviour,
+    ) : Behaviour()
+
+    /** [error] is thrown where the attempt is encoded, or after [events] were read. */
+    data class Fails(
+        val error: Throwable,
+        val events: List<ResponseEvent>? = null,
+    ) : Behaviour()
 }
 
 internal class FakeClient(
@@ -106,8 +122,15 @@
 
     override suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt> {
         attempts += attempt
-        return when (val behaviour = behaviours.removeFirst()) {
+        val scripted = behaviours.removeFirst()
+        return when (val behaviour = if (scripted is Behaviour.Answers) scripted.answer(attempt) else scripted) {
             Behaviour.Unreachable -> Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "refused").left()
+            Behaviour.Unconnected -> {
+                delay(CONNECT_TIMEOUT)
+                Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "timed out").left()
+            }
+            is Behaviour.Answers -> error("an answer of an answer")
+            is Behaviour.Fails -> FailingAttempt(behaviour.events ?: throw behaviour.error, behaviour.error).right()
             is Behaviour.Replies -> FakeAttempt(behaviour.events, silent = false).right()
             is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
             is Behaviour.Paced -> PacedAttempt(behaviour).right()
@@ -162,6 +185,19 @@
         }
     }
 
+    private inner class FailingAttempt(
+        events: List<ResponseEvent>,
+        private val error: Throwable,
+    ) : OpenAttempt {
+        private val rest = ArrayDeque(events)
+
+        override suspend fun next(): ResponseEvent = rest.removeFirstOrNull() ?: throw error
+
+        override fun abandon() {
+            abandoned++
+        }
+    }
+
     private inner class FakeAttempt(
         events: List<ResponseEvent>,
         private val silent: Boolean,
@@ -235,6 +271,10 @@
     attempts: Int = 2,
     vararg behaviours: Behaviour,
     retrySlack: Double = 100.0,
+    backEndIds: List<String> = listOf("a", "b", "c"),
+    slots: Int = 4,
+    customers: List<ServingCustomer> = emptyList(),
+    random: Random = Random(1),
 ) {
     private val clock =
         object : Clock {
@@ -257,7 +297,7 @@
             BackEndStateController(),
             suspicions,
             notices,
-            Random(1),
+            random,
         )
     private val control =
         DirectControl(
@@ -274,7 +314,12 @@
     val link = FakeClient(behaviours.toMutableList(), clock::elapsed)
     val response = FakeResponse()
     val inFlight get() = placement.inFlight()
-    private val chain = FilterChain(directFilters(control, link, Random(1)) { _, _ -> })
+    val ends = mutableListOf<RequestEnd>()
+    private val chain = FilterChain(directFilters(control, link, random) { _, end -> ends += end })
+    private var published = 9L
+
+    /** The configuration at the start. */
+    val configuration: ServingConfiguration
 
     init {
         val route =
@@ -288,20 +333,20 @@
                 1,
                 attempts,
                 listOf(ServiceShare(SERVICE, 1.0)),
-                true,
+                customers.isEmpty(),
                 emptySet(),
             )
         val limits = CallerLimits(1, 1, 1.seconds, 1.seconds)
-        val set =
+        configuration =
             ServingConfiguration(
                 Revision(1),
                 listOf(route),
                 listOf(ServingService(SERVICE, 9, null, null, null, null)),
-                emptyList(),
+                customers,
                 limits,
             )
         val backEnds =
-            listOf("a", "b", "c").map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, 4, false, Duration.ZERO, 1, null) }
+            backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, null) }
         val items =
             backEnds.mapIndexed {
                 index,
@@ -310,7 +355,7 @@
                 DecodedItem(StoreItem("servers/${each.id.text}", index + 2L, ByteArray(0)), StoreRecord.Registered(each))
             }
         storeView.applyChanges(
-            items + DecodedItem(StoreItem("op/config", 1, ByteArray(0)), StoreRecord.Configuration(set)),
+            items + DecodedItem(StoreItem("op/config", 1, ByteArray(0)), StoreRecord.Configuration(configuration)),
             9,
             Duration.ZERO,
         )
@@ -319,9 +364,28 @@
     suspend fun run(
         path: String = "/a/b",
         timeLeft: Duration = 4.seconds,
+        apiKey: String? = null,
+        id: String = "r",
+        to: CallerResponse = response,
     ): Outcome {
-        val request = DirectRequest(RequestId("r"), "POST", "host", path, null, timeLeft, null, null, emptyList(), ByteArray(0))
-        return chain.run(DirectCall(request, response, clock.elapsed()))
+        val request = DirectRequest(RequestId(id), "POST", "host", path, apiKey, timeLeft, null, null, emptyList(), ByteArray(0))
+        return chain.run(DirectCall(request, to, clock.elapsed()))
+    }
+
+    /** Puts [next] in force, which the store or, if [fromPeer] is set, a peer has told. */
+    suspend fun publish(
+        next: ServingConfiguration,
+        fromPeer: Boolean = false,
+    ) = control.thread.decide {
+        val at = ++published
+        val set = next.copy(revision = Revision(at))
+        val change = listOf(DecodedItem(StoreItem("op/config", at, ByteArray(0)), StoreRecord.Configuration(set)))
+        if (fromPeer) {
+            storeView.applySettledChanges(change, at, clock.elapsed())
+        } else {
+            storeView.applyChanges(change, at, clock.elapsed())
+        }
+        control.onStoreViewChanged()
     }
 }
 
