Refuse a request whose time was over before it could be sent

What callers saw: 502, which promises nothing, for a request that no back end had got. It meets a caller whose Deadline-Ms has run out when the request is placed, for example a short one behind the wait of up to 400 ms for the confirmation of a configuration after a pause.

Cause: the limit of the whole send operation, 200 ms after the deadline, had passed before its first step, and every request that ends there counted as one that may have run.

Evidence: the new test of DirectSendFilterTest failed before with "Unknown(failure=Interrupted(step=SEND, peer=target:none, detail=time is over)) is of type Outcome.Unknown but expected Outcome.Refused" for a deadline one second ago. Now it passes.

The operation notes when it hands an attempt to the client. Before that the refusal is true whatever ended the request.

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -53,6 +53,9 @@
     var timeToFirstEvent: Duration? = null
     var lastFailure: Failure? = null
 
+    /** Whether an attempt was handed to the client, so that a back end may have the request. */
+    var mayBeSent = false
+
     val contextOrNull: DirectRequestContext? get() = identified
 
     /** The result of the identify filter; available to later filters only. */
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -99,6 +99,7 @@
         excluded += backEnd.id
         live +=
             LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
+                call.mayBeSent = true
                 client.send(attempt).mapLeft { DirectAttemptResult.NotRun(reached = false, it.describe()) }
             }
     }
@@ -207,7 +208,7 @@
     private suspend fun place(): Placement {
         val startedAt = control.clock.elapsed()
         val timeLeft = context.timeLeft(control.clock)
-        if (timeLeft <= Duration.ZERO) return Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
+        if (timeLeft <= Duration.ZERO) return tooLate()
         val request = placementRequest(waitLimit(timeLeft), mayHaveRun != null)
         val ticket =
             withContext(NonCancellable) {
@@ -228,6 +229,8 @@
         }
     }
 
+    private fun tooLate() = Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
+
     private fun placementRequest(
         wait: WaitLimit,
         mayHaveRun: Boolean,
@@ -402,6 +405,7 @@
     }
 
     private suspend fun onDeadline(): Outcome {
+        if (!call.mayBeSent) return refusedOutcome(tooLate())
         mayHaveRun = mayHaveRun ?: DirectAttemptResult.Lost("time is over")
         return finalOutcome("time is over")
     }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.collections.shouldHaveSize
@@ -618,6 +619,18 @@
             }
         }
 
+        test("a request whose time is over before it could be sent is refused") {
+            for (timeLeft in listOf((-1).seconds, (-200).milliseconds, (-100).milliseconds, 0.milliseconds)) {
+                withClue(timeLeft) {
+                    runTest {
+                        val scene = Scene(this, RequestKind.AtMostOnce)
+                        scene.run(timeLeft = timeLeft).shouldBeInstanceOf<Outcome.Refused>()
+                        scene.link.attempts shouldHaveSize 0
+                    }
+                }
+            }
+        }
+
         test("an unknown route is refused and never sent") {
             runTest {
                 val scene = Scene(this, STREAM, 2)
