Answer a request that ends with an unexpected error

What callers saw: a connection closed without an answer, when an error that nothing handles came out of a filter, of a decision on the control thread or of the encoding of a request, or when a cancelled wait leaked from them though nobody had cancelled the request.

Cause: the accounting filter reported such an error and threw it on, up to the server, which closes the connection of a handler that returns without a response.

UnexpectedErrorAnswerTest shows the answers over a real connection: 503 if nothing was sent, 502 if it may have been, and a response that has begun does not look complete.

The accounting filter turns the error into the outcome that is true of the request: refused if no attempt was handed to the client, else unknown, or broken once a part of a response was forwarded. The log still says outcome=failed and gives the answer and the stack trace in the same line. A request that was really cancelled ends as before.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -200,7 +200,7 @@
         when (end) {
             is RequestEnd.Decided -> call.lastFailure?.detail
             is RequestEnd.Cancelled -> end.reason
-            is RequestEnd.Failed -> end.error.toString()
+            is RequestEnd.Failed -> "${end.outcome.code}: ${end.error.stackTraceToString()}"
         }
 
     private fun sharedPartsOf(call: DirectCall): String {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -56,6 +56,9 @@
     /** Whether an attempt was handed to the client, so that a back end may have the request. */
     var mayBeSent = false
 
+    /** Whether a part of a response was handed to the caller's connection before the response was complete. */
+    var hasBegun = false
+
     val contextOrNull: DirectRequestContext? get() = identified
 
     /** The result of the identify filter; available to later filters only. */
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.StopDecision
+import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.Refusal
@@ -46,13 +47,17 @@
         val reason: String,
     ) : RequestEnd()
 
-    /** An error that nothing handled; the caller's connection is closed. */
+    /** An error that nothing handled; the caller gets [outcome]. */
     data class Failed(
         val error: Throwable,
+        val outcome: Outcome,
     ) : RequestEnd()
 }
 
-/** Reports the end of each request to [onEnded], once. */
+/**
+ * Reports the end of each request to [onEnded], once. An error that nothing handled becomes the outcome that is true of the request,
+ * so that its caller gets an answer.
+ */
 class DirectAccountingFilter(
     private val onEnded: (DirectCall, RequestEnd) -> Unit,
 ) : Filter<DirectCall> {
@@ -60,20 +65,48 @@
         call: DirectCall,
         next: Next<DirectCall>,
     ): Outcome {
-        val outcome =
-            try {
-                next.proceed(call)
-            } catch (cancelled: CancellationException) {
-                // A cancelled wait that leaks from the filters ends the request as well, though nobody has cancelled that.
-                val isCancelled = !currentCoroutineContext().isActive
-                onEnded(call, if (isCancelled) RequestEnd.Cancelled(cancelled.message.orEmpty()) else RequestEnd.Failed(cancelled))
-                throw cancelled
-            } catch (error: Throwable) {
-                onEnded(call, RequestEnd.Failed(error))
-                throw error
-            }
-        onEnded(call, RequestEnd.Decided(outcome))
-        return outcome
+        val end = endOf(call, next)
+        onEnded(call, end)
+        return when (end) {
+            is RequestEnd.Decided -> end.outcome
+            is RequestEnd.Failed -> end.outcome
+            is RequestEnd.Cancelled -> throw CancellationException(end.reason)
+        }
+    }
+
+    private suspend fun endOf(
+        call: DirectCall,
+        next: Next<DirectCall>,
+    ): RequestEnd =
+        try {
+            RequestEnd.Decided(next.proceed(call))
+        } catch (cancelled: CancellationException) {
+            // A cancelled wait may leak from the filters though nobody has cancelled the request.
+            val isCancelled = !currentCoroutineContext().isActive
+            if (isCancelled) RequestEnd.Cancelled(cancelled.message.orEmpty()) else failed(cancelled, call)
+        } catch (error: Throwable) {
+            failed(error, call)
+        }
+
+    private fun failed(
+        error: Throwable,
+        call: DirectCall,
+    ) = RequestEnd.Failed(error, outcomeAfter(error, call))
+
+    private fun outcomeAfter(
+        error: Throwable,
+        call: DirectCall,
+    ): Outcome {
+        val failure = Failure.Interrupted(Step.SEND, Peer.SELF, "unexpected error: $error")
+        return when {
+            call.hasBegun -> Outcome.Broken(failure)
+            call.mayBeSent -> Outcome.Unknown(failure)
+            else -> Outcome.Refused(Refusal.NotServing(RETRY_AFTER, failure.detail), Step.ADMIT, Peer.SELF)
+        }
+    }
+
+    private companion object {
+        val RETRY_AFTER = 1.seconds
     }
 }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -108,6 +108,7 @@
 
     suspend fun begin(head: ResponseHead) {
         begun = head
+        call.hasBegun = true
         call.timeToFirstEvent = clock.elapsed() - call.receivedAt
         response.begin(head)
     }
