--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -53,6 +53,12 @@
     var timeToFirstEvent: Duration? = null
     var lastFailure: Failure? = null
 
+    /** Whether an attempt was handed to the client, so that a back end may have the request. */
+    var mayBeSent = false
+
+    /** Whether a part of a response was handed to the caller's connection before the response was complete. */
+    var hasBegun = false
+
     val contextOrNull: DirectRequestContext? get() = identified
 
     /** The result of the identify filter; available to later filters only. */
