--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -56,7 +56,7 @@
     /** Whether an attempt was handed to the client, so that a back end may have the request. */
     var mayBeSent = false
 
-    /** Whether a part of a response was handed to the caller's connection before the response was complete. */
+    /** Whether a part of a response was handed to the caller's connection. */
     var hasBegun = false
 
     val contextOrNull: DirectRequestContext? get() = identified
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -107,12 +107,16 @@
     }
 
     suspend fun begin(head: ResponseHead) {
-        begun = head
-        call.hasBegun = true
+        onBegun(head)
         call.timeToFirstEvent = clock.elapsed() - call.receivedAt
         response.begin(head)
     }
 
+    private fun onBegun(head: ResponseHead) {
+        begun = head
+        call.hasBegun = true
+    }
+
     suspend fun forward(data: ByteArray) {
         forwarded += data.size
         response.write(data)
@@ -126,7 +130,7 @@
         if (started) {
             response.end()
         } else {
-            begun = head
+            onBegun(head)
             response.respond(head, body)
         }
         return forwarded + body.size
@@ -143,7 +147,7 @@
     /** Forwards the error response of a back end and returns its length. */
     suspend fun forwardErrorResponse(): Long {
         val (head, body) = checkNotNull(errorResponse)
-        begun = head
+        onBegun(head)
         response.respond(head, body)
         return body.size.toLong()
     }
