Let what a peer doesn't know wait if the receiver has seen an outage

What callers saw: after an outage of the store, back ends that were alive and about to register again got no requests, because a daemon had started at the store's return and was the first to read it.

Cause: sends all items to a peer that lags behind the last full read, and the receiver drops what is missing at once, as a removal that the sender has settled. A daemon that starts after an outage has never known the registrations that expired in it, so it settles nothing about them.

A back end that is missing among all items now waits by what the receiver knows of the store, as in a read of its own.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -206,12 +206,15 @@
         return applyChanges(completed(all, upTo), upTo, now)
     }
 
-    /** Applies all items of a peer that has settled them up to the revision [upTo]. */
+    /**
+     * Applies all items of a peer that has settled them up to the revision [upTo]. A peer that started after an outage has never known
+     * the registrations that expired in it, so what is missing is treated as in a read of the store.
+     */
     fun applySettledSnapshot(
         all: List<DecodedItem>,
         upTo: Long,
         now: Duration,
-    ): StoreViewChange = applySettledChanges(completed(all, upTo), upTo, now)
+    ): StoreViewChange = applyChanges(completed(all, upTo), upTo, now)
 
     /** Returns [all] items at the revision [upTo] and the removals of those that are not among them. */
     private fun completed(
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -142,6 +142,22 @@
             }
         }
 
+        // A daemon that started after an outage knows no registration that expired in it, and its peers dropped them for that.
+        test("a registration that a peer doesn't know because it started after an outage is kept until it is back") {
+            val running = StoreViewController(strictInvariants())
+            running.onStoreHeard(StoreContact(1.seconds, start))
+            running.applyChanges(listOf(registered(backEnd("a"), 1), registered(backEnd("b"), 2)), 2, start)
+            val started = StoreViewController(strictInvariants())
+            started.onStoreHeard(start + 5.seconds)
+            started.applySnapshot(listOf(registered(backEnd("a"), 1)), 3, start + 5.seconds)
+            running.onStoreHeard(checkNotNull(started.storeContact))
+            running.applySettledSnapshot(listOf(registered(backEnd("a"), 1)), 3, start + 5.1.seconds).removed.shouldBeEmpty()
+            running.settledRevision shouldBe 2
+            running.applyChanges(listOf(registered(backEnd("b"), 4)), 4, start + 7.seconds)
+            running.expire(start + 10.seconds).shouldBeEmpty()
+            running.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b")
+        }
+
         test("a registration that is removed while the store is available is removed immediately") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
