Let no removal wait of a registration written after the store's first answer

What callers saw: when all daemons have started at once, a removed back end stayed in use for up to 2.3 s, also one that had registered after that start.

Cause: a removal in the grace after the first contact waited whatever was known of its registration.

Evidence: StoreViewControllerTest, 'a registration that was written after the store's first answer is removed immediately, an older one is kept for a while' fails on the parent commit: the renewed registration waits too.

A registration expires after 3.6 s of silence. One that was written after the first answer of the present contact can't expire before the grace of 2.3 s ends, so its removal is meant. The revision of that answer tells it from older ones, which still wait.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -121,6 +121,12 @@
     var storeContact: StoreContact? = null
         private set
 
+    /**
+     * The revision of the first answer to this daemon in the current contact; null before it. Registrations written after it were renewed
+     * in the contact, so they can't expire before the grace ends.
+     */
+    private var contactRevision: Long? = null
+
     /** The store revision up to which this process has seen every change. */
     var at = 0L
         private set
@@ -171,7 +177,10 @@
         changes: List<DecodedItem>,
         upTo: Long,
         now: Duration,
-    ): StoreViewChange = applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
+    ): StoreViewChange {
+        if (contactRevision == null) contactRevision = upTo
+        return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
+    }
 
     /**
      * Applies changes that a peer has settled: its removals take effect immediately, whatever the state of this process's
@@ -249,7 +258,10 @@
      * away, and registrations that expired meanwhile may come back. What a daemon hears later from others may show that it was not.
      */
     fun onStoreHeard(contact: StoreContact) {
-        storeContact = storeContact?.joinedWith(contact) ?: contact
+        val before = storeContact
+        val joined = before?.joinedWith(contact) ?: contact
+        if (before == null || joined.since > before.until) contactRevision = null
+        storeContact = joined
     }
 
     /** Whether registrations that expired before the store's contact began may still come back. */
@@ -355,9 +367,11 @@
     ): TargetId? {
         if (change.published is StoreRecord.Registered) return null
         val id = targetsByKey[change.item.key] ?: return null
+        val registration = registrations.getValue(id)
         val graceEnd = storeContact?.let { it.since + REMOVAL_GRACE }
-        if (hold && graceEnd != null && change.item.value == null) {
-            pendingRemovals[id] = PendingRemoval(registrations.getValue(id), change.item, graceEnd)
+        val wasRenewed = contactRevision?.let { registration.revision > it } ?: false
+        if (hold && graceEnd != null && !wasRenewed && change.item.value == null) {
+            pendingRemovals[id] = PendingRemoval(registration, change.item, graceEnd)
             return null
         }
         forget(id, change.item.key)
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -158,6 +158,21 @@
             running.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b")
         }
 
+        // Every removal that followed a start of all daemons waited, also of back ends that had registered after it.
+        test("a registration that was written after the store's first answer is removed immediately, an older one is kept for a while") {
+            val storeView = StoreViewController(strictInvariants())
+            for (since in listOf(start, start + 20.seconds)) {
+                val revision = since.inWholeSeconds
+                storeView.onStoreHeard(since)
+                storeView.applySnapshot(listOf(registered(backEnd("a"), revision)), revision, since)
+                storeView.applyChanges(listOf(registered(backEnd("b"), revision + 1)), revision + 1, since + 100.milliseconds)
+                val removals = listOf(item("servers/a", revision + 2, null), item("servers/b", revision + 3, null))
+                val change = storeView.applyChanges(removals, revision + 3, since + 200.milliseconds)
+                change.removed shouldContainExactly listOf(TargetId("b"))
+                storeView.expire(since + 3.seconds) shouldContainExactly listOf(TargetId("a"))
+            }
+        }
+
         test("a registration that is removed while the store is available is removed immediately") {
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(registered(backEnd("a"), 1)), 1, start)
