Time the body of a request only once it may be sent

What callers saw: a caller that pipelined a request with Expect: 100-continue behind a long response got 408 after the idle timeout, which a configuration may have shortened, though it had not been told to send the body yet. And a connection whose caller stopped in the middle of a body behind two pipelined requests was kept without any timeout.

Cause: the timeout of a body began with its head, also behind a response in progress, and the next request that was processed cancelled it for good.

Evidence: the two new tests of HttpServerTest failed before, with 408 in place of 100 and with a read that timed out after 5 s.

The timeout now begins when no response is in progress any more, together with the word to send the body, so it is neither early nor lost.

--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -130,12 +130,15 @@
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
         reading = RequestReader(message)
-        if (current == null) sendContinue()
-        startTimer(limits().idleTimeout, Awaited.BODY)
+        if (current == null) awaitBody()
     }
 
-    /** Tells a caller that waits for it to send its body, once no other response is in progress. */
-    private fun sendContinue() {
+    /**
+     * Starts the timeout for the body that is being read, and tells a caller that waits for it to send that. Behind a response in
+     * progress, a body may have to wait for its end.
+     */
+    private fun awaitBody() {
+        startTimer(limits().idleTimeout, Awaited.BODY)
         val request = reading ?: return
         if (!request.expectsContinue) return
         request.expectsContinue = false
@@ -146,7 +149,10 @@
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
         if (!request.append(content)) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
-        if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
+        if (content !is LastHttpContent) {
+            if (current == null) startTimer(limits().idleTimeout, Awaited.BODY)
+            return
+        }
         reading = null
         if (!request.keepAlive) closing = true
         pending.addLast(Received.Whole(request.toRequest()))
@@ -161,7 +167,7 @@
             null ->
                 when {
                     closing -> closeAfterLinger()
-                    reading != null -> sendContinue()
+                    reading != null -> awaitBody()
                     else -> awaitNext()
                 }
         }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -241,6 +241,31 @@
             }
         }
 
+        // The timeout of the body was cancelled by the second request, and the connection was kept without any.
+        test("a body that stops arriving behind two pipelined requests is rejected with 408") {
+            withActiveRequest { serving, _, busy, release ->
+                serving.limits = LIMITS
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nPOST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhi")
+                Thread.sleep(100)
+                release.complete(Unit)
+                busy.readRest().split("done")[2] shouldStartWith "HTTP/1.1 408"
+            }
+        }
+
+        // The timeout of its body ran while it was not yet told to send that.
+        test("a caller that waits for the word to send its body may wait longer than the idle timeout for the response in front") {
+            withActiveRequest { serving, _, busy, release ->
+                serving.limits = LIMITS
+                busy.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n")
+                Thread.sleep(1_000)
+                release.complete(Unit)
+                busy.readHead().orEmpty() shouldStartWith "HTTP/1.1 200"
+                busy.readHead().orEmpty() shouldStartWith "doneHTTP/1.1 100"
+                busy.send("hi")
+                busy.readRest() shouldEndWith "done"
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
