Count requests that wait behind others as active

What callers saw: nothing yet, as far as known. A process that stopped could end between two requests of one connection, and the second one, which it had read, got neither an answer nor a refusal. A queued refusal could be lost in the same way.

Cause: a request counted as active from its processing on, and its processing begins in a later task of the event loop than the end of the one in front. In between a stop that waits for active requests saw none. A refusal never counted.

Evidence: the new test of HttpServerTest failed before: 1 active request in place of 2.

What was read now counts from then on until its response is written or its connection is closed.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -83,7 +83,7 @@
     /** The bound port. */
     val port: Int get() = (channel.localAddress() as java.net.InetSocketAddress).port
 
-    /** The number of requests being processed and of responses that are not written completely. */
+    /** The number of requests that were read, also those that wait behind others, and whose responses are not written completely. */
     val activeRequests: Int get() = state.activeRequests.get()
 
     /** Closes idle connections now, and every other connection after its next response. */
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -58,6 +58,8 @@
         timer?.cancel(false)
         current?.onCallerDisconnected()
         repeat(pending.size) { reportUnhandled(null, "connection closed before the request in front was answered: ${closeReason.text}") }
+        server.activeRequests.addAndGet(-pending.size)
+        pending.clear()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -155,11 +157,16 @@
         }
         reading = null
         if (!request.keepAlive) closing = true
-        pending.addLast(Received.Whole(request.toRequest()))
+        enqueue(Received.Whole(request.toRequest()))
         if (pending.size >= MAX_PIPELINED) channel.config().isAutoRead = false
         if (current == null) processNext()
     }
 
+    private fun enqueue(received: Received) {
+        pending.addLast(received)
+        server.activeRequests.incrementAndGet()
+    }
+
     private fun processNext() {
         when (val next = pending.removeFirstOrNull()) {
             is Received.Whole -> process(next.request)
@@ -184,7 +191,6 @@
         timer?.cancel(false)
         val exchange = ServerExchange(request, channel, ExchangeEnds())
         current = exchange
-        server.activeRequests.incrementAndGet()
         exchange.job =
             server.scope.launch(server.dispatcher, CoroutineStart.UNDISPATCHED) {
                 try {
@@ -225,7 +231,7 @@
     ) {
         closing = true
         reading = null
-        pending.addLast(Received.Rejected(status, reason, fields))
+        enqueue(Received.Rejected(status, reason, fields))
         if (current == null) processNext()
     }
 
@@ -235,7 +241,12 @@
         rejected.fields.forEach { response.headers().add(it.name, it.value) }
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         startTimer(UNREAD_LIMIT, Awaited.CALLER_TO_READ)
-        channel.writeAndFlush(response).addListener(ChannelFutureListener { closeAfterLinger() })
+        channel.writeAndFlush(response).addListener(
+            ChannelFutureListener {
+                server.activeRequests.decrementAndGet()
+                closeAfterLinger()
+            },
+        )
     }
 
     private fun caller() = channel.remoteAddress().toString()
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -266,6 +266,28 @@
             }
         }
 
+        // A stop that saw no request in progress between two of one connection ended the process before the second one was answered.
+        test("requests and refusals that wait behind a request in progress are active") {
+            withActiveRequest { serving, _, busy, release ->
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.server.activeRequests shouldBe 2
+                serving.server.stopReading(REFUSAL)
+                busy.send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.server.activeRequests shouldBe 3
+                release.complete(Unit)
+                busy.readRest().split("done")[2] shouldStartWith "HTTP/1.1 503"
+                eventually(2.seconds) { serving.server.activeRequests shouldBe 0 }
+            }
+            withActiveRequest { serving, _, busy, _ ->
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                busy.socket.close()
+                eventually(2.seconds) { serving.server.activeRequests shouldBe 0 }
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
