Count no response as taken whose connection broke before its end

What callers saw: nothing else; their connection had broken. The log said outcome=completed of a request whose response was never written, which hides just what the line is read for.

Cause: a response skips its writes on a connection that has been closed, also its end. A response that was not ended counted as taken. The request is cancelled for the closed connection only in a later task of the event loop, and had completed by then.

Evidence: the new test of HttpServerTest, in which the first write learns of a reset, failed before: the response counted as taken.

The wait for a response to be taken now lasts on a closed connection until the request is cancelled.

--- a/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
@@ -113,7 +113,8 @@
     }
 
     override suspend fun awaitTaken() {
-        if (ended && !taken) awaitWriter()
+        // The end of a response is skipped on a connection that has just been closed; the request is cancelled for that next.
+        if (!taken && (ended || !channel.isActive)) awaitWriter()
     }
 
     /** Ends the request with [status], or breaks its response off if that has begun. A complete response is left to its caller. */
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -22,6 +23,7 @@
 import lagoonrudder.model.HeaderField
 import java.net.ConnectException
 import java.util.Collections
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
@@ -288,6 +290,31 @@
             }
         }
 
+        // The end of a response to a connection that had just broken was skipped, and its request counted as completed.
+        test("a response whose connection breaks before its end is never taken") {
+            val closed = CountDownLatch(1)
+            val end = CompletableDeferred<Throwable?>()
+            val handler =
+                HttpHandler { exchange ->
+                    // Holds the event loop, so that the first write learns of the reset.
+                    closed.await()
+                    Thread.sleep(200)
+                    exchange.begin(HttpResponseHead(200, emptyList()))
+                    exchange.write("part".encodeToByteArray())
+                    exchange.end()
+                    end.complete(runCatching { exchange.awaitTaken() }.exceptionOrNull())
+                }
+            TestServer(handler = handler).use { serving ->
+                val client = serving.connect()
+                client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                client.socket.setSoLinger(true, 0)
+                client.socket.close()
+                closed.countDown()
+                withTimeout(2.seconds) { end.await() }.shouldBeInstanceOf<CancellationException>()
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
