--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -58,6 +58,8 @@
         timer?.cancel(false)
         current?.onCallerDisconnected()
         repeat(pending.size) { reportUnhandled(null, "connection closed before the request in front was answered: ${closeReason.text}") }
+        server.activeRequests.addAndGet(-pending.size)
+        pending.clear()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
@@ -130,12 +132,15 @@
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
         reading = RequestReader(message)
-        if (current == null) sendContinue()
-        startTimer(limits().idleTimeout, Awaited.BODY)
+        if (current == null) awaitBody()
     }
 
-    /** Tells a caller that waits for it to send its body, once no other response is in progress. */
-    private fun sendContinue() {
+    /**
+     * Starts the timeout for the body that is being read, and tells a caller that waits for it to send that. Behind a response in
+     * progress, a body may have to wait for its end.
+     */
+    private fun awaitBody() {
+        startTimer(limits().idleTimeout, Awaited.BODY)
         val request = reading ?: return
         if (!request.expectsContinue) return
         request.expectsContinue = false
@@ -146,14 +151,22 @@
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
         if (!request.append(content)) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
-        if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
+        if (content !is LastHttpContent) {
+            if (current == null) startTimer(limits().idleTimeout, Awaited.BODY)
+            return
+        }
         reading = null
         if (!request.keepAlive) closing = true
-        pending.addLast(Received.Whole(request.toRequest()))
+        enqueue(Received.Whole(request.toRequest()))
         if (pending.size >= MAX_PIPELINED) channel.config().isAutoRead = false
         if (current == null) processNext()
     }
 
+    private fun enqueue(received: Received) {
+        pending.addLast(received)
+        server.activeRequests.incrementAndGet()
+    }
+
     private fun processNext() {
         when (val next = pending.removeFirstOrNull()) {
             is Received.Whole -> process(next.request)
@@ -161,7 +174,7 @@
             null ->
                 when {
                     closing -> closeAfterLinger()
-                    reading != null -> sendContinue()
+                    reading != null -> awaitBody()
                     else -> awaitNext()
                 }
         }
@@ -178,7 +191,6 @@
         timer?.cancel(false)
         val exchange = ServerExchange(request, channel, ExchangeEnds())
         current = exchange
-        server.activeRequests.incrementAndGet()
         exchange.job =
             server.scope.launch(server.dispatcher, CoroutineStart.UNDISPATCHED) {
                 try {
@@ -219,7 +231,7 @@
     ) {
         closing = true
         reading = null
-        pending.addLast(Received.Rejected(status, reason, fields))
+        enqueue(Received.Rejected(status, reason, fields))
         if (current == null) processNext()
     }
 
@@ -229,7 +241,12 @@
         rejected.fields.forEach { response.headers().add(it.name, it.value) }
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         startTimer(UNREAD_LIMIT, Awaited.CALLER_TO_READ)
-        channel.writeAndFlush(response).addListener(ChannelFutureListener { closeAfterLinger() })
+        channel.writeAndFlush(response).addListener(
+            ChannelFutureListener {
+                server.activeRequests.decrementAndGet()
+                closeAfterLinger()
+            },
+        )
     }
 
     private fun caller() = channel.remoteAddress().toString()
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
@@ -22,6 +23,7 @@
 import lagoonrudder.model.HeaderField
 import java.net.ConnectException
 import java.util.Collections
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
@@ -241,6 +243,78 @@
             }
         }
 
+        // The timeout of the body was cancelled by the second request, and the connection was kept without any.
+        test("a body that stops arriving behind two pipelined requests is rejected with 408") {
+            withActiveRequest { serving, _, busy, release ->
+                serving.limits = LIMITS
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nPOST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhi")
+                Thread.sleep(100)
+                release.complete(Unit)
+                busy.readRest().split("done")[2] shouldStartWith "HTTP/1.1 408"
+            }
+        }
+
+        // The timeout of its body ran while it was not yet told to send that.
+        test("a caller that waits for the word to send its body may wait longer than the idle timeout for the response in front") {
+            withActiveRequest { serving, _, busy, release ->
+                serving.limits = LIMITS
+                busy.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n")
+                Thread.sleep(1_000)
+                release.complete(Unit)
+                busy.readHead().orEmpty() shouldStartWith "HTTP/1.1 200"
+                busy.readHead().orEmpty() shouldStartWith "doneHTTP/1.1 100"
+                busy.send("hi")
+                busy.readRest() shouldEndWith "done"
+            }
+        }
+
+        // A stop that saw no request in progress between two of one connection ended the process before the second one was answered.
+        test("requests and refusals that wait behind a request in progress are active") {
+            withActiveRequest { serving, _, busy, release ->
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.server.activeRequests shouldBe 2
+                serving.server.stopReading(REFUSAL)
+                busy.send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                serving.server.activeRequests shouldBe 3
+                release.complete(Unit)
+                busy.readRest().split("done")[2] shouldStartWith "HTTP/1.1 503"
+                eventually(2.seconds) { serving.server.activeRequests shouldBe 0 }
+            }
+            withActiveRequest { serving, _, busy, _ ->
+                busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                busy.socket.close()
+                eventually(2.seconds) { serving.server.activeRequests shouldBe 0 }
+            }
+        }
+
+        // The end of a response to a connection that had just broken was skipped, and its request counted as completed.
+        test("a response whose connection breaks before its end is never taken") {
+            val closed = CountDownLatch(1)
+            val end = CompletableDeferred<Throwable?>()
+            val handler =
+                HttpHandler { exchange ->
+                    // Holds the event loop, so that the first write learns of the reset.
+                    closed.await()
+                    Thread.sleep(200)
+                    exchange.begin(HttpResponseHead(200, emptyList()))
+                    exchange.write("part".encodeToByteArray())
+                    exchange.end()
+                    end.complete(runCatching { exchange.awaitTaken() }.exceptionOrNull())
+                }
+            TestServer(handler = handler).use { serving ->
+                val client = serving.connect()
+                client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                client.socket.setSoLinger(true, 0)
+                client.socket.close()
+                closed.countDown()
+                withTimeout(2.seconds) { end.await() }.shouldBeInstanceOf<CancellationException>()
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
