Read a manifest again that the chunks contradict

Cause: chunks were checked against the manifest, the manifest against nothing. An entry daemon kept the first one that it read for as long as its process ran and handed it on to all others. The chunk with the wrong digest never matched and was fetched again every 60 ms. A digest could be any string, and the number of digests was not checked.

A manifest is a claim, and ManifestController weighs the chunks that arrive for and against it. Two copies of a chunk with the same digest, which is not the stated one, make it doubted. The daemon reads it again from the peer that it would ask first, naming the fingerprint of its copy; a peer with the same copy doubts it in turn and asks on, up to the daemon that reads from the origin. The origin is asked where a peer repeats the copy. A copy that agrees with no fewer chunks replaces the older one. A manifest of other weights, with another number of digests or with a malformed digest is refused at reading, from the origin and from peers.

Nothing is read twice while all is sound, and layers are still loaded only after each chunk was read back and verified.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -15,6 +15,7 @@
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingService
 import lagoonrudder.model.WeightNumber
+import lagoonrudder.model.digestOf
 import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
 
@@ -33,7 +34,10 @@
     val model: ModelId,
     val number: WeightNumber,
     val digests: List<Digest>,
-)
+) {
+    /** Identifies this copy among all copies of the manifest, of which some may be corrupted. */
+    val fingerprint: Digest get() = digestOf(digests.joinToString("") { it.hexadecimal }.encodeToByteArray())
+}
 
 sealed class OrderResponse {
     data object Accepted : OrderResponse()
@@ -83,6 +87,22 @@
         return if (satisfied) null else WeightsToLoad(model, declared?.number)
     }
 
+    /** Returns why [manifest] can't be that of version [number], or of the newest one if it is null; null if it can. */
+    fun mismatch(
+        manifest: WeightManifest,
+        model: ModelId,
+        number: WeightNumber?,
+    ): String? {
+        val layouts = storeView.serving?.services?.mapNotNull { it.weights } ?: emptyList()
+        val chunkCount = layouts.firstOrNull { model in it.models }?.chunkCount
+        return when {
+            manifest.model != model || (number != null && manifest.number != number) ->
+                "manifest of ${manifest.model.text} ${manifest.number.number}, expected ${model.text} ${number?.number}"
+            chunkCount != null && manifest.digests.size != chunkCount -> "${manifest.digests.size} digests, expected $chunkCount"
+            else -> null
+        }
+    }
+
     /**
      * Returns whether to continue staging [number], of which [staged] of [total] chunks are present, after a newer version was
      * declared: a version that is half staged is completed, in case the newer one can't be fetched before the older one is due.
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -2,8 +2,9 @@
  * Cache of chunks of weights at an entry daemon, which serves the target daemons of its region.
  *
  * Concurrent requests for a chunk share one fetch, which goes on until the chunk has arrived or its version is evicted, so that
- * the chunks flow as soon as a lost source is back. Each chunk is verified against its digest when it arrives. The newest
- * versions of each model are kept. Everything runs on the traffic thread.
+ * the chunks flow as soon as a lost source is back. Each chunk is verified against its digest when it arrives. A manifest that
+ * chunks contradict, or that a peer doubts, is read again and replaced by a better one. The newest versions of each model are
+ * kept. Everything runs on the traffic thread.
  */
 package lagoonrudder.daemon.direct
 
@@ -12,6 +13,7 @@
 import arrow.core.left
 import arrow.core.right
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.currentCoroutineContext
@@ -24,6 +26,7 @@
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightSource
+import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Peer
@@ -51,9 +54,21 @@
     private val prefetched = mutableSetOf<Pair<ModelId, WeightNumber>>()
     private val fetchPermits = Semaphore(MAX_CONCURRENT_FETCHES)
 
+    /** Returns a manifest. The one that is kept is read again first if its fingerprint is [doubted], which a peer has sent. */
     suspend fun manifest(
         model: ModelId,
         number: WeightNumber?,
+        doubted: Digest?,
+    ): Either<Failure, WeightManifest> =
+        manifest(model, number).map { current ->
+            if (current.fingerprint != doubted) return@map current
+            core.thread.decide { core.manifests.onDoubtOfPeer(current) }
+            readAgain(current)
+        }
+
+    private suspend fun manifest(
+        model: ModelId,
+        number: WeightNumber?,
     ): Either<Failure, WeightManifest> {
         val key = ManifestKey(model, number)
         val fetching =
@@ -66,6 +81,17 @@
         return fetched
     }
 
+    /** Reads [doubted] again if it is time to; goes on when the peer that doubts it has closed its connection. */
+    private suspend fun readAgain(doubted: WeightManifest): WeightManifest {
+        val reading =
+            core.scope.async {
+                val manifest = fetcher.readAgain(upstreamSources(doubted.model, doubted.number, MANIFEST_INDEX), doubted)
+                if (manifest != doubted) manifests[ManifestKey(doubted.model, doubted.number)] = CompletableDeferred(manifest.right())
+                manifest
+            }
+        return reading.await()
+    }
+
     /**
      * Prefetches a version that was just declared, so that part of it is cached if the origin fails soon after. Retries
      * until the manifest has been fetched or a newer version is declared.
@@ -120,10 +146,12 @@
         while (true) {
             val fetched =
                 fetchPermits.withPermit {
-                    manifest(model, number).flatMap { fetcher.chunk(upstreamSources(model, number, index, attempts++), it, index) }
+                    manifest(model, number).flatMap { manifest ->
+                        fetcher.chunk(upstreamSources(model, number, index, attempts++), manifest, index).onLeft { readAgain(manifest) }
+                    }
                 }
             if (fetched is Either.Right) return fetched.value
-            delay(RETRY_DELAY)
+            delay(core.thread.decide { core.manifests.chunkPause(model, number, index) })
         }
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -15,6 +15,7 @@
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.ChunkWriteController
 import lagoonrudder.control.direct.LoadOrderController
+import lagoonrudder.control.direct.ManifestController
 import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.StagingController
@@ -58,6 +59,7 @@
     val notices = BackEndNoticeController { run, notice -> logNotice(run, notice) }
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
+    val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
     val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -7,12 +7,12 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
-import kotlinx.serialization.KSerializer
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.http.HttpClient
 import lagoonrudder.http.HttpRequest
 import lagoonrudder.http.HttpResponse
 import lagoonrudder.model.Address
+import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Peer
@@ -45,16 +45,23 @@
         message: GossipMessage,
     ): Either<Failure, GossipReply> {
         val request = HttpRequest("POST", PeerPaths.GOSSIP, emptyList(), encodeMessage(GossipMessage.serializer(), message))
-        return call(address, request, GOSSIP_TIMEOUT).flatMap { decode(address, GossipReply.serializer(), it) }
+        return call(address, request, GOSSIP_TIMEOUT).flatMap { response ->
+            decode(address) { decodeMessage(GossipReply.serializer(), response.body) }
+        }
     }
 
+    /** Asks for a manifest. A copy with the fingerprint [doubted] is read again by the peer before it repeats it. */
     suspend fun manifest(
         address: Address,
         model: ModelId,
         number: WeightNumber?,
+        doubted: Digest? = null,
     ): Either<Failure, WeightManifest> {
-        val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}", emptyList())
-        return call(address, request, CHUNK_TIMEOUT).flatMap { decode(address, ManifestMessage.serializer(), it) }.map { it.toManifest() }
+        val suffix = doubted?.let { "/${it.hexadecimal}" }.orEmpty()
+        val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}$suffix", emptyList())
+        return call(address, request, CHUNK_TIMEOUT).flatMap { response ->
+            decode(address) { decodeMessage(ManifestMessage.serializer(), response.body).toManifest() }
+        }
     }
 
     suspend fun chunk(
@@ -83,13 +90,12 @@
         return result
     }
 
-    private fun <T> decode(
+    private inline fun <T> decode(
         address: Address,
-        serializer: KSerializer<T>,
-        response: HttpResponse,
+        read: () -> T,
     ): Either<Failure, T> =
         try {
-            decodeMessage(serializer, response.body).right()
+            read().right()
         } catch (malformed: MalformedMessage) {
             Failure.Damaged(Step.SEND, Peer(PeerRole.ENTRY, address.toString()), malformed.message.orEmpty()).left()
         }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -8,6 +8,7 @@
 import lagoonrudder.http.HttpHandler
 import lagoonrudder.http.NO_BYTES
 import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
@@ -40,7 +41,7 @@
         val path = "/" + segments.take(2).joinToString("/")
         when {
             path == PeerPaths.GOSSIP -> respondToGossip(exchange)
-            path == PeerPaths.MANIFEST && segments.size == MANIFEST_PATH_SEGMENTS -> manifest(exchange, segments)
+            path == PeerPaths.MANIFEST && segments.size in MANIFEST_PATH_SEGMENTS -> manifest(exchange, segments)
             path == PeerPaths.CHUNK && segments.size == CHUNK_PATH_SEGMENTS -> chunk(exchange, segments)
             else -> exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
         }
@@ -103,7 +104,8 @@
         segments: List<String>,
     ) {
         val number = segments[3].toLongOrNull()?.takeIf { it > 0 }?.let { WeightNumber(it) }
-        when (val manifest = chunks.manifest(ModelId(segments[2]), number)) {
+        val doubted = segments.getOrNull(4)?.let { Digest.parse(it) }
+        when (val manifest = chunks.manifest(ModelId(segments[2]), number, doubted)) {
             is Either.Right -> exchange.respond(OK, emptyList(), encodeMessage(ManifestMessage.serializer(), manifest.value.toMessage()))
             is Either.Left -> respondUnavailable(exchange, manifest.value)
         }
@@ -135,7 +137,9 @@
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
-        const val MANIFEST_PATH_SEGMENTS = 4
+
+        /** The last one, the fingerprint of a doubted copy, may be absent. */
+        val MANIFEST_PATH_SEGMENTS = 4..5
         const val CHUNK_PATH_SEGMENTS = 5
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -131,9 +131,25 @@
             "missing" to missing.size,
             "took" to core.clock.elapsed() - started,
         )
+        if (missing.isNotEmpty()) replaceIfDoubted(manifest)
         return missing.isEmpty()
     }
 
+    /** Reads [manifest] again if chunks contradict it; the chunks that match a better one stay. */
+    private suspend fun replaceIfDoubted(manifest: WeightManifest) {
+        val better = readAgainIfDoubted(manifest)
+        if (better != manifest) area.begin(better)
+    }
+
+    private suspend fun readAgainIfDoubted(manifest: WeightManifest): WeightManifest {
+        if (!isDoubted(manifest)) return manifest
+        val sources = core.thread.decide { core.staging.sources(manifest.model, manifest.number, MANIFEST_INDEX, core.clock.elapsed()) }
+        return fetcher.readAgain(sources, manifest)
+    }
+
+    private suspend fun isDoubted(manifest: WeightManifest): Boolean =
+        core.thread.decide { core.manifests.shouldReadAgain(manifest, core.clock.elapsed()) }
+
     private suspend fun stageAll(
         manifest: WeightManifest,
         missing: ArrayDeque<Int>,
@@ -144,7 +160,8 @@
             if (isStillWanted(manifest) && stageChunk(manifest, index)) continue
             area.onFailedAttempt(index)
             missing.addLast(index)
-            if (core.clock.elapsed() - started > STAGE_LIMIT || !isStillWanted(manifest) || isOutdated(manifest)) return
+            if (core.clock.elapsed() - started > STAGE_LIMIT || !isStillWanted(manifest)) return
+            if (isDoubted(manifest) || isOutdated(manifest)) return
             delay(CHUNK_RETRY_DELAY)
         }
     }
@@ -191,7 +208,7 @@
             withTimeoutOrNull(NEWER_VERSION_TIMEOUT) {
                 val newer = fetcher.manifest(sources, manifest.model, newest).getOrElse { return@withTimeoutOrNull false }
                 // Entry daemons prefetch chunks in order, so the last one is available only when the others are.
-                fetcher.chunk(sources, newer, last).isRight()
+                fetcher.chunk(sources, newer, last).onLeft { readAgainIfDoubted(newer) }.isRight()
             } ?: false
         core.log.info("newer-version", "number" to newest.number, "staged" to manifest.number.number, "can-be-fetched" to canBeFetched)
         return canBeFetched
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -1,5 +1,6 @@
 /**
- * Fetches manifests and chunks of weights from a list of sources, and verifies chunks against their digests.
+ * Fetches manifests and chunks of weights from a list of sources, verifies chunks against their digests, and reads a manifest
+ * again that chunks contradict.
  *
  * The next source is asked if one does not answer. A source that answers that it has no data yet is asked again later instead,
  * since it fetches them itself, and a second copy would only take bandwidth from the first.
@@ -12,8 +13,10 @@
 import arrow.core.right
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import lagoonrudder.control.direct.ManifestReading
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightSource
+import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Peer
@@ -31,26 +34,83 @@
         sources: List<WeightSource>,
         model: ModelId,
         number: WeightNumber?,
-    ): Either<Failure, WeightManifest> =
-        fetchFromFirst(sources, "manifest ${model.text}") { source ->
-            val fetched =
-                when (source) {
-                    is WeightSource.Entry -> peers.manifest(source.address, model, number)
-                    is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
+    ): Either<Failure, WeightManifest> {
+        if (!core.thread.decide { core.manifests.mayRead(model, number, core.clock.elapsed()) }) {
+            return Failure.Declined(Step.DRAW_CHUNK, Peer.SELF, "the manifest of ${model.text} was unusable just before").left()
+        }
+        val fetched = fetchFromFirst(sources, "manifest ${model.text}") { fetchManifest(it, model, number, doubted = null) }
+        core.thread.decide {
+            when {
+                fetched is Either.Right -> core.manifests.onUsable(model, number)
+                fetched.leftOrNull() is Failure.Damaged -> core.manifests.onUnusable(model, number, core.clock.elapsed())
+            }
+        }
+        return fetched
+    }
+
+    /**
+     * Reads [doubted] again if it is time to, from the first of [sources] that does not repeat it. Returns the manifest to use from
+     * now on, which is [doubted] unless a better one was found.
+     */
+    suspend fun readAgain(
+        sources: List<WeightSource>,
+        doubted: WeightManifest,
+    ): WeightManifest {
+        if (!core.thread.decide { core.manifests.beginReadAgain(doubted, core.clock.elapsed()) }) return doubted
+        var repeated: WeightManifest? = null
+        val fetched =
+            fetchFromFirst(sources, "manifest ${doubted.model.text}") { source ->
+                fetchManifest(source, doubted.model, doubted.number, doubted.fingerprint).flatMap { manifest ->
+                    if (manifest == doubted) {
+                        repeated = manifest
+                        damaged(source, "the manifest of ${manifest.number.number} is the doubted one")
+                    } else {
+                        manifest.right()
+                    }
                 }
-            fetched.flatMap { manifest ->
-                val isExpected = manifest.model == model && (number == null || manifest.number == number)
-                val found = "manifest of ${manifest.model.text} ${manifest.number.number}"
-                if (isExpected) manifest.right() else damaged(source, "$found, expected ${model.text} ${number?.number}")
             }
+        val found = fetched.getOrNull() ?: repeated ?: return doubted
+        val reading = core.thread.decide { core.manifests.onReadAgain(doubted, found) }
+        core.log.info(
+            "manifest-read-again",
+            "model" to doubted.model.text,
+            "number" to doubted.number.number,
+            "outcome" to outcomeOf(reading),
+        )
+        return if (reading is ManifestReading.Replaced) reading.manifest else doubted
+    }
+
+    private fun outcomeOf(reading: ManifestReading): String =
+        when (reading) {
+            is ManifestReading.Replaced -> "replaced"
+            ManifestReading.Confirmed -> "confirmed"
+            ManifestReading.Worse -> "worse"
         }
 
+    private suspend fun fetchManifest(
+        source: WeightSource,
+        model: ModelId,
+        number: WeightNumber?,
+        doubted: Digest?,
+    ): Either<Failure, WeightManifest> {
+        val fetched =
+            when (source) {
+                is WeightSource.Entry -> peers.manifest(source.address, model, number, doubted)
+                is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
+            }
+        return fetched.flatMap { manifest ->
+            val mismatch = core.thread.decide { core.staging.mismatch(manifest, model, number) }
+            if (mismatch == null) manifest.right() else damaged(source, mismatch)
+        }
+    }
+
+    /** Fetches a chunk. The digest of each copy that arrives is evidence for or against [manifest]. */
     suspend fun chunk(
         sources: List<WeightSource>,
         manifest: WeightManifest,
         index: Int,
     ): Either<Failure, ByteArray> =
-        fetchFromFirst(sources, "chunk $index of ${manifest.number.number}") { source ->
+        fetchFromFirst(sources, "chunk $index of ${manifest.number.number}", ::isVerifiedBySource) { source ->
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
@@ -58,8 +118,9 @@
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
             fetched.flatMap { bytes ->
-                val matches = digestOf(bytes) == manifest.digests[index]
-                if (matches) {
+                val digest = digestOf(bytes)
+                core.thread.decide { core.manifests.onChunk(manifest, index, digest) }
+                if (digest == manifest.digests[index]) {
                     bytes.right()
                 } else {
                     damaged(source, "chunk $index of ${manifest.number.number} does not match its digest")
@@ -67,9 +128,20 @@
             }
         }
 
+    /** Whether [source] has verified what did not match here, so that other sources would send the same. */
+    private fun isVerifiedBySource(
+        source: WeightSource,
+        failure: Failure,
+    ): Boolean =
+        when (source) {
+            is WeightSource.Entry -> failure is Failure.Damaged
+            is WeightSource.Origin -> false
+        }
+
     private suspend fun <T> fetchFromFirst(
         sources: List<WeightSource>,
         what: String,
+        isFinal: (WeightSource, Failure) -> Boolean = { _, _ -> false },
         fetch: suspend (WeightSource) -> Either<Failure, T>,
     ): Either<Failure, T> {
         var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what answers")
@@ -80,7 +152,7 @@
                 is Either.Right -> return fetched
                 is Either.Left -> failure = fetched.value
             }
-            if (failure is Failure.Declined) return fetched
+            if (failure is Failure.Declined || isFinal(source, failure)) return fetched
         }
         return failure.left()
     }
--- a/model/src/main/kotlin/lagoonrudder/model/Ids.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Ids.kt
@@ -89,6 +89,16 @@
     val hexadecimal: String,
 ) : Comparable<Digest> {
     override fun compareTo(other: Digest): Int = hexadecimal.compareTo(other.hexadecimal)
+
+    companion object {
+        private const val LENGTH = 64
+
+        /** Returns the digest that [text] states in hexadecimal; null if it states none. */
+        fun parse(text: String): Digest? {
+            val isDigest = text.length == LENGTH && text.all { it in '0'..'9' || it in 'a'..'f' || it in 'A'..'F' }
+            return if (isDigest) Digest(text.lowercase()) else null
+        }
+    }
 }
 
 /** The zero-based position of a chunk in the manifest of its version. */
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -335,6 +335,16 @@
     /** The number of manifests that are answered with that of the version before. */
     var staleManifests = 0
 
+    /** The number of manifests of which one digest is wrong, at the same chunk each time. */
+    var corruptManifests = 0
+
+    /** The chunk of which each copy has the same wrong byte; null if there is none. */
+    var corruptChunk: Int? = null
+
+    /** The manifests that were served, whether sound or not. */
+    var manifestsServed = 0
+        private set
+
     /** The requests that this origin did not answer. */
     var failedRequests = 0
         private set
@@ -356,7 +366,10 @@
         } else {
             chunksServed++
             delay(chunkTime)
-            exchange.respond(200, emptyList(), chunkOf(version, query.getValue("num").toInt()))
+            val index = query.getValue("num").toInt()
+            val chunk = chunkOf(version, index)
+            if (index == corruptChunk) chunk[0]++
+            exchange.respond(200, emptyList(), chunk)
         }
     }
 
@@ -367,7 +380,15 @@
         buildJsonObject {
             put("model", MODEL_NAME)
             put("version", version)
-            putJsonArray("digests") { (0 until CHUNK_COUNT).forEach { add(digestOf(chunkOf(version, it)).hexadecimal) } }
+            putJsonArray("digests") { digestsOf(version).forEach { add(it) } }
         },
     )
+
+    private fun digestsOf(version: Long): List<String> {
+        manifestsServed++
+        val digests = (0 until CHUNK_COUNT).map { digestOf(chunkOf(version, it)).hexadecimal }
+        if (corruptManifests == 0) return digests
+        corruptManifests--
+        return digests.mapIndexed { index, digest -> if (index == CHUNK_COUNT / 2) digest.reversed() else digest }
+    }
 }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -84,6 +84,35 @@
             }
         }
 
+        // Guards against a wrong digest that keeps all back ends without weights for ever.
+        test("a manifest with a wrong digest is read again, also by the daemons that have it from each other") {
+            withSite(entries = 3, workers = 3) {
+                val manifestsBefore = origin.manifestsServed
+                origin.corruptManifests = 1
+                declare(2)
+                eventually { workers.all { it.loadedVersion == 2L } }
+                workers.none { it.loadedInvalidChunks } shouldBe true
+                (origin.manifestsServed - manifestsBefore) shouldBeLessThan 5
+                (origin.chunksServed - CHUNK_COUNT) shouldBeLessThan 2 * CHUNK_COUNT
+            }
+        }
+
+        // Guards against doubts of a sound manifest that read it over and over from the origin.
+        test("a chunk that is always corrupted is never loaded, and the manifest is read again only now and then") {
+            withSite(entries = 2, workers = 2) {
+                val manifestsBefore = origin.manifestsServed
+                origin.corruptChunk = 1
+                declare(2)
+                delay(3.seconds)
+                workers.none { it.loadedVersion == 2L } shouldBe true
+                (origin.manifestsServed - manifestsBefore) shouldBeLessThan 8
+                (origin.chunksServed - CHUNK_COUNT) shouldBeLessThan 3 * CHUNK_COUNT
+                origin.corruptChunk = null
+                eventually { workers.all { it.loadedVersion == 2L } }
+                workers.none { it.loadedInvalidChunks } shouldBe true
+            }
+        }
+
         test("a stream that is aborted within an event resumes at another back end in the same response") {
             withSite(entries = 1, workers = 2) {
                 workers.first().behavior = WorkerBehavior.ABORTS_MID_EVENT
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -166,4 +166,9 @@
 
 fun WeightManifest.toMessage() = ManifestMessage(model.text, number.number, digests.map { it.hexadecimal })
 
-fun ManifestMessage.toManifest() = WeightManifest(ModelId(model), WeightNumber(number), digests.map { Digest(it) })
+fun ManifestMessage.toManifest() =
+    WeightManifest(
+        model = ModelId(model),
+        number = WeightNumber(number),
+        digests = digests.map { Digest.parse(it) ?: throw MalformedMessage("digest: expected 64 hexadecimal digits, found $it") },
+    )
