Keep unread bytes of a response in one piece

A back end that sends its response in chunks of a byte, faster than the response is read, took far more memory than its bytes: each byte was kept as an array and an event of its own, and the window for unread bytes counted only the byte. One connection could hold 32,768 such events and those of one more read of the socket.

HttpClientTest, 'unread pieces of a byte take no more memory than their bytes', failed before: 30,000 pieces were 30,000 events. Bytes that arrive before the response is read are now appended to one array, which becomes an event when it is read or when another event follows, so the window bounds what is held.

Two tests are added for bounds of the decoder that held before: extensions of a chunk and trailers without end.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -24,6 +24,7 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 import lagoonrudder.model.Address
 import lagoonrudder.model.HeaderField
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import kotlin.coroutines.resume
 import kotlin.time.Duration
@@ -162,6 +163,9 @@
         // Not a coroutine channel, which can lose an event that arrives while its receiver is being cancelled.
         private val events = ArrayDeque<HttpEvent>()
         private var reader: CancellableContinuation<Unit>? = null
+
+        /** The latest bytes that are not read yet, in one piece, so that many small ones take no more memory than their bytes. */
+        private var latestBytes = ByteArrayOutputStream(0)
         private var unreadBytes = 0
         private var bytesBeforeHead = 0L
         private var hasHead = false
@@ -171,7 +175,8 @@
         var written = false
 
         override suspend fun next(): HttpEvent {
-            while (events.isEmpty()) suspendCancellableCoroutine { reader = it }
+            while (events.isEmpty() && latestBytes.size() == 0) suspendCancellableCoroutine { reader = it }
+            if (events.isEmpty()) addLatestBytes()
             val event = events.removeFirst()
             if (event is HttpEvent.Bytes) consumed(event.data.size)
             return event
@@ -250,7 +255,8 @@
             if (bytes.isNotEmpty() && !skipping) {
                 unreadBytes += bytes.size
                 if (unreadBytes > READ_WINDOW_BYTES) channel.config().isAutoRead = false
-                deliver(HttpEvent.Bytes(bytes))
+                latestBytes.write(bytes)
+                resumeReader()
             }
             if (content is LastHttpContent) finish()
         }
@@ -267,7 +273,18 @@
         }
 
         private fun deliver(event: HttpEvent) {
+            addLatestBytes()
             events.addLast(event)
+            resumeReader()
+        }
+
+        private fun addLatestBytes() {
+            if (latestBytes.size() == 0) return
+            events.addLast(HttpEvent.Bytes(latestBytes.toByteArray()))
+            latestBytes = ByteArrayOutputStream(0)
+        }
+
+        private fun resumeReader() {
             reader?.takeIf { it.isActive }?.resume(Unit)
             reader = null
         }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -3,9 +3,11 @@
 import arrow.core.getOrElse
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -246,6 +248,53 @@
             }
         }
 
+        // Each piece was kept as an event of its own, which took fifty times the memory of its byte.
+        test("unread pieces of a byte take no more memory than their bytes") {
+            val pieces = 30_000
+            ScriptedServer { connection ->
+                connection.readHead()
+                connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(pieces) + "0\r\n\r\n")
+                connection.readRest()
+            }.use { server ->
+                withClient { client ->
+                    val call = client.send(server.address, get(), PEER).getOrElse { error(it.describe()) }
+                    delay(1.seconds)
+                    val sizes = mutableListOf<Int>()
+                    while (true) {
+                        val event = call.next()
+                        if (event is HttpEvent.Bytes) sizes += event.data.size
+                        if (event is HttpEvent.End || event is HttpEvent.Broken) break
+                    }
+                    sizes.sum() shouldBe pieces
+                    sizes.size shouldBeLessThan pieces / 100
+                }
+            }
+        }
+
+        for ((name, start) in mapOf("extensions of a chunk" to "1;x=", "trailers" to "0\r\nX: ")) {
+            test("$name without end are given up") {
+                ScriptedServer { connection ->
+                    connection.readHead()
+                    connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n$start")
+                    while (true) {
+                        connection.send("x".repeat(1_000))
+                        Thread.sleep(1)
+                    }
+                }.use { server ->
+                    withClient { client ->
+                        val call = client.send(server.address, get(), PEER).getOrElse { error(it.describe()) }
+                        val last =
+                            withTimeoutOrNull(8.seconds) {
+                                var event = call.next()
+                                while (event is HttpEvent.Head || event is HttpEvent.Bytes) event = call.next()
+                                event
+                            }
+                        last.shouldBeInstanceOf<HttpEvent.Broken>()
+                    }
+                }
+            }
+        }
+
         test("a response without a length ends when its connection closes, but not when it is reset") {
             ScriptedServer { connection ->
                 connection.readHead()
