--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -45,7 +45,7 @@
         message: GossipMessage,
     ): Either<Failure, GossipReply> {
         val request = HttpRequest("POST", PeerPaths.GOSSIP, emptyList(), encodeMessage(GossipMessage.serializer(), message))
-        return call(address, request, GOSSIP_TIMEOUT).flatMap { decode(address, GossipReply.serializer(), it) }
+        return call(address, request, GOSSIP_TIMEOUT, MAX_GOSSIP_BYTES).flatMap { decode(address, GossipReply.serializer(), it) }
     }
 
     suspend fun manifest(
@@ -54,7 +54,9 @@
         number: WeightNumber?,
     ): Either<Failure, WeightManifest> {
         val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}", emptyList())
-        return call(address, request, CHUNK_TIMEOUT).flatMap { decode(address, ManifestMessage.serializer(), it) }.map { it.toManifest() }
+        return call(address, request, CHUNK_TIMEOUT, MAX_MANIFEST_BYTES)
+            .flatMap { decode(address, ManifestMessage.serializer(), it) }
+            .map { it.toManifest() }
     }
 
     suspend fun chunk(
@@ -67,16 +69,18 @@
             address,
             HttpRequest("GET", "${PeerPaths.CHUNK}/${model.text}/${number.number}/$index", emptyList()),
             CHUNK_TIMEOUT,
+            MAX_CHUNK_BYTES,
         ).map { it.body }
 
     private suspend fun call(
         address: Address,
         request: HttpRequest,
         timeout: Duration,
+        maxBytes: Int,
     ): Either<Failure, HttpResponse> {
         val peer = Peer(PeerRole.ENTRY, address.toString())
         val result =
-            http.exchange(address, request, peer, timeout).flatMap {
+            http.exchange(address, request, peer, timeout, maxBytes).flatMap {
                 if (it.head.status == OK) it.right() else Failure.Declined(Step.SEND, peer, "status ${it.head.status}, expected 200").left()
             }
         if (result is Either.Left && result.value is Failure.TimedOut) http.closeIdle(address)
@@ -96,6 +100,11 @@
 
     private companion object {
         const val OK = 200
+
+        /** A reply may hold all items of the store. */
+        const val MAX_GOSSIP_BYTES = 4_194_304
+        const val MAX_MANIFEST_BYTES = 262_144
+        const val MAX_CHUNK_BYTES = 1_048_576
         val GOSSIP_TIMEOUT = 800.milliseconds
 
         /** The peer may first have to fetch the chunk from the origin. */
