Give up an unfinished event of a stream at 64 KB

Each stream could hold 256 KB of an event that never ends, and twice that while its buffer grew by doubling, so a faulty back end with many streams took much of the heap of an entry daemon, which is 56 MB.

EventSplitterTest, 'an event without end is detected before it takes much memory', failed before: 263,000 bytes were taken. The limit is 65,536 bytes, still far above a few tokens, and the buffer does not double beyond it. With the change EventSplitterTest, DirectSendFilterTest and BrokenResponseTest passed (5, 21 and 130 tests).

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/EventSplitter.kt
@@ -51,7 +51,7 @@
     }
 
     private fun append(data: ByteArray) {
-        if (size + data.size > buffer.size) buffer = buffer.copyOf(maxOf(size + data.size, 2 * buffer.size))
+        if (size + data.size > buffer.size) buffer = buffer.copyOf(maxOf(size + data.size, minOf(2 * buffer.size, MAX_EVENT_BYTES)))
         data.copyInto(buffer, size)
         size += data.size
     }
@@ -82,7 +82,7 @@
         const val ID_FIELD = "id:"
         const val COMMENT = ":"
 
-        /** An event holds a few tokens, so this is far above the size of any valid one. */
-        const val MAX_EVENT_BYTES = 262_144
+        /** An event holds a few tokens, so this is far above the size of any valid one. Each of many streams may hold as much. */
+        const val MAX_EVENT_BYTES = 65_536
     }
 }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/EventSplitterTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import lagoonrudder.model.EventId
 import kotlin.time.Duration.Companion.seconds
@@ -31,6 +32,14 @@
             splitter.overflowed shouldBe true
         }
 
+        // Each of many streams may hold as much; the limit was 256 KB.
+        test("an event without end is detected before it takes much memory") {
+            val splitter = EventSplitter()
+            var fed = 0
+            while (!splitter.overflowed) fed += ByteArray(1_000) { 'x'.code.toByte() }.also { splitter.feed(it) }.size
+            fed shouldBeLessThan 70_000
+        }
+
         // Examining all earlier bytes again for each new one would take minutes of processor time.
         test("an unterminated event that arrives a byte at a time costs no more than its size").config(timeout = 5.seconds) {
             val splitter = EventSplitter()
