Refuse request bodies for which there is no memory

Callers with large bodies that came at the same time got no answer: each body was kept as a whole, up to the limit of 4 MB for one, growing by doubling, and nothing bounded what all bodies together took.

RequestBodyController decides how many bytes of bodies are held: a fourth of the heap, of which bodies over 64 KB leave a fourth to smaller ones. A body with a stated length is reserved and refused by its head, before any of it is read; a chunked one grows by reservations and is refused once the next one does not fit. The refusal is a 503 with Retry-After: the request has not reached the handler, so it has not run. The memory is released when the request has ended, its caller has left, or it was rejected. The servers for callers and for readiness share the budget; those for peers and operators have none.

HttpServerTest names its handler argument, since the memory is a new argument before it.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -9,6 +9,8 @@
 import kotlinx.coroutines.launch
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
+import lagoonrudder.control.direct.RequestBodyBounds
+import lagoonrudder.control.direct.RequestBodyController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
@@ -63,6 +65,7 @@
     private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
     private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
+    private val bodies = RequestBodyController(RequestBodyBounds(total = Runtime.getRuntime().maxMemory() / SHARE_FOR_BODIES))
     private var prefetchedVersions = emptyList<DeclaredWeights>()
     private var callers: HttpServer? = null
 
@@ -78,9 +81,11 @@
         val chain = FilterChain(directFilters(control, BackEndHttpClient(core.http), random, ::recordRequestEnd))
         val endpoint = PeerEndpoint(core, chunks, peers, ::onStoreViewChanged)
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, handler = endpoint)
-        HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, handler = ReadinessRequestHandler { isReady() })
-        callers =
-            HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logReport, CallerRequestHandler(chain, core.clock))
+        val memory = SharedBodyMemory(bodies)
+        val readiness = ReadinessRequestHandler { isReady() }
+        HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, bodies = memory, handler = readiness)
+        val callerHandler = CallerRequestHandler(chain, core.clock)
+        callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logReport, memory, callerHandler)
         startOperatorServer(this)
         core.launchLoop("store") { store.run() }
         core.launchLoop("gossip") { peers.run() }
@@ -142,7 +147,7 @@
     }
 
     override fun dump() =
-        core.dump() + placement.dump(core.clock.elapsed()) +
+        core.dump() + bodies.dump() + placement.dump(core.clock.elapsed()) +
             core.suspicions.dump(core.clock.elapsed()) + core.notices.dump(core.clock.elapsed())
 
     override fun gauges() =
@@ -209,6 +214,8 @@
     }
 
     private companion object {
+        /** The part of the heap, as a divisor, that bodies of requests may use. */
+        const val SHARE_FOR_BODIES = 4
         const val MAX_LOGGED_PARTS = 8
         val SHUTDOWN_CHECK_INTERVAL = 50.milliseconds
     }
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -116,7 +116,8 @@
 
         /**
          * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
-         * for each new connection. [onReport] is called on the event loop thread.
+         * for each new connection. [onReport] is called on the event loop thread. A request whose body does not fit into [bodies] is
+         * refused with 503.
          */
         fun start(
             loop: HttpEventLoop,
@@ -124,9 +125,10 @@
             address: Address,
             limits: () -> CallerLimits,
             onReport: (ServerReport) -> Unit = {},
+            bodies: BodyMemory = BodyMemory.Unbounded,
             handler: HttpHandler,
         ): HttpServer {
-            val state = ServerState(scope, loop.dispatcher, handler, onReport)
+            val state = ServerState(scope, loop.dispatcher, handler, onReport, bodies)
             val bootstrap =
                 ServerBootstrap()
                     .group(loop.group)
@@ -158,6 +160,7 @@
     val dispatcher: kotlinx.coroutines.CoroutineDispatcher,
     val handler: HttpHandler,
     val onReport: (ServerReport) -> Unit,
+    val bodies: BodyMemory,
 ) {
     val connections: MutableSet<ServerConnection> = ConcurrentHashMap.newKeySet()
     val activeRequests =
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -3,7 +3,6 @@
  */
 package lagoonrudder.http
 
-import io.netty.buffer.ByteBufUtil
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -24,11 +23,11 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.HeaderField
-import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 import io.netty.handler.codec.http.HttpRequest as NettyRequest
 import io.netty.util.concurrent.ScheduledFuture as NettyTimer
 
@@ -56,6 +55,9 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         server.connections -= this
         timer?.cancel(false)
+        reading?.body?.release()
+        reading = null
+        pending.forEach { if (it is Received.Whole) it.body.release() }
         current?.onCallerDisconnected()
         repeat(pending.size) { reportUnhandled(null, "connection closed before the request in front was answered: ${closeReason.text}") }
     }
@@ -129,7 +131,9 @@
         if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST, "ambiguous length")
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
-        reading = RequestReader(message)
+        val request = RequestReader(message)
+        request.body.reserve(length.toInt())?.let { return refuseBody(it) }
+        reading = request
         if (current == null) sendContinue()
         startTimer(limits().idleTimeout, Awaited.BODY)
     }
@@ -145,18 +149,19 @@
     private fun readBody(content: HttpContent) {
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
-        if (!request.append(content)) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
+        if (!request.body.allows(content.content())) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
+        request.body.append(content.content())?.let { return refuseBody(it) }
         if (content !is LastHttpContent) return startTimer(limits().idleTimeout, Awaited.BODY)
         reading = null
         if (!request.keepAlive) closing = true
-        pending.addLast(Received.Whole(request.toRequest()))
+        pending.addLast(Received.Whole(request.toRequest(), request.body))
         if (pending.size >= MAX_PIPELINED) channel.config().isAutoRead = false
         if (current == null) processNext()
     }
 
     private fun processNext() {
         when (val next = pending.removeFirstOrNull()) {
-            is Received.Whole -> process(next.request)
+            is Received.Whole -> process(next)
             is Received.Rejected -> respond(next)
             null ->
                 when {
@@ -172,11 +177,11 @@
         if (server.refusal == null) awaitRequest(idleFor = Duration.ZERO) else startTimer(ServerState.LINGER, Awaited.LAST_REQUEST)
     }
 
-    private fun process(request: HttpRequest) {
+    private fun process(received: Received.Whole) {
         channel.config().isAutoRead = true
         awaited = Awaited.REQUEST
         timer?.cancel(false)
-        val exchange = ServerExchange(request, channel, ExchangeEnds())
+        val exchange = ServerExchange(received.request, channel, ExchangeEnds())
         current = exchange
         server.activeRequests.incrementAndGet()
         exchange.job =
@@ -186,6 +191,7 @@
                     withTimeoutOrNull(UNREAD_LIMIT) { exchange.awaitTaken() } ?: exchange.abort()
                 } finally {
                     server.activeRequests.decrementAndGet()
+                    received.body.release()
                     if (!exchange.ended) exchange.abort()
                 }
             }
@@ -211,6 +217,12 @@
         if (channel.isActive) processNext()
     }
 
+    /** Refuses a request for whose body there is no memory; its caller may try again after [retryAfter]. */
+    private fun refuseBody(retryAfter: Duration) {
+        val wait = HeaderField(HttpHeaderNames.RETRY_AFTER.toString(), retryAfter.toDouble(DurationUnit.SECONDS).toString())
+        reject(UNAVAILABLE, "no memory for the body", listOf(wait))
+    }
+
     /** Responds with [status] to a request that does not reach the handler, after those in front of it, and closes the connection. */
     private fun reject(
         status: Int,
@@ -218,6 +230,7 @@
         fields: List<HeaderField> = emptyList(),
     ) {
         closing = true
+        reading?.body?.release()
         reading = null
         pending.addLast(Received.Rejected(status, reason, fields))
         if (current == null) processNext()
@@ -290,8 +303,10 @@
 
     /** What was read and is answered in its turn. */
     private sealed class Received {
+        /** A complete request, whose [body] holds memory until the request has ended. */
         class Whole(
             val request: HttpRequest,
+            val body: RequestBody,
         ) : Received()
 
         /** A request that the handler does not see. */
@@ -321,18 +336,11 @@
         private val method = message.method().name()
         private val target = message.uri()
         private val fields = message.headers().map { HeaderField(it.key, it.value) }
-        private val body = ByteArrayOutputStream(0)
         val maxBytes = limits().bodyBytes
+        val body = RequestBody(server.bodies, maxBytes)
         val keepAlive = HttpUtil.isKeepAlive(message)
         var expectsContinue = HttpUtil.is100ContinueExpected(message)
 
-        fun append(content: HttpContent): Boolean {
-            val size = content.content().readableBytes()
-            if (body.size() + size > maxBytes) return false
-            body.write(ByteBufUtil.getBytes(content.content()))
-            return true
-        }
-
         fun toRequest() = HttpRequest(method, target, fields, body.toByteArray())
     }
 
@@ -348,5 +356,6 @@
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
         const val FIELDS_TOO_LARGE = 431
+        const val UNAVAILABLE = 503
     }
 }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -46,7 +46,7 @@
     private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
     val reports = LinkedBlockingQueue<ServerReport>()
     val unhandled: List<ServerReport.Unhandled> get() = reports.filterIsInstance<ServerReport.Unhandled>()
-    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, handler ?: echo)
+    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, handler = handler ?: echo)
 
     fun connect() = scriptedClient(server.port)
 
