Answer a request whose handler fails before its response

What callers saw, if it ever happened: an unexpected error in a filter closed the connection of a whole request without a word, also after it had been passed on, and dropped the requests that waited behind it.

Cause: a handler that ended without a response was treated like one that had begun a response, which can only be broken off.

Evidence: the new test of HttpServerTest failed before, with the end of the connection in place of a response.

A request without any response now gets 502, which does not tell whether it has run, and its connection goes on. A response that has begun is broken off as before.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -23,7 +23,10 @@
 import kotlin.time.Duration.Companion.seconds
 
 fun interface HttpHandler {
-    /** Responds to [exchange]. Returning before the end of the response closes the connection. */
+    /**
+     * Responds to [exchange]. When this returns or fails before the end of the response, that is broken off, and a request without
+     * any gets 502.
+     */
     suspend fun handle(exchange: HttpExchange)
 }
 
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -198,7 +198,7 @@
                     withTimeoutOrNull(UNREAD_LIMIT) { exchange.awaitTaken() } ?: exchange.abort()
                 } finally {
                     server.activeRequests.decrementAndGet()
-                    if (!exchange.ended) exchange.abort()
+                    exchange.endUnfinished(BAD_GATEWAY)
                 }
             }
     }
@@ -365,5 +365,8 @@
         const val REQUEST_TIMEOUT = 408
         const val CONTENT_TOO_LARGE = 413
         const val FIELDS_TOO_LARGE = 431
+
+        /** Does not tell whether the request has run. */
+        const val BAD_GATEWAY = 502
     }
 }
--- a/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
@@ -49,8 +49,7 @@
     private var begun = false
 
     /** Whether nothing is added to the response any more. */
-    var ended = false
-        private set
+    private var ended = false
 
     /** Whether the whole response was written to the connection. */
     private var taken = false
@@ -121,7 +120,13 @@
     fun endWith(status: Int) {
         if (ended) return
         job?.cancel(CancellationException("the server ended the request with status $status"))
-        if (begun) abort() else sendComplete(status, emptyList(), NO_BYTES)
+        endUnfinished(status)
+    }
+
+    /** Gives a response with [status], or breaks off the one that has begun, unless it is complete. */
+    fun endUnfinished(status: Int) {
+        if (ended) return
+        if (begun || !channel.isActive) abort() else sendComplete(status, emptyList(), NO_BYTES)
     }
 
     override fun abort() {
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -315,6 +315,24 @@
             }
         }
 
+        // Its connection was closed without a word, and with it those of the requests behind.
+        test("a request whose handler fails before its response gets 502, and the one behind it is answered") {
+            val handler =
+                HttpHandler { exchange ->
+                    delay(100.milliseconds)
+                    if (exchange.request.target == "/1") error("unexpected")
+                    exchange.respond(200, emptyList(), NO_BYTES)
+                }
+            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                val client = serving.connect()
+                client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+                client.readHead().orEmpty() shouldStartWith "HTTP/1.1 502"
+                client.readRest() shouldStartWith "HTTP/1.1 200"
+                serving.failures.poll(2, TimeUnit.SECONDS).shouldBeInstanceOf<IllegalStateException>()
+                eventually(2.seconds) { serving.server.activeRequests shouldBe 0 }
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -46,7 +46,7 @@
         val reason: String,
     ) : RequestEnd()
 
-    /** An error that nothing handled; the caller's connection is closed. */
+    /** An error that nothing handled; the caller gets 502, or a response that is broken off. */
     data class Failed(
         val error: Throwable,
     ) : RequestEnd()
