--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -204,7 +204,7 @@
                 } finally {
                     server.activeRequests.decrementAndGet()
                     received.body.release()
-                    if (!exchange.ended) exchange.abort()
+                    exchange.endUnfinished(BAD_GATEWAY)
                 }
             }
     }
@@ -374,5 +374,8 @@
         const val CONTENT_TOO_LARGE = 413
         const val FIELDS_TOO_LARGE = 431
         const val UNAVAILABLE = 503
+
+        /** Does not tell whether the request has run. */
+        const val BAD_GATEWAY = 502
     }
 }
