Answer a request whose body is half read when a draining server responds

What callers saw: of two requests on one connection of a daemon that drained, the second one, whose body was on its way, got no answer. The response in front said Connection: close, and the rest of the body was read and dropped.

Cause: the last response of a connection was told by the requests that were read whole; one that was being read did not count.

Evidence: the new test of HttpServerTest failed before: the response in front said Connection: close.

The response in front is not the last one any more when the next request is being read. That one gets its own, which is.

--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -206,7 +206,7 @@
     /** What the exchange in progress asks of this connection and tells it. */
     private inner class ExchangeEnds : ServerExchange.Connection {
         override fun isLast(): Boolean {
-            val isLast = pending.isEmpty() && (closing || server.draining)
+            val isLast = pending.isEmpty() && (closing || (server.draining && reading == null))
             if (isLast) closing = true
             return isLast
         }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -333,6 +333,26 @@
             }
         }
 
+        // The response in front told its caller that it was the last one, and the rest of the body was read and dropped.
+        test("a draining server answers a request whose body is half read when the response in front begins") {
+            withActiveRequest { serving, _, busy, release ->
+                serving.server.drain()
+                busy.send("POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nha")
+                Thread.sleep(100)
+                release.complete(Unit)
+                busy
+                    .readHead()
+                    ?.lowercase()
+                    .orEmpty()
+                    .contains("connection: close") shouldBe false
+                busy.send("lf")
+                val rest = busy.readRest()
+                rest shouldStartWith "doneHTTP/1.1 200"
+                rest.lowercase() shouldContain "connection: close"
+                rest shouldEndWith "done"
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
