Report a request that crosses the last response of its connection

What callers saw: no answer to a request that they sent behind one whose response said Connection: close. That is as HTTP has it, but the request was read and dropped without a line in the log, so it could not be told from one that was lost.

Cause: a connection that closes skipped whatever it read.

Evidence: the new test of HttpServerTest failed before, without any report.

The head of such a request is now reported as unhandled, without a status. Nothing is answered to it, since no response may follow the last one.

--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -80,8 +80,9 @@
         message: Any,
     ) {
         try {
-            if (closing) return
-            if (message is NettyRequest) readHead(message)
+            if (message is NettyRequest) {
+                if (closing) reportUnhandled(null, "behind the last request of its connection") else readHead(message)
+            }
             if (message is HttpContent && !closing) readBody(message)
         } finally {
             ReferenceCountUtil.release(message)
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -353,6 +353,29 @@
             }
         }
 
+        // It was read and dropped, and no line of the log told of it.
+        test("a request that crosses the last response of its connection is reported, without a response") {
+            val release = CompletableDeferred<Unit>()
+            val handler =
+                HttpHandler { exchange ->
+                    exchange.begin(HttpResponseHead(200, emptyList(), 4))
+                    release.await()
+                    exchange.write("done".encodeToByteArray())
+                    exchange.end()
+                }
+            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                serving.server.drain()
+                val client = serving.connect()
+                client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+                client.readHead()?.lowercase().orEmpty() shouldContain "connection: close"
+                client.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+                Thread.sleep(100)
+                release.complete(Unit)
+                client.readRest() shouldBe "done"
+                serving.unhandled.single().status shouldBe null
+            }
+        }
+
         // Callers go by the limits in force, and a connection that kept older ones was closed under a whole request.
         test("a kept connection follows a longer idle timeout, also one that its caller knew first") {
             for (changedAfter in listOf(100.milliseconds, 900.milliseconds)) {
