--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -82,8 +82,9 @@
         message: Any,
     ) {
         try {
-            if (closing) return
-            if (message is NettyRequest) readHead(message)
+            if (message is NettyRequest) {
+                if (closing) reportUnhandled(null, "behind the last request of its connection") else readHead(message)
+            }
             if (message is HttpContent && !closing) readBody(message)
         } finally {
             ReferenceCountUtil.release(message)
@@ -212,7 +213,7 @@
     /** What the exchange in progress asks of this connection and tells it. */
     private inner class ExchangeEnds : ServerExchange.Connection {
         override fun isLast(): Boolean {
-            val isLast = pending.isEmpty() && (closing || server.draining)
+            val isLast = pending.isEmpty() && (closing || (server.draining && reading == null))
             if (isLast) closing = true
             return isLast
         }
