Wait at a stop for connections to end, and for answers to be written

What callers saw, if it ever happened: a daemon that stopped ended its process as soon as no request was in progress, so a head that was half read got no refusal, and a reset could discard the answer in front. A request that was answered at the end of the grace had 50 ms to be written, and a response that was still being read then was cut without a line of the log.

A stop now ends once all connections have ended, or with the grace. Answers given at its end have most of the margin, and then connections are closed by the server, which reports what it cuts. A response whose write fails closes its connection at once, and a request that is cancelled with its connection names the reason of the close.

Evidence: StopControllerTest has the new time.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StopController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StopController.kt
@@ -14,12 +14,14 @@
 
 /**
  * The times of a stop: from [drainAt] on connections are closed between requests, from [stopReadingAt] on every request gets the
- * [refusal], and at [answerAt] those still in progress get an answer, so that they have it before the process is killed.
+ * [refusal], and at [answerAt] those still in progress get an answer, which may be written until [exitAt], shortly before the process
+ * is killed.
  */
 data class StopSchedule(
     val drainAt: Duration,
     val stopReadingAt: Duration,
     val answerAt: Duration,
+    val exitAt: Duration,
     val refusal: Refusal,
 )
 
@@ -51,7 +53,8 @@
         val drain = minOf(LOAD_BALANCER_TIME, grace * LONGEST_DRAIN)
         val closing = minOf(CONNECTION_CLOSING_TIME, grace * SHORTEST_PHASE)
         val refusal = Refusal.NotServing(RETRY_AFTER, "this process stops")
-        return StopSchedule(now + drain, now + drain + closing, now + grace - margin, refusal)
+        val end = now + grace
+        return StopSchedule(now + drain, now + drain + closing, end - margin, end - margin * EXIT_SHARE, refusal)
     }
 
     /** Decides about a request of [kind] whose caller or route stops waiting at [deadline]. */
@@ -75,6 +78,9 @@
         /** Answers that are written this long before the process is killed still arrive. */
         val ANSWER_MARGIN = 700.milliseconds
 
+        /** The share of the answer margin that is left when the process exits. */
+        const val EXIT_SHARE = 0.3
+
         /** Shares of the grace period. */
         const val LONGEST_DRAIN = 0.5
         const val SHORTEST_PHASE = 0.1
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StopControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StopControllerTest.kt
@@ -27,7 +27,8 @@
                 val schedule = StopController(grace).onStopRequested(100.seconds)
                 schedule.drainAt shouldBeLessThan schedule.stopReadingAt
                 schedule.stopReadingAt shouldBeLessThan schedule.answerAt
-                schedule.answerAt shouldBeLessThan 100.seconds + grace
+                schedule.answerAt shouldBeLessThan schedule.exitAt
+                schedule.exitAt shouldBeLessThan 100.seconds + grace
             }
         }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -104,12 +104,12 @@
         delay(schedule.stopReadingAt - core.clock.elapsed())
         // A request that is read just before the process exits would get no other response.
         server.stopReading(refusalResponse(schedule.refusal))
-        while (server.activeRequests > 0 && core.clock.elapsed() < schedule.answerAt) delay(SHUTDOWN_CHECK_INTERVAL)
+        // Connections end after the requests, so that what is half read gets the refusal and no reset discards the last response.
+        while (server.openConnections > 0 && core.clock.elapsed() < schedule.answerAt) delay(SHUTDOWN_CHECK_INTERVAL)
         val cut = server.activeRequests
-        if (cut > 0) {
-            server.endRequests(UNKNOWN_OUTCOME_STATUS)
-            delay(SHUTDOWN_CHECK_INTERVAL)
-        }
+        server.endRequests(UNKNOWN_OUTCOME_STATUS)
+        while (server.openConnections > 0 && core.clock.elapsed() < schedule.exitAt) delay(SHUTDOWN_CHECK_INTERVAL)
+        server.close()
         core.log.info("stopped", "in-hand" to cut, "took" to core.clock.elapsed() - started)
     }
 
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -89,6 +89,9 @@
     /** The number of requests that were read, also those that wait behind others, and whose responses are not written completely. */
     val activeRequests: Int get() = state.activeRequests.get()
 
+    /** The number of open connections. Those of callers that were told so are closed a little after their last response. */
+    val openConnections: Int get() = state.connections.size
+
     /** Closes idle connections now, and every other connection after its next response. */
     fun drain() {
         state.draining = true
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -58,7 +58,7 @@
         reading?.body?.release()
         reading = null
         pending.forEach { if (it is Received.Whole) it.body.release() }
-        current?.onCallerDisconnected()
+        current?.onDisconnected(closeReason.text)
         repeat(pending.size) { reportUnhandled(null, "connection closed before the request in front was answered: ${closeReason.text}") }
         server.activeRequests.addAndGet(-pending.size)
         pending.clear()
@@ -339,13 +339,13 @@
     private enum class CloseReason(
         val text: String,
     ) {
-        CALLER("closed by the caller"),
+        CALLER("the caller closed its connection"),
         ERROR("error on the connection"),
         STOP("the server stops"),
         LAST_RESPONSE("its last response was given"),
         IDLE("idle timeout"),
         UNREAD("the caller does not read its response"),
-        ABORTED("response aborted"),
+        ABORTED("the response was aborted"),
     }
 
     private inner class RequestReader(
--- a/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
@@ -139,8 +139,9 @@
         if (!ended) resumeWriter()
     }
 
-    fun onCallerDisconnected() {
-        if (!taken) job?.cancel(CancellationException("the caller closed its connection"))
+    /** Cancels the request, whose connection was closed for [reason], unless its response was written completely. */
+    fun onDisconnected(reason: String) {
+        if (!taken) job?.cancel(CancellationException(reason))
     }
 
     private suspend fun awaitWriter() = suspendCancellableCoroutine { writer = it }
@@ -154,7 +155,7 @@
 
     private fun finish(lastWrite: ChannelFuture) {
         ended = true
-        lastWrite.addListener { if (it.isSuccess) onTaken() else connection.onCut(request.target) }
+        lastWrite.addListener { if (it.isSuccess) onTaken() else onCut() }
     }
 
     private fun onTaken() {
@@ -163,6 +164,11 @@
         connection.onTaken()
     }
 
+    private fun onCut() {
+        connection.onCut(request.target)
+        connection.close()
+    }
+
     private fun setConnection(response: NettyResponse) {
         if (connection.isLast()) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
