Test pausing back ends beside a configuration over connections

Two entry daemons, two back ends of which one or both are silent for 1.8 s before the head or in the body, six requests at a time, kinds safe, unsafe and stream; 700 ms after the requests the same configuration, a renamed route, or one that returns within 100 ms. Each request is answered whole, or refused with 503 and never executed.

--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -39,7 +39,7 @@
 ): ByteArray = ByteArray(CHUNK_BYTES) { (it * 31 + index * 7 + version * 13).toByte() }
 
 /** How a back end handles the following requests. */
-enum class WorkerBehavior { NORMAL, ABORTS_MID_EVENT, RESETS_BEFORE_RESPONSE, OVERLOADED, STALLED }
+enum class WorkerBehavior { NORMAL, ABORTS_MID_EVENT, RESETS_BEFORE_RESPONSE, OVERLOADED, STALLED, PAUSES_BEFORE_HEAD, PAUSES_IN_BODY }
 
 /** All functions must be called on the thread of the event loop. */
 class FakeWorker(
@@ -266,6 +266,7 @@
         when (behavior) {
             WorkerBehavior.RESETS_BEFORE_RESPONSE -> return exchange.abort()
             WorkerBehavior.STALLED -> delay(STALL_TIME)
+            WorkerBehavior.PAUSES_BEFORE_HEAD -> delay(PAUSE_TIME)
             else -> Unit
         }
         val fields =
@@ -286,6 +287,7 @@
                 exchange.write("id: $event\nda".encodeToByteArray())
                 return exchange.abort()
             }
+            if (event == EVENT_COUNT / 2 && behavior == WorkerBehavior.PAUSES_IN_BODY) delay(PAUSE_TIME)
             exchange.write("id: $event\ndata: $event\n\n".encodeToByteArray())
             delay(EVENT_INTERVAL)
         }
@@ -314,6 +316,7 @@
         private val LOAD_TIME = 100.milliseconds
         private val EVENT_INTERVAL = 5.milliseconds
         private val STALL_TIME = 10_000.milliseconds
+        private val PAUSE_TIME = 1_800.milliseconds
         private val PREFILL_TIME = 20.milliseconds
         private val DOWN_TIME = 400.milliseconds
     }
