--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -9,8 +9,6 @@
 import kotlinx.coroutines.launch
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
-import lagoonrudder.control.direct.RequestBodyBounds
-import lagoonrudder.control.direct.RequestBodyController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
@@ -26,6 +24,8 @@
 import lagoonrudder.traffic.FilterChain
 import lagoonrudder.traffic.direct.DirectCall
 import lagoonrudder.traffic.direct.DirectControl
+import lagoonrudder.traffic.direct.RequestBodyBounds
+import lagoonrudder.traffic.direct.RequestBodyBudget
 import lagoonrudder.traffic.direct.RequestEnd
 import lagoonrudder.traffic.direct.directFilters
 import kotlin.random.Random
@@ -65,7 +65,7 @@
     private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
     private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
-    private val bodies = RequestBodyController(RequestBodyBounds(total = Runtime.getRuntime().maxMemory() / SHARE_FOR_BODIES))
+    private val bodies = RequestBodyBudget(RequestBodyBounds(total = Runtime.getRuntime().maxMemory() / SHARE_FOR_BODIES))
     private var prefetchedVersions = emptyList<DeclaredWeights>()
     private var callers: HttpServer? = null
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SharedBodyMemory.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SharedBodyMemory.kt
@@ -1,15 +1,15 @@
 /**
- * Connects the servers of this process to the controller that decides how much memory the bodies of requests may use.
+ * Connects the servers of this process to the budget of memory that the bodies of requests may use.
  */
 package lagoonrudder.daemon.direct
 
-import lagoonrudder.control.direct.BodyDecision
-import lagoonrudder.control.direct.RequestBodyController
 import lagoonrudder.http.BodyMemory
+import lagoonrudder.traffic.direct.BodyDecision
+import lagoonrudder.traffic.direct.RequestBodyBudget
 import kotlin.time.Duration
 
 internal class SharedBodyMemory(
-    private val bodies: RequestBodyController,
+    private val bodies: RequestBodyBudget,
 ) : BodyMemory {
     override fun reserve(
         bytes: Long,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/RequestBodyController.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestBodyBudget.kt
@@ -1,10 +1,11 @@
 /**
- * Decides how many bytes of request bodies all callers together may hold in this process.
+ * The bytes that request bodies of all callers together may hold in this process.
  *
  * Bodies of a few kilobytes may use all of the budget, larger ones only a share of it, so that a few large bodies that arrive slowly
- * don't keep out the many small ones. All functions are called on the traffic thread, which holds the bodies.
+ * don't keep out the many small ones. This is state of the traffic, not of the control thread: all functions are called on the traffic
+ * thread, which holds the bodies.
  */
-package lagoonrudder.control.direct
+package lagoonrudder.traffic.direct
 
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.dumpSection
@@ -28,7 +29,7 @@
     ) : BodyDecision()
 }
 
-class RequestBodyController(
+class RequestBodyBudget(
     private val bounds: RequestBodyBounds,
 ) {
     /** The bytes that bodies hold. May be read on any thread. */
--- a/control/src/test/kotlin/lagoonrudder/control/direct/RequestBodyControllerTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/RequestBodyBudgetTest.kt
@@ -1,4 +1,4 @@
-package lagoonrudder.control.direct
+package lagoonrudder.traffic.direct
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
@@ -9,10 +9,10 @@
 private val REFUSED = BodyDecision.Refused(2.seconds)
 
 /** Guards against a process that runs out of memory under many large request bodies. */
-class RequestBodyControllerTest :
+class RequestBodyBudgetTest :
     FunSpec({
         test("bodies share one budget, and what is released can be reserved again") {
-            val bodies = RequestBodyController(BOUNDS)
+            val bodies = RequestBodyBudget(BOUNDS)
             bodies.reserve(400, before = 0) shouldBe BodyDecision.Granted
             bodies.reserve(400, before = 0) shouldBe REFUSED
             bodies.refused shouldBe 1
@@ -22,14 +22,14 @@
         }
 
         test("large bodies leave room for small ones") {
-            val bodies = RequestBodyController(BOUNDS)
+            val bodies = RequestBodyBudget(BOUNDS)
             bodies.reserve(700, before = 0) shouldBe BodyDecision.Granted
             repeat(3) { bodies.reserve(100, before = 0) shouldBe BodyDecision.Granted }
             bodies.reserve(1, before = 0) shouldBe REFUSED
         }
 
         test("a body that grows is large once all of it is") {
-            val bodies = RequestBodyController(BOUNDS)
+            val bodies = RequestBodyBudget(BOUNDS)
             bodies.reserve(650, before = 0) shouldBe BodyDecision.Granted
             bodies.reserve(100, before = 0) shouldBe BodyDecision.Granted
             bodies.reserve(1, before = 100) shouldBe REFUSED
@@ -37,7 +37,7 @@
 
         test("the bytes held never exceed the budget") {
             val random = Random(1)
-            val bodies = RequestBodyController(BOUNDS)
+            val bodies = RequestBodyBudget(BOUNDS)
             val held = mutableListOf<Long>()
             repeat(10_000) {
                 val bytes = random.nextLong(0, 400)
