--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -12,9 +12,7 @@
 package lagoonrudder.traffic.direct
 
 import arrow.core.Either
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.selects.select
@@ -23,9 +21,6 @@
 import lagoonrudder.control.direct.AttemptOutcome
 import lagoonrudder.control.direct.AttemptTimes
 import lagoonrudder.control.direct.Placement
-import lagoonrudder.control.direct.PlacementRequest
-import lagoonrudder.control.direct.PlacementTicket
-import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.model.Address
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
@@ -34,7 +29,6 @@
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.Step
-import lagoonrudder.model.TargetId
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -48,7 +42,7 @@
     private val kind = context.route.kind
     private val relay = DirectRelay(call, control.clock)
     private val live = mutableListOf<LiveAttempt>()
-    private val excluded = mutableSetOf<TargetId>()
+    private val places = RequestPlaces(call, control, relay, limits)
     private val usedAddresses = mutableSetOf<Address>()
     private val parts = call.request.sharedParts.toSet()
     private var runs = 0
@@ -77,7 +71,7 @@
 
     /** Places the request and starts an attempt; returns the outcome if no back end can take it. */
     private suspend fun startAttempt(): Outcome? =
-        when (val placement = place()) {
+        when (val placement = places.take(mayHaveRun = mayHaveRun != null)) {
             is Placement.Placed -> {
                 startAt(placement)
                 null
@@ -99,7 +93,7 @@
                 // Two incarnations at one address are both registered until the entry of the earlier one expires.
                 sentBefore = !usedAddresses.add(backEnd.address),
             )
-        excluded += backEnd.id
+        places.exclude(backEnd.id)
         live +=
             LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
                 call.mayBeSent = true
@@ -189,102 +183,12 @@
     /** Starts an attempt at another back end if one has a place, and keeps the others. */
     private suspend fun takeOver() {
         nextTakeOverAt = control.clock.elapsed() + TAKE_OVER_INTERVAL
-        val request = placementRequest(WaitLimit.Within(Duration.ZERO), mayHaveRun = true)
         val silent = live.map { it.backEnd }
-        val placed =
-            withContext(NonCancellable) { control.thread.decide { placeTakeOver(request, silent.map { it.id }) }?.also { startAt(it) } }
+        val placed = withContext(NonCancellable) { places.takeOver(silent.map { it.id })?.also { startAt(it) } }
         // Connections that are kept to a silent back end may be dead as well.
         if (placed != null) silent.forEach { client.discardIdleConnections(it) }
     }
 
-    /** Runs on the control thread. */
-    private fun placeTakeOver(
-        request: PlacementRequest,
-        silent: List<TargetId>,
-    ): Placement.Placed? {
-        val now = control.clock.elapsed()
-        val entries = control.peers.entryCount(now)
-        if (!control.retryBudget.allows(context.service, entries, now)) return null
-        return control.placement.placeTakeOver(request, silent, now)?.also { control.retryBudget.spend(context.service, entries, now) }
-    }
-
-    private suspend fun place(): Placement {
-        val startedAt = control.clock.elapsed()
-        val timeLeft = context.timeLeft(control.clock)
-        if (timeLeft <= Duration.ZERO) return tooLate()
-        val request = placementRequest(waitLimit(timeLeft), mayHaveRun != null)
-        val ticket =
-            withContext(NonCancellable) {
-                control.thread.decide { place(request) }
-            }
-        val decision = ticket.result
-        var received = false
-        try {
-            val placement =
-                withTimeoutOrNull(minOf(ticket.wait, timeLeft)) { decision.await() } ?: run {
-                    control.thread.decide { control.placement.onWaitTimeout(decision, control.clock.elapsed()) }
-                    decision.await()
-                }
-            return placement.also { received = true }
-        } finally {
-            call.queueTime += control.clock.elapsed() - startedAt
-            if (!received) withContext(NonCancellable) { control.thread.decide { releasePlacement(decision) } }
-        }
-    }
-
-    private fun tooLate() = Placement.Refused(Refusal.TooLate(limits.retryAfter), "time is over")
-
-    private fun placementRequest(
-        wait: WaitLimit,
-        mayHaveRun: Boolean,
-    ) = PlacementRequest(
-        service = context.service,
-        customer = context.customer?.id,
-        priority = if (relay.started) RESUME_PRIORITY else context.priority,
-        homeRegions = context.homeRegions,
-        excluded = excluded.toSet(),
-        number = relay.number,
-        promptTokens = call.request.promptTokens ?: 0,
-        isLate = context.isLate && !relay.started,
-        wait = wait,
-        timeLeft = context.timeLeft(control.clock),
-        parts = parts,
-        mayHaveRun = mayHaveRun,
-    )
-
-    /** Runs on the control thread. */
-    private fun place(request: PlacementRequest): PlacementTicket {
-        val now = control.clock.elapsed()
-        if (call.attempts.isEmpty()) control.retryBudget.recordRequest(context.service, now)
-        return control.placement.place(request, now)
-    }
-
-    private fun waitLimit(timeLeft: Duration): WaitLimit =
-        when {
-            relay.started -> WaitLimit.Within(limits.resume)
-            call.attempts.isNotEmpty() -> WaitLimit.Within(RETRY_MAX_WAIT)
-            else -> {
-                val objective = context.route.latencyObjective
-                val objectiveLeft = if (context.isLate) Duration.ZERO else objective - (control.clock.elapsed() - call.receivedAt)
-                WaitLimit.ForObjective(objective, objectiveLeft, callerPatience(), timeLeft)
-            }
-        }
-
-    /** Returns how long the caller waits for the first event of a response. */
-    private fun callerPatience(): Duration =
-        when (kind) {
-            RequestKind.Idempotent, RequestKind.AtMostOnce -> Duration.INFINITE
-            is RequestKind.Stream -> kind.callerPatience(context.route.latencyObjective)
-        }
-
-    /** Releases the slot of a request whose coroutine was cancelled while it waited; runs on the control thread. */
-    @OptIn(ExperimentalCoroutinesApi::class)
-    private fun releasePlacement(decision: CompletableDeferred<Placement>) {
-        if (!decision.isCompleted) return control.placement.withdraw(decision)
-        val placed = decision.getCompleted() as? Placement.Placed ?: return
-        control.placement.onAttemptEnded(placed.backEnd.id, context.customer?.id, AttemptOutcome.ABANDONED, control.clock.elapsed())
-    }
-
     /** Handles an event of [attempt], or the result of one that could not be sent; returns the outcome if that decides it. */
     private suspend fun onEvent(
         attempt: LiveAttempt,
@@ -408,7 +312,7 @@
     }
 
     private suspend fun onDeadline(): Outcome {
-        if (!call.mayBeSent) return refusedOutcome(tooLate())
+        if (!call.mayBeSent) return refusedOutcome(places.tooLate())
         mayHaveRun = mayHaveRun ?: DirectAttemptResult.Lost("time is over")
         return finalOutcome("time is over")
     }
@@ -461,11 +365,6 @@
         }
 
     private companion object {
-        /** A stream that has started precedes requests of every priority. */
-        const val RESUME_PRIORITY = -1
-
-        /** A retry is already delayed, so it takes a free slot within this time or none. */
-        val RETRY_MAX_WAIT = 60.milliseconds
         val SLOW_READER_MARGIN = 200.milliseconds
 
         /** The time after which another place is looked for if there was none for a request that makes no progress. */
