--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -77,6 +77,15 @@
     }
 }
 
+/** Begins each response at once, and ends it with "done" once [release] completes. */
+private fun beginningThenDone(release: CompletableDeferred<Unit>) =
+    HttpHandler { exchange ->
+        exchange.begin(HttpResponseHead(200, emptyList(), 4))
+        release.await()
+        exchange.write("done".encodeToByteArray())
+        exchange.end()
+    }
+
 class HttpServerTest :
     FunSpec({
         test("pipelined requests on one connection are answered in order") {
@@ -205,14 +214,7 @@
         // Its response had begun before the drain, so its caller did not know that the connection would be closed.
         test("a draining server answers a request that follows a response without Connection: close") {
             val release = CompletableDeferred<Unit>()
-            val handler =
-                HttpHandler { exchange ->
-                    exchange.begin(HttpResponseHead(200, emptyList(), 4))
-                    release.await()
-                    exchange.write("done".encodeToByteArray())
-                    exchange.end()
-                }
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+            TestServer(LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
                 Thread.sleep(100)
@@ -346,14 +348,7 @@
         // It was read and dropped, and no line of the log told of it.
         test("a request that crosses the last response of its connection is reported, without a response") {
             val release = CompletableDeferred<Unit>()
-            val handler =
-                HttpHandler { exchange ->
-                    exchange.begin(HttpResponseHead(200, emptyList(), 4))
-                    release.await()
-                    exchange.write("done".encodeToByteArray())
-                    exchange.end()
-                }
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+            TestServer(LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
                 serving.server.drain()
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
