Log why a request began on an old version

Callers were served on a version of the weights that should have been replaced (rule VERSION), and the logs could not tell why: whether the daemon had heard late of the new version, its clock had stood still, the request had waited at its back end, the status of the back end was stale, or its target daemon had switched late.

A placement now carries what was known of versions when it was decided: the version the back end was taken to hold, the age of the status that said so, and the declarations. It is made where the back end is chosen, so a request calls the control thread no more often than before, and no decision uses it. The first event of a response on a version whose replacement is over its limit gives the warning `late-version`; `request-ended` tells the versions of each attempt; `version-declared` tells the age that decisions count from; target daemons tell when a switch is scheduled, when the back end stops accepting, what that waited for, and the age of the declaration when it is staged, ordered and loaded. `lagoonrudder trace` adds who heard first and the last steps of the target daemons.

--- a/cli/src/test/kotlin/lagoonrudder/cli/RequestTraceTest.kt
+++ b/cli/src/test/kotlin/lagoonrudder/cli/RequestTraceTest.kt
@@ -51,6 +51,46 @@
             trace[3] shouldContain "request=r1"
         }
 
+        test("a request on an old version follows who heard first of the newer one and how the target daemon switched") {
+            val trace =
+                traceRequest(
+                    "r1",
+                    lines(
+                        "$DAY:00.500 level=INFO event=started process=t role=target back-end=10.0.0.1:80",
+                        "$DAY:01.000 level=INFO event=version-declared process=b number=3 age-ms=0 age=known",
+                        "$DAY:02.000 level=INFO event=back-end-listed process=a target=t1 address=10.0.0.1:80",
+                        "$DAY:02.500 level=INFO event=version-declared process=a number=3 age-ms=0 age=known",
+                        "$DAY:03.000 level=INFO event=switch-scheduled process=t number=3 in-ms=900",
+                        "$DAY:03.500 level=INFO event=switch-begun process=u number=3",
+                        "$DAY:10.600 level=WARN event=late-version process=a request=r1 target=t1 number=2 declared=3",
+                        "$DAY:10.700 level=INFO event=loaded process=t number=3",
+                    ),
+                )
+            trace shouldHaveSize 5
+            trace[0] shouldContain "target=t1"
+            trace[1] shouldContain "known for 8100 ms"
+            trace[2] shouldContain "heard first 9600 ms before"
+            trace[2] shouldContain "process=b"
+            trace[3] shouldContain "target daemon 7600 ms before"
+            trace[3] shouldContain "event=switch-scheduled"
+            trace[4] shouldContain "event=late-version"
+        }
+
+        test("the attempts of a request name the declared version") {
+            val trace =
+                traceRequest(
+                    "r1",
+                    lines(
+                        "$DAY:01.000 level=INFO event=version-declared process=b number=2",
+                        "$DAY:02.000 level=INFO event=version-declared process=b number=10",
+                        "$DAY:05.000 level=INFO event=request-ended process=a request=r1 " +
+                            "attempts=\"t1:lost:silent:events=0:held=1@20:declared=2@900,t2:answered:events=4:held=10@20:declared=10@50\"",
+                    ),
+                )
+            trace shouldHaveSize 2
+            trace[0] shouldContain "number=10"
+        }
+
         test("a request that no line mentions has an empty trace") {
             traceRequest("r2", lines("$DAY:05.000 level=INFO event=request-ended process=a request=r1 attempts=")).shouldBeEmpty()
         }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStateController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStateController.kt
@@ -49,6 +49,12 @@
         return status.held
     }
 
+    /** Returns the age of the status that [held] follows for [backEnd]; null if it follows the registration. */
+    fun statusAge(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Duration? = statusOf(backEnd, now)?.let { now - statuses.getValue(backEnd.address).receivedAt }
+
     /** Returns whether [backEnd] rejects new work because it is loading or because a later incarnation has replaced it. */
     fun closed(
         backEnd: BackEnd,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -67,10 +67,14 @@
 )
 
 sealed class Placement {
-    /** [number] is the version that the back end must hold if the request may not run on an older one. */
+    /**
+     * [number] is the version that the back end must hold if the request may not run on an older one, and [versions] tells for the log
+     * what was known; null for a back end without weights.
+     */
     data class Placed(
         val backEnd: BackEnd,
         val number: WeightNumber?,
+        val versions: KnownVersions? = null,
     ) : Placement()
 
     data class Refused(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -34,7 +34,7 @@
     private val bounds: PlacementBounds,
     private val storeView: StoreViewController,
     private val peers: PeerController,
-    backEndStates: BackEndStateController,
+    private val backEndStates: BackEndStateController,
     private val suspicions: SuspicionController,
     private val notices: BackEndNoticeController,
     private val random: Random,
@@ -253,7 +253,16 @@
         if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
-        return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now)))
+        return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now), knownVersions(chosen, now)))
+    }
+
+    private fun knownVersions(
+        backEnd: BackEnd,
+        now: Duration,
+    ): KnownVersions? {
+        val held = backEndStates.held(backEnd, now) ?: return null
+        val declarations = storeView.declarations(held.model)
+        return KnownVersions(now, held.number, backEndStates.statusAge(backEnd, now), declarations, bounds.versionLimit)
     }
 
     private fun isSpeaking(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -151,6 +151,9 @@
     /** Returns the newest version that was declared for [model]. */
     fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]?.last()
 
+    /** Returns the declarations of [model] that are kept, oldest first. */
+    fun declarations(model: ModelId): List<DeclaredWeights> = declaredByModel[model].orEmpty()
+
     /** Returns the declaration of [number]; null for a version that was never declared or is no longer kept. */
     fun declaration(
         model: ModelId,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -297,6 +298,31 @@
             }
         }
 
+        test("a placement tells which version the back end was believed to hold, by what status, and which one was declared") {
+            val scene = Scene(listOf(backEnd("a", number = 1)))
+            scene.declare(2)
+            scene.now += 2.seconds
+            val known = {
+                scene
+                    .place()
+                    .getCompleted()
+                    .shouldBeInstanceOf<Placement.Placed>()
+                    .versions
+                    .shouldNotBeNull()
+            }
+            val listed = known()
+            listed.statusAge.shouldBeNull()
+            listed.held shouldBe WeightNumber(1)
+            val reported = backEnd("a", number = 2)
+            scene.slots.onGossipReceived(SlotWord(reported.address, reported.born, reported.weights, closed = false), scene.now)
+            scene.now += 150.milliseconds
+            val heard = known()
+            heard.statusAge shouldBe 150.milliseconds
+            heard.held shouldBe WeightNumber(2)
+            heard.at shouldBe scene.now
+            heard.newest.shouldNotBeNull().number shouldBe WeightNumber(2)
+        }
+
         test("a back end close to its switch deadline gets only the requests that it can start immediately") {
             val scene = Scene(listOf(backEnd("old", number = 1)))
             scene.declare(2)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -14,6 +14,7 @@
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.ChunkWriteController
+import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.LoadOrderController
 import lagoonrudder.control.direct.ManifestController
 import lagoonrudder.control.direct.PeerController
@@ -56,7 +57,8 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
+    private val assumedAge = settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME
+    val storeView = StoreViewController(invariants, assumedAge)
     val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
@@ -107,6 +109,7 @@
                 "version-declared",
                 "model" to it.model.text,
                 "number" to it.number.number,
+                *ageFields(it),
                 "source" to source,
                 "at" to at,
             )
@@ -128,6 +131,12 @@
         change.unusable.forEach { log.warning("store-item-invalid", "detail" to it, "source" to source, "at" to at) }
     }
 
+    /** The age that decisions count from, and whether it is known: a version in the first view after a start or a pause gets an assumed one. */
+    private fun ageFields(declared: DeclaredWeights): Array<Pair<String, Any?>> {
+        val age = clock.elapsed() - declared.since
+        return arrayOf("age-ms" to age.inWholeMilliseconds, "age" to if (age < assumedAge) "known" else "assumed")
+    }
+
     private fun logSuspicion(change: SuspicionChange) =
         when (change) {
             is SuspicionChange.Accused -> log.warning("part-accused", "crashes" to change.suspicion.describe(clock.elapsed()))
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -24,6 +24,7 @@
 import lagoonrudder.traffic.FilterChain
 import lagoonrudder.traffic.direct.DirectCall
 import lagoonrudder.traffic.direct.DirectControl
+import lagoonrudder.traffic.direct.LateVersion
 import lagoonrudder.traffic.direct.RequestBodyBounds
 import lagoonrudder.traffic.direct.RequestBodyBudget
 import lagoonrudder.traffic.direct.RequestEnd
@@ -78,7 +79,7 @@
 
     override suspend fun start() {
         val listen = checkNotNull(settings.listen)
-        val chain = FilterChain(directFilters(control, BackEndHttpClient(core.http), random, ::recordRequestEnd))
+        val chain = FilterChain(directFilters(control, BackEndHttpClient(core.http), random, ::recordLateVersion, ::recordRequestEnd))
         val endpoint = PeerEndpoint(core, chunks, peers, ::onStoreViewChanged)
         HttpServer.start(core.loop, core.scope, listen.peers, { HttpServer.PEER_LIMITS }, handler = endpoint)
         val memory = SharedBodyMemory(bodies)
@@ -166,6 +167,11 @@
                 core.log.warning("response-cut", "caller" to report.caller, "target" to report.target, "reason" to report.reason)
         }
 
+    private fun recordLateVersion(
+        call: DirectCall,
+        late: LateVersion,
+    ) = core.log.warning("late-version", "request" to call.request.request.text, *late.fields())
+
     private fun recordRequestEnd(
         call: DirectCall,
         end: RequestEnd,
@@ -185,7 +191,8 @@
             "took-ms" to took.inWholeMilliseconds,
             "first-ms" to call.timeToFirstEvent?.inWholeMilliseconds,
             "waited-ms" to call.queueTime.inWholeMilliseconds,
-            "attempts" to call.attempts.joinToString(",") { "${it.target.text}:${it.result}:events=${it.events}" },
+            "number" to call.number?.number,
+            "attempts" to call.attempts.joinToString(",") { it.describe() },
             "parts" to sharedPartsOf(call),
             "detail" to detailOf(call, end),
         )
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -38,6 +38,9 @@
     private val earlierOrders = EarlierOrderCheck(core, area, fetcher)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
 
+    /** The version and the time of the last scheduled switch that was logged. */
+    private var loggedSwitch: Pair<WeightNumber, Duration>? = null
+
     /** Checks at once whether other weights are wanted. May be called on any thread. */
     fun checkNow() {
         checkRequests.trySend(Unit)
@@ -130,6 +133,7 @@
             "drawn" to total - missing.size,
             "missing" to missing.size,
             "took" to core.clock.elapsed() - started,
+            "declared-ms" to ageOf(manifest),
         )
         if (missing.isNotEmpty()) replaceIfDoubted(manifest)
         return missing.isEmpty()
@@ -187,12 +191,42 @@
             if (isOutdated(manifest)) return false
             val scheduledSwitch = scheduledSwitch(manifest, report) ?: return true
             val wait = scheduledSwitch.at - core.clock.elapsed()
+            logSchedule(manifest, scheduledSwitch, wait)
             if (wait <= Duration.ZERO) return true
             delay(minOf(wait, SCHEDULE_CHECK_INTERVAL))
         }
         return false
     }
 
+    /** Logs a switch when it is first scheduled and whenever its time has moved by much. */
+    private suspend fun logSchedule(
+        manifest: WeightManifest,
+        scheduledSwitch: ScheduledSwitch,
+        wait: Duration,
+    ) {
+        val isLogged =
+            loggedSwitch?.let { (number, at) ->
+                number == manifest.number &&
+                    (scheduledSwitch.at - at).absoluteValue < NOTABLE_MOVE
+            }
+        if (isLogged == true) return
+        loggedSwitch = manifest.number to scheduledSwitch.at
+        core.log.info(
+            "switch-scheduled",
+            "number" to manifest.number.number,
+            "declared-ms" to ageOf(manifest),
+            "in-ms" to wait.inWholeMilliseconds,
+            "handover" to scheduledSwitch.handover(scheduledSwitch.at).name.lowercase(),
+        )
+    }
+
+    /** Returns how many milliseconds ago the version of [manifest] was declared, as decisions count them; null if it was not. */
+    private suspend fun ageOf(manifest: WeightManifest): Long? = core.thread.decide { declarationAge(manifest) }
+
+    /** Runs on the control thread. */
+    private fun declarationAge(manifest: WeightManifest): Long? =
+        core.storeView.declaration(manifest.model, manifest.number)?.let { (core.clock.elapsed() - it.since).inWholeMilliseconds }
+
     private suspend fun scheduledSwitch(
         manifest: WeightManifest,
         report: BackEndReport,
@@ -218,11 +252,34 @@
         manifest: WeightManifest,
         before: BackEndReport,
     ) {
-        val handover = scheduledSwitch(manifest, before)?.handover(core.clock.elapsed()) ?: Handover.DRAIN
+        val (scheduledSwitch, declarationAge) =
+            core.thread.decide {
+                core.staging.scheduledSwitch(slot.service, slot.backEnd, before, manifest.number) to declarationAge(manifest)
+            }
+        val handover = scheduledSwitch?.handover(core.clock.elapsed()) ?: Handover.DRAIN
+        if (before.held != null) logClosing(manifest, scheduledSwitch, declarationAge, handover, before)
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
         if (area.isReadyToLoad(manifest)) sendOrder(manifest, report, handover)
     }
 
+    /** Logs that the back end stops accepting, and how long after the time that was scheduled for it. */
+    private fun logClosing(
+        manifest: WeightManifest,
+        scheduledSwitch: ScheduledSwitch?,
+        declarationAge: Long?,
+        handover: Handover,
+        report: BackEndReport,
+    ) = core.log.info(
+        "switch-begun",
+        "number" to manifest.number.number,
+        "held" to report.held?.number?.number,
+        "declared-ms" to declarationAge,
+        "scheduled-ms" to scheduledSwitch?.let { (core.clock.elapsed() - it.at).inWholeMilliseconds },
+        "handover" to handover.name.lowercase(),
+        "running" to report.running,
+        "waiting" to report.waiting,
+    )
+
     private suspend fun sendOrder(
         manifest: WeightManifest,
         report: BackEndReport,
@@ -230,7 +287,11 @@
     ) {
         val order = LoadOrder(manifest, report.born, report.orders)
         val orderedAt = core.clock.elapsed()
-        core.thread.decide { core.loadOrders.onSent(order, orderedAt) }
+        val declarationAge =
+            core.thread.decide {
+                core.loadOrders.onSent(order, orderedAt)
+                declarationAge(manifest)
+            }
         val fields =
             arrayOf<Pair<String, Any?>>(
                 "number" to manifest.number.number,
@@ -238,6 +299,7 @@
                 "orders" to report.orders,
                 "running" to report.running,
                 "verified-before" to area.timeSinceVerification,
+                "declared-ms" to declarationAge,
             )
         when (val result = backEnd.start(order, handover)) {
             is Either.Left -> {
@@ -266,18 +328,34 @@
         handover: Handover,
     ): BackEndReport? {
         val closedAt = core.clock.elapsed()
-        var report = monitor.report() ?: return null
+        var report = monitor.report() ?: return null.also { logDrain(closedAt, "unreachable", null) }
         while (report.born == before.born && !report.loading) {
             monitor.announce(report, closed = true)
             val waited = core.clock.elapsed() - closedAt
             val isEmpty = report.waiting == 0 && (handover == Handover.DRAIN || report.running == 0)
-            if (waited > QUEUE_DRAIN_TIMEOUT || (isEmpty && waited > GOSSIP_PROPAGATION_TIME)) return report
+            if (waited > QUEUE_DRAIN_TIMEOUT || (isEmpty && waited > GOSSIP_PROPAGATION_TIME)) {
+                logDrain(closedAt, if (isEmpty) "empty" else "timeout", report)
+                return report
+            }
             delay(QUEUE_CHECK_INTERVAL)
-            report = backEnd.report().getOrElse { return null }
+            report = backEnd.report().getOrElse { return null.also { logDrain(closedAt, "unreachable", null) } }
         }
+        logDrain(closedAt, if (report.loading) "loading" else "restarted", report)
         return null
     }
 
+    private fun logDrain(
+        closedAt: Duration,
+        end: String,
+        report: BackEndReport?,
+    ) = core.log.info(
+        "drained",
+        "end" to end,
+        "took" to core.clock.elapsed() - closedAt,
+        "running" to report?.running,
+        "waiting" to report?.waiting,
+    )
+
     /** Runs on the control thread. */
     private fun recordFailure(
         order: LoadOrder,
@@ -305,7 +383,8 @@
             delay(LOAD_CHECK_INTERVAL)
             val report = monitor.report() ?: return
             if (report.held?.number == manifest.number) {
-                core.log.info("loaded", "number" to manifest.number.number, "took" to core.clock.elapsed() - orderedAt)
+                val took = core.clock.elapsed() - orderedAt
+                core.log.info("loaded", "number" to manifest.number.number, "took" to took, "declared-ms" to ageOf(manifest))
                 return
             }
             if (!report.loading) return
@@ -327,6 +406,7 @@
         /** How long chunks that can't be had are waited for before the back end's report is read again. */
         val STAGE_LIMIT = 1_500.milliseconds
         val SCHEDULE_CHECK_INTERVAL = 200.milliseconds
+        val NOTABLE_MOVE = 500.milliseconds
 
         /** A chunk that an entry daemon of the region has cached arrives within a few round trips. */
         val NEWER_VERSION_TIMEOUT = 400.milliseconds
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
@@ -8,6 +8,7 @@
 package lagoonrudder.traffic.direct
 
 import lagoonrudder.model.Clock
+import lagoonrudder.model.WeightNumber
 import java.io.ByteArrayOutputStream
 import kotlin.time.Duration
 
@@ -42,6 +43,17 @@
     var firstProgressAt: Duration? = null
         private set
 
+    /** The time of the head of the response; null before it. */
+    var headAt: Duration? = null
+        private set
+
+    /** The time of the first event, without comments, or of the first bytes of another response; null before it. */
+    var firstEventAt: Duration? = null
+        private set
+
+    /** The version that the head tells. */
+    val number: WeightNumber? get() = head?.number
+
     /** The number of events received, without comments. */
     var events = 0
         private set
@@ -63,6 +75,7 @@
     private fun onHead(next: ResponseHead): DirectAttemptResult? {
         if (head != null) return DirectAttemptResult.Lost("status ${next.status} in a second head after the start of the response")
         head = next
+        headAt = clock.elapsed()
         return when (next.execution) {
             Execution.NOT_RUN -> DirectAttemptResult.NotRun(reached = true, "status ${next.status}")
             Execution.UNPROVEN -> DirectAttemptResult.Lost("status ${next.status} without proof of execution")
@@ -79,6 +92,7 @@
     private suspend fun onBytes(data: ByteArray): DirectAttemptResult? {
         val current = head ?: return DirectAttemptResult.Lost("body before the response head")
         if (relay.isStreamOf(current)) return onStreamBytes(data, current)
+        recordEvent()
         if (forwardedParts > 0) {
             forwardedParts++
             relay.forward(data)
@@ -101,7 +115,10 @@
         current: ResponseHead,
     ): DirectAttemptResult? {
         for (event in splitter.feed(data)) {
-            if (!event.isComment) events++
+            if (!event.isComment) {
+                events++
+                recordEvent()
+            }
             when (val place = relay.placeOf(event, resuming)) {
                 EventPlace.Repeated -> continue
                 is EventPlace.Unfit -> return DirectAttemptResult.Lost(place.detail)
@@ -140,6 +157,10 @@
         return DirectAttemptResult.Completed(relay.end(current, buffered.toByteArray()))
     }
 
+    private fun recordEvent() {
+        if (firstEventAt == null) firstEventAt = clock.elapsed()
+    }
+
     private fun recordProgress() {
         progressAt = clock.elapsed()
         if (firstProgressAt == null) firstProgressAt = progressAt
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -3,6 +3,8 @@
  */
 package lagoonrudder.traffic.direct
 
+import lagoonrudder.control.direct.DeclaredWeights
+import lagoonrudder.control.direct.KnownVersions
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Failure
 import lagoonrudder.model.RegionId
@@ -11,6 +13,7 @@
 import lagoonrudder.model.ServingCustomer
 import lagoonrudder.model.ServingRoute
 import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 
 /**
@@ -35,11 +38,33 @@
     fun timeLeft(clock: Clock): Duration = deadline - clock.elapsed()
 }
 
-/** One attempt, its result and the number of events that it received, for the log. */
+/** One attempt, its result and the number of events that it received, for the log; [versions] is null for a back end without weights. */
 data class AttemptRecord(
     val target: TargetId,
     val result: String,
     val events: Int,
+    val versions: AttemptVersions? = null,
+)
+
+/**
+ * The versions that an attempt met, for the log: what was [known] at the choice of its back end, the version [required] of it then, and
+ * the [number] of its response. [headAfter] and [firstEventAfter] count from the choice; null if they did not come.
+ */
+data class AttemptVersions(
+    val required: WeightNumber?,
+    val known: KnownVersions,
+    val number: WeightNumber?,
+    val headAfter: Duration?,
+    val firstEventAfter: Duration?,
+)
+
+/** A request whose first event came from [target] on an older version than [declared], [age] after that declaration was heard of. */
+data class LateVersion(
+    val target: TargetId,
+    val declared: DeclaredWeights,
+    val age: Duration,
+    val versions: AttemptVersions,
+    val isResumed: Boolean,
 )
 
 class DirectCall(
@@ -53,6 +78,9 @@
     var timeToFirstEvent: Duration? = null
     var lastFailure: Failure? = null
 
+    /** The version that produced the response, if its back end told one. */
+    var number: WeightNumber? = null
+
     /** Whether an attempt was handed to the client, so that a back end may have the request. */
     var mayBeSent = false
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -23,17 +23,19 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** Returns the filters; [onLateVersion] hears of each request that begins on too old a version, [onEnded] of each end. */
 fun directFilters(
     control: DirectControl,
     client: BackEndClient,
     random: Random,
+    onLateVersion: (DirectCall, LateVersion) -> Unit = { _, _ -> },
     onEnded: (DirectCall, RequestEnd) -> Unit,
 ): List<Filter<DirectCall>> =
     listOf(
         DirectAccountingFilter(onEnded),
         DirectIdentifyFilter(control, random),
         DirectStopFilter(control),
-        DirectSendFilter(control, client, DirectLimits()),
+        DirectSendFilter(control, client, DirectLimits(), onLateVersion),
     )
 
 /** How a request ended. */
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -115,6 +115,7 @@
     private fun onBegun(head: ResponseHead) {
         begun = head
         call.hasBegun = true
+        call.number = head.number
     }
 
     suspend fun forward(data: ByteArray) {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendFilter.kt
@@ -26,9 +26,10 @@
     private val control: DirectControl,
     private val client: BackEndClient,
     private val limits: DirectLimits,
+    private val onLateVersion: (DirectCall, LateVersion) -> Unit,
 ) : Filter<DirectCall> {
     override suspend fun handle(
         call: DirectCall,
         next: Next<DirectCall>,
-    ): Outcome = DirectSendOperation(call, control, client, limits).run()
+    ): Outcome = DirectSendOperation(call, control, client, limits, onLateVersion).run()
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -37,6 +37,7 @@
     private val control: DirectControl,
     private val client: BackEndClient,
     private val limits: DirectLimits,
+    private val onLateVersion: (DirectCall, LateVersion) -> Unit,
 ) {
     private val context = call.context
     private val kind = context.route.kind
@@ -95,7 +96,7 @@
             )
         places.exclude(backEnd.id)
         live +=
-            LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
+            LiveAttempt(placement, relay.startAttempt(), control.clock.elapsed()) {
                 call.mayBeSent = true
                 client.send(attempt).mapLeft { DirectAttemptResult.NotRun(reached = false, it.describe()) }
             }
@@ -195,6 +196,8 @@
         event: Either<DirectAttemptResult, ResponseEvent>,
     ): Outcome? {
         val forwardedBefore = attempt.relay.forwardedParts
+        val beginsNow = attempt.relay.firstEventAt == null
+        val isResumed = relay.lastEvent != null || call.request.resumeAfter != null
         val result =
             when (event) {
                 is Either.Left -> event.value
@@ -203,11 +206,23 @@
                     attempt.relay.onEvent(event.value)
                 }
             }
+        if (beginsNow) lateVersion(attempt, isResumed)?.let { onLateVersion(call, it) }
         if (attempt.relay.forwardedParts > forwardedBefore || result is DirectAttemptResult.Completed) supersedeOthers(attempt)
         reportProgress(attempt)
         return result?.let { onResult(attempt, it) }
     }
 
+    /** Returns what to log if the first event of [attempt] has come on too old a version. */
+    private fun lateVersion(
+        attempt: LiveAttempt,
+        isResumed: Boolean,
+    ): LateVersion? {
+        val begunAt = attempt.relay.firstEventAt ?: return null
+        val versions = attempt.versions ?: return null
+        val declared = versions.number?.let { versions.known.violated(it, begunAt) } ?: return null
+        return LateVersion(attempt.backEnd.id, declared, begunAt - declared.since, versions, isResumed)
+    }
+
     /** Passes on what the back end says of itself, before anything else is decided about this answer. */
     private suspend fun heed(
         event: ResponseEvent,
@@ -258,7 +273,7 @@
     ) {
         live -= attempt
         attempt.abandon()
-        if (result != null) call.attempts += AttemptRecord(attempt.backEnd.id, describe(result), attempt.relay.events)
+        if (result != null) call.attempts += AttemptRecord(attempt.backEnd.id, describe(result), attempt.relay.events, attempt.versions)
         val outcome = result?.let { attemptOutcomeOf(it) } ?: AttemptOutcome.ABANDONED
         withContext(NonCancellable) {
             control.thread.decide {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import lagoonrudder.control.direct.Placement
 import lagoonrudder.model.BackEnd
 import kotlin.time.Duration
 
@@ -47,13 +48,28 @@
     ) : DirectAttemptResult()
 }
 
-/** Reads the attempt at [backEnd], which [send] sends. */
+/** Reads the attempt at the back end of [placement], which [send] sends. */
 internal class LiveAttempt(
-    val backEnd: BackEnd,
+    val placement: Placement.Placed,
     val relay: AttemptRelay,
     val startedAt: Duration,
     private val send: suspend () -> Either<DirectAttemptResult, OpenAttempt>,
 ) {
+    val backEnd: BackEnd get() = placement.backEnd
+
+    /** What was known of versions at the choice of the back end, and how its response began; null for a back end without weights. */
+    val versions: AttemptVersions?
+        get() =
+            placement.versions?.let { known ->
+                AttemptVersions(
+                    required = placement.number,
+                    known = known,
+                    number = relay.number,
+                    headAfter = relay.headAt?.let { it - known.at },
+                    firstEventAfter = relay.firstEventAt?.let { it - known.at },
+                )
+            }
+
     private var open: OpenAttempt? = null
     private var pending: Deferred<Either<DirectAttemptResult, ResponseEvent>>? = null
 
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -43,7 +43,9 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.EventId
 import lagoonrudder.model.Failure
+import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.Invariants
+import lagoonrudder.model.ModelId
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
@@ -283,6 +285,7 @@
     slots: Int = 4,
     customers: List<ServingCustomer> = emptyList(),
     random: Random = Random(1),
+    weights: HeldWeights? = null,
 ) {
     private val clock =
         object : Clock {
@@ -323,7 +326,15 @@
     val response = FakeResponse()
     val inFlight get() = placement.inFlight()
     val ends = mutableListOf<RequestEnd>()
-    private val chain = FilterChain(directFilters(control, link, random) { _, end -> ends += end })
+    val lateVersions = mutableListOf<LateVersion>()
+    val calls = mutableListOf<DirectCall>()
+    private val chain =
+        FilterChain(
+            directFilters(control, link, random, onLateVersion = { _, late -> lateVersions += late }) { call, end ->
+                calls += call
+                ends += end
+            },
+        )
     private var published = 9L
 
     /** The configuration at the start. */
@@ -354,7 +365,7 @@
                 limits,
             )
         val backEnds =
-            backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, null) }
+            backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, weights) }
         val items =
             backEnds.mapIndexed {
                 index,
@@ -380,6 +391,21 @@
         return chain.run(DirectCall(request, to, clock.elapsed()))
     }
 
+    /** Declares version [number] of the model that the back ends hold. */
+    suspend fun declare(
+        model: ModelId,
+        number: Long,
+    ) = control.thread.decide {
+        val at = ++published
+        val declaration = StoreRecord.VersionDeclaration(model, WeightNumber(number))
+        storeView.applyChanges(
+            listOf(DecodedItem(StoreItem("op/version/${model.text}", at, ByteArray(0)), declaration)),
+            at,
+            clock.elapsed(),
+        )
+        control.onStoreViewChanged()
+    }
+
     /** Puts [next] in force, which the store or, if [fromPeer] is set, a peer has told. */
     suspend fun publish(
         next: ServingConfiguration,
