Expect the version that a back end holds, not an older one that binds

From the second declared version on, callers were refused while back ends with the newest version stood idle: those rejected every request (421) until the limit of the newest version was nearly over. Cause: a placement named the declared version that binds, which was the one before. Now it names what the back end is believed to hold.

The new case of PlacementControllerTest was not run on the code before.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -43,27 +43,30 @@
         if (held.layers < layout.layers) return false
         val pinned = request.number
         if (pinned != null && held.number != pinned) return false
-        val required = requiredNumber(held, request, now) ?: return true
-        return held.number >= required
+        val binding = bindingNumber(held, now) ?: return true
+        return held.number >= binding
     }
 
-    /** Returns the version that [backEnd] must hold if [request] may not run on an older one. */
-    fun requiredNumber(
+    /**
+     * Returns the version that [backEnd] must still hold when [request] arrives there: the one that it is believed to hold, if the request
+     * may not run on each version. Null if it may.
+     */
+    fun expectedNumber(
         backEnd: BackEnd,
         request: PlacementRequest,
         now: Duration,
-    ): WeightNumber? = requiredNumber(backEndStates.held(backEnd, now), request, now)
-
-    /** Returns the version that a request must start on: the declared one once its rollout time is nearly over. */
-    private fun requiredNumber(
-        held: HeldWeights?,
-        request: PlacementRequest,
-        now: Duration,
     ): WeightNumber? {
-        val declared = held?.let { storeView.declaredAsOf(it.model, now - bounds.versionLimit + SWITCH_MARGIN) }
-        return declared?.number ?: request.number
+        val held = backEndStates.held(backEnd, now) ?: return request.number
+        val mayRunOnEach = request.number == null && bindingNumber(held, now) == null
+        return if (mayRunOnEach) null else held.number
     }
 
+    /** Returns the version on which or on a newer one requests must start: a declared one once its limit is nearly over. */
+    private fun bindingNumber(
+        held: HeldWeights,
+        now: Duration,
+    ): WeightNumber? = storeView.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN)?.number
+
     /** Describes why no back end is eligible for [request]. */
     fun describeNone(
         request: PlacementRequest,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -68,7 +68,7 @@
 
 sealed class Placement {
     /**
-     * [number] is the version that the back end must hold if the request may not run on an older one, and [versions] tells for the log
+     * [number] is the version that the back end must still hold, null if the request may run on each one, and [versions] tells for the log
      * what was known; null for a back end without weights.
      */
     data class Placed(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -253,7 +253,7 @@
         if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
-        return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now), knownVersions(chosen, now)))
+        return Choice.Chosen(Placement.Placed(chosen, eligibility.expectedNumber(chosen, request, now), knownVersions(chosen, now)))
     }
 
     private fun knownVersions(
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -345,6 +345,20 @@
             repeat(3) { scene.place().target shouldBe TargetId("new") }
         }
 
+        // Expecting the declared version, which is older, such a back end rejected every request until the newer one was binding.
+        test("a back end that holds a newer version than the one that binds is expected to hold that") {
+            val scene = Scene(listOf(backEnd("newest", number = 3)))
+            scene.declare(2)
+            scene.now += 2.seconds
+            scene.declare(3)
+            scene.now += 5.3.seconds
+            scene
+                .place()
+                .getCompleted()
+                .shouldBeInstanceOf<Placement.Placed>()
+                .number shouldBe WeightNumber(3)
+        }
+
         test("a stream that is resumed elsewhere continues with the version that started it") {
             val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
             scene.place(number = 1).target shouldBe TargetId("old")
