--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -65,7 +65,7 @@
     private fun bindingNumber(
         held: HeldWeights,
         now: Duration,
-    ): WeightNumber? = storeView.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN)?.number
+    ): WeightNumber? = storeView.versions.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN)?.number
 
     /** Describes why no back end is eligible for [request]. */
     fun describeNone(
@@ -84,7 +84,8 @@
         now: Duration,
     ): Boolean {
         val held = backEndStates.held(backEnd, now) ?: return false
-        val declared = storeView.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
+        val declared =
+            storeView.versions.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
         return held.number < declared.number
     }
 
--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -0,0 +1,130 @@
+/**
+ * Keeps the versions that operators declared for each model, and since when each one may bind.
+ *
+ * A version binds from its acknowledgement by the store, of which a daemon only hears: late when its reader stops, or when it was frozen,
+ * cut off or suspended itself. So each declaration has the earliest time at which it can have been acknowledged, and limits count from
+ * that. Entry daemons tell each other what they know, which narrows it.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.EventTime
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.StoreRecord
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** A version that back ends must hold, and when the store acknowledged its declaration. */
+data class DeclaredWeights(
+    val model: ModelId,
+    val number: WeightNumber,
+    val acknowledged: EventTime,
+)
+
+/** [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. */
+class DeclaredVersions(
+    private val versionLimit: Duration,
+) {
+    private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
+
+    /** The last moment until which all that the store had acknowledged has been heard; null while there is none. */
+    private var upToDateAt: Duration? = null
+
+    /** What was asked before this time was answered by a clock that may have missed a pause since. */
+    private var trustedFrom = Duration.ZERO
+
+    /** The newest declared version of each model. */
+    val newest: Map<ModelId, WeightNumber> get() = declaredByModel.mapValues { it.value.last().number }
+
+    /** Returns the declarations of [model] that are kept, oldest first. */
+    fun declarations(model: ModelId): List<DeclaredWeights> = declaredByModel[model].orEmpty()
+
+    /** Returns the declaration of [number]; null for a version that was never declared or is no longer kept. */
+    fun declaration(
+        model: ModelId,
+        number: WeightNumber,
+    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { it.number == number }
+
+    /** Returns the newest version of [model] that may have been declared at or before [time]; each one binds from its own time. */
+    fun declaredAsOf(
+        model: ModelId,
+        time: Duration,
+    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { it.acknowledged.earliest <= time }
+
+    /** Returns the oldest declaration of [model] that a back end with version [held] does not meet. */
+    fun oldestUnmet(
+        model: ModelId,
+        held: WeightNumber?,
+    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }
+
+    /** Records a declaration heard at [now]; returns null unless it is newer than those known. */
+    fun onHeard(
+        offered: StoreRecord.VersionDeclaration,
+        now: Duration,
+    ): DeclaredWeights? {
+        val known = declaredByModel[offered.model].orEmpty()
+        if (known.isNotEmpty() && known.last().number >= offered.number) return null
+        val earliest = maxOf(upToDateAt ?: -Duration.INFINITE, now - (versionLimit - UNKNOWN_AGE_ROLLOUT_TIME))
+        val declared = DeclaredWeights(offered.model, offered.number, EventTime(earliest.coerceAtMost(now), now))
+        declaredByModel[offered.model] = (known + declared).takeLast(MAX_DECLARATIONS)
+        return declared
+    }
+
+    /** Records that everything which the store had acknowledged until [time] has been heard, by an answer that was asked for at [askedAt]. */
+    fun onUpToDate(
+        time: Duration,
+        askedAt: Duration = time,
+    ) {
+        if (askedAt < trustedFrom) return
+        upToDateAt = maxOf(upToDateAt ?: time, time)
+    }
+
+    /** Returns how long ago everything that the store had acknowledged had been heard here; null if that is unknown. */
+    fun upToDateAge(now: Duration): Duration? = upToDateAt?.let { now - it }
+
+    /**
+     * Records what a peer told in answer to a question that was sent at [askedAt]. A newer version than those known here comes with its
+     * item; an older one was replaced in the store before this process could hear of it, and binds nevertheless.
+     */
+    fun onTold(
+        told: List<DeclaredWeights>,
+        askedAt: Duration,
+    ) {
+        if (askedAt < trustedFrom) return
+        for (each in told) declaredByModel.computeIfPresent(each.model) { _, known -> known.with(each) }
+    }
+
+    private fun List<DeclaredWeights>.with(told: DeclaredWeights): List<DeclaredWeights> =
+        when {
+            any { it.number == told.number } -> map { if (it.number == told.number) it.narrowedBy(told) else it }
+            told.number < last().number -> (this + told).sortedBy { it.number }.takeLast(MAX_DECLARATIONS)
+            else -> this
+        }
+
+    /** Returns the declarations to tell peers of; older ones bind whatever their age. */
+    fun toTell(now: Duration): List<DeclaredWeights> =
+        declaredByModel.values.flatMap { all -> all.filter { now - it.acknowledged.earliest < versionLimit } }
+
+    /** Records a pause that was noticed at [now], of which the clock has not counted up to [uncounted]. */
+    fun onPaused(
+        uncounted: Duration,
+        now: Duration,
+    ) {
+        trustedFrom = now
+        upToDateAt = upToDateAt?.let { it - uncounted }
+        declaredByModel.replaceAll { _, all -> all.map { it.copy(acknowledged = it.acknowledged.afterUncounted(uncounted)) } }
+    }
+
+    private fun DeclaredWeights.narrowedBy(other: DeclaredWeights) = copy(acknowledged = acknowledged.narrowedBy(other.acknowledged))
+
+    private companion object {
+        /**
+         * The part of the limit that is left to a version of which nothing is known about its age, since requests could go nowhere
+         * otherwise when all daemons start at once. The limit doesn't bind a daemon for longer than this after its start.
+         */
+        val UNKNOWN_AGE_ROLLOUT_TIME = 2.seconds
+
+        /** Older declarations no longer apply to any back end. */
+        const val MAX_DECLARATIONS = 16
+    }
+}
--- a/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
@@ -20,9 +20,9 @@
     /** The newest declaration; null if there was none. */
     val newest: DeclaredWeights? get() = declarations.lastOrNull()
 
-    /** Returns the oldest declaration that a request which begins on [number] at [time] comes too late for; null if there is none. */
+    /** Returns the oldest declaration for which a request that begins on [number] at [time] may come too late; null if there is none. */
     fun violated(
         number: WeightNumber,
         time: Duration,
-    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time - it.since > limit }
+    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time - it.acknowledged.earliest > limit }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -261,7 +261,7 @@
         now: Duration,
     ): KnownVersions? {
         val held = backEndStates.held(backEnd, now) ?: return null
-        val declarations = storeView.declarations(held.model)
+        val declarations = storeView.versions.declarations(held.model)
         return KnownVersions(now, held.number, backEndStates.statusAge(backEnd, now), declarations, bounds.versionLimit)
     }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -81,10 +81,10 @@
     ): WeightsToLoad? {
         val layout = storeView.serving?.service(service)?.weights ?: return null
         val model = layout.models.firstOrNull() ?: return null
-        val declared = storeView.declared(model)
+        val declared = storeView.versions.newest[model]
         val held = report.held?.takeIf { it.model == model && it.layers >= layout.layers }
-        val satisfied = held != null && (declared == null || held.number >= declared.number)
-        return if (satisfied) null else WeightsToLoad(model, declared?.number)
+        val satisfied = held != null && (declared == null || held.number >= declared)
+        return if (satisfied) null else WeightsToLoad(model, declared)
     }
 
     /** Returns why [manifest] can't be that of version [number], or of the newest one if it is null; null if it can. */
@@ -113,7 +113,7 @@
         staged: Int,
         total: Int,
     ): Boolean {
-        val newest = storeView.declared(model)?.number ?: return true
+        val newest = storeView.versions.newest[model] ?: return true
         return number >= newest || staged * 2 >= total
     }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -30,7 +30,17 @@
     data class Watch(
         val after: Long,
         val wait: Duration,
-    ) : StoreStep()
+    ) : StoreStep() {
+        /**
+         * Returns the time until which an answer with [changes], which arrived at [now], holds all that the store had acknowledged, if it
+         * was asked for at [askedAt]. The store answers without a change only at the end of the wait.
+         */
+        fun asOf(
+            askedAt: Duration,
+            now: Duration,
+            changes: Int,
+        ): Duration = if (changes == 0 && now - askedAt >= wait) askedAt + wait else askedAt
+    }
 }
 
 class StoreReaderController(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -14,13 +14,11 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.Invariant
 import lagoonrudder.model.Invariants
-import lagoonrudder.model.ModelId
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingConfiguration
 import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
-import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -44,13 +42,6 @@
     val published: StoreRecord?,
 )
 
-/** The version of a model that back ends must hold, and the time at which this process learned of it. */
-data class DeclaredWeights(
-    val model: ModelId,
-    val number: WeightNumber,
-    val since: Duration,
-)
-
 /** The changes that a batch of items caused; [evacuated] is null if the set of evacuated failure domains did not change. */
 data class StoreViewChange(
     val serving: ServingConfiguration?,
@@ -94,10 +85,10 @@
     }
 }
 
-/** [ageAtStart] is the assumed age of a version that was declared before this process started, whose real age is unknown. */
+/** [versionLimit] is how long back ends may serve an older version after a newer one was declared. */
 class StoreViewController(
     private val invariants: Invariants,
-    private val ageAtStart: Duration = 5.seconds,
+    versionLimit: Duration = 8.seconds,
 ) {
     /** A back end whose [registration] was removed by [change], but which is kept [until] then in case it registers again. */
     private class PendingRemoval(
@@ -111,7 +102,6 @@
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
     private val targetsByKey = mutableMapOf<String, TargetId>()
     private val registrations = mutableMapOf<TargetId, StoreItem>()
-    private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
     private var confirmedAt: Duration? = null
 
     /** The revision of the last read of all items; every removal after it has left a tombstone. */
@@ -127,6 +117,8 @@
      */
     private var contactRevision: Long? = null
 
+    val versions = DeclaredVersions(versionLimit)
+
     /** The store revision up to which this process has seen every change. */
     var at = 0L
         private set
@@ -148,41 +140,18 @@
         return grouped[service].orEmpty()
     }
 
-    /** Returns the newest version that was declared for [model]. */
-    fun declared(model: ModelId): DeclaredWeights? = declaredByModel[model]?.last()
-
-    /** Returns the declarations of [model] that are kept, oldest first. */
-    fun declarations(model: ModelId): List<DeclaredWeights> = declaredByModel[model].orEmpty()
-
-    /** Returns the declaration of [number]; null for a version that was never declared or is no longer kept. */
-    fun declaration(
-        model: ModelId,
-        number: WeightNumber,
-    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { it.number == number }
-
-    /** The newest declaration of each model. */
-    val newest: List<DeclaredWeights> get() = declaredByModel.values.map { it.last() }
-
-    /** Returns the newest version of [model] declared at or before [time]; each declaration takes effect at its own time. */
-    fun declaredAsOf(
-        model: ModelId,
-        time: Duration,
-    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { it.since <= time }
-
-    /** Returns the oldest declaration of [model] that a back end with version [held] does not meet. */
-    fun oldestUnmet(
-        model: ModelId,
-        held: WeightNumber?,
-    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }
-
-    /** Applies changes from the store up to the revision [upTo]. */
+    /**
+     * Applies changes from the store up to the revision [upTo], which arrived at [now] and hold all that the store had acknowledged until
+     * [asOf].
+     */
     fun applyChanges(
         changes: List<DecodedItem>,
         upTo: Long,
         now: Duration,
+        asOf: Duration = now,
     ): StoreViewChange {
         if (contactRevision == null) contactRevision = upTo
-        return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
+        return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now)).also { versions.onUpToDate(asOf) }
     }
 
     /**
@@ -201,21 +170,24 @@
         now: Duration,
         holdRemovals: Boolean,
     ): StoreViewChange {
-        val first = confirmedAt == null
         val applied = changes.filter { storeIfNewer(it) }
         at = maxOf(at, upTo)
         confirmedAt = now
-        return publish(applied, now, first, holdRemovals)
+        return publish(applied, now, holdRemovals)
     }
 
-    /** Applies a full read of the store at the revision [upTo]; a read older than the current view is ignored. */
+    /**
+     * Applies a full read of the store at the revision [upTo], which arrived at [now] and holds all that the store had acknowledged until
+     * [asOf]; a read older than the current view is ignored.
+     */
     fun applySnapshot(
         all: List<DecodedItem>,
         upTo: Long,
         now: Duration,
+        asOf: Duration = now,
     ): StoreViewChange {
-        if (upTo < at) return applyChanges(emptyList(), at, now)
-        return applyChanges(completed(all, upTo), upTo, now)
+        if (upTo < at) return applyChanges(emptyList(), at, now, asOf)
+        return applyChanges(completed(all, upTo), upTo, now, asOf)
     }
 
     /**
@@ -226,7 +198,10 @@
         all: List<DecodedItem>,
         upTo: Long,
         now: Duration,
-    ): StoreViewChange = applyChanges(completed(all, upTo), upTo, now)
+    ): StoreViewChange {
+        if (contactRevision == null) contactRevision = upTo
+        return applyChanges(completed(all, upTo), upTo, now, holdRemovals = mayReturn(now))
+    }
 
     /** Returns [all] items at the revision [upTo] and the removals of those that are not among them. */
     private fun completed(
@@ -242,6 +217,24 @@
         return all + removed
     }
 
+    /**
+     * Returns how long ago the store held nothing beyond [settledRevision]; null if that is unknown. A peer that has seen every change up to
+     * that revision knows as much.
+     */
+    fun upToDateAge(now: Duration): Duration? = if (pendingRemovals.isEmpty()) versions.upToDateAge(now) else null
+
+    /**
+     * Records that a peer, asked at [askedAt], has said that the store held nothing beyond [revision] at [time]. Comes after the items of
+     * the same answer.
+     */
+    fun onUpToDateHeard(
+        revision: Long,
+        time: Duration,
+        askedAt: Duration,
+    ) {
+        if (revision <= at) versions.onUpToDate(time, askedAt)
+    }
+
     /** The revision up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
     val settledRevision: Long get() = pendingRemovals.values.minOfOrNull { it.change.revision - 1 } ?: at
 
@@ -287,9 +280,17 @@
         return expired.keys.toList()
     }
 
-    /** Marks the view as possibly stale after a pause of the process, until the store or a peer confirms it. */
-    fun onPaused(pause: Duration) {
+    /**
+     * Marks the view as possibly stale after a pause of the process that was noticed at [now], until the store or a peer confirms it. The
+     * monotonic clock has not counted up to [uncounted] of it.
+     */
+    fun onPaused(
+        pause: Duration,
+        uncounted: Duration,
+        now: Duration,
+    ) {
         confirmedAt = null
+        versions.onPaused(uncounted, now)
         if (pause >= STORE_AWAY_AFTER) storeContact = null
     }
 
@@ -303,7 +304,7 @@
             entry("confirmed", confirmed)
             entry("store-contact", storeContact)
             entry("evacuated", evacuated.map { it.text })
-            entry("declared", declaredByModel.values.map { "${it.last().model.text}:${it.last().number.number}" })
+            entry("declared", versions.newest.map { (model, number) -> "${model.text}:${number.number}" })
             entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
         }
 
@@ -317,7 +318,6 @@
     private fun publish(
         applied: List<DecodedItem>,
         now: Duration,
-        first: Boolean,
         holdRemovals: Boolean,
     ): StoreViewChange {
         val added = mutableListOf<BackEnd>()
@@ -329,7 +329,7 @@
             when (val published = change.published) {
                 is StoreRecord.Configuration -> next = newerOf(published.set, next)
                 is StoreRecord.Registered -> (if (register(change.item, published.backEnd)) added else changed) += published.backEnd
-                is StoreRecord.VersionDeclaration -> declare(published, now, first)?.let { declared += it }
+                is StoreRecord.VersionDeclaration -> versions.onHeard(published, now)?.let { declared += it }
                 is StoreRecord.Unreadable -> unusable += "${change.item.key}: ${published.detail}"
                 is StoreRecord.DomainEvacuation, null -> Unit
             }
@@ -391,19 +391,6 @@
         targetsByKey -= key
     }
 
-    private fun declare(
-        offered: StoreRecord.VersionDeclaration,
-        now: Duration,
-        first: Boolean,
-    ): DeclaredWeights? {
-        val known = declaredByModel[offered.model].orEmpty()
-        if (known.isNotEmpty() && known.last().number >= offered.number) return null
-        val since = if (first) now - ageAtStart else now
-        val declared = DeclaredWeights(offered.model, offered.number, since)
-        declaredByModel[offered.model] = (known + declared).takeLast(MAX_DECLARATIONS)
-        return declared
-    }
-
     private fun changedEvacuation(): Set<DomainId>? {
         val next = items.values.mapNotNullTo(mutableSetOf()) { (it.published as? StoreRecord.DomainEvacuation)?.domain }
         if (next == evacuated) return null
@@ -414,8 +401,5 @@
     private companion object {
         /** A live back end registers within two seconds after the store recovers, and a change that shares a call comes 250 ms later. */
         val REMOVAL_GRACE = 2_300.milliseconds
-
-        /** Older declarations no longer apply to any back end. */
-        const val MAX_DECLARATIONS = 16
     }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
@@ -36,8 +36,10 @@
     DRAIN,
 }
 
+/** [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. */
 class SwitchSchedule(
     private val storeView: StoreViewController,
+    private val versionLimit: Duration,
 ) {
     /** Returns when [backEnd], which holds [held], stops accepting in order to load [number]; null if it holds that version or none. */
     fun scheduledSwitch(
@@ -46,13 +48,13 @@
         number: WeightNumber,
     ): ScheduledSwitch? {
         val model = held?.model ?: return null
-        val declared = storeView.declaration(model, number) ?: return null
-        val oldest = storeView.oldestUnmet(model, held.number) ?: return null
+        val declared = storeView.versions.declaration(model, number) ?: return null
+        val oldest = storeView.versions.oldestUnmet(model, held.number) ?: return null
         val candidates = storeView.backEnds.filter { it.service == backEnd.service }.map { it.id }
         val order = rendezvousOrder("${model.text} ${number.number}", candidates) { it.text }
         val position = order.indexOf(backEnd.id).coerceAtLeast(0)
-        val first = declared.since + FIRST_SWITCH_DELAY
-        val last = (oldest.since + FIRST_SWITCH_DELAY + SWITCH_SPREAD).coerceAtLeast(first)
+        val first = declared.acknowledged.earliest + FIRST_SWITCH_DELAY
+        val last = (oldest.acknowledged.earliest + versionLimit - LAST_SWITCH_MARGIN).coerceAtLeast(first)
         val canResumeElsewhere = order.size >= MIN_BACK_ENDS_FOR_HANDOVER && allResumable(backEnd.service)
         return ScheduledSwitch(
             at = first + (last - first) * (position.toDouble() / order.size.coerceAtLeast(1)),
@@ -77,6 +79,6 @@
         const val MIN_BACK_ENDS_FOR_HANDOVER = 4
 
         /** The last back end stops accepting before requests on the older version end, and completes its running requests after that. */
-        val SWITCH_SPREAD = 3_100.milliseconds
+        val LAST_SWITCH_MARGIN = 1_900.milliseconds
     }
 }
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
@@ -0,0 +1,102 @@
+/**
+ * Guards against a version whose limit is counted from the time of hearing, by a clock that stood still, or from what a peer said before
+ * this clock missed a pause.
+ */
+package lagoonrudder.control.direct
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import lagoonrudder.model.EventTime
+import lagoonrudder.model.StoreRecord
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class DeclaredVersionsTest :
+    FunSpec({
+        val two = WeightNumber(2)
+
+        fun DeclaredVersions.hear(
+            number: Long,
+            now: Duration,
+        ) = onHeard(StoreRecord.VersionDeclaration(MODEL, WeightNumber(number)), now)
+
+        fun DeclaredVersions.acknowledged(number: WeightNumber = two) = declaration(MODEL, number).shouldNotBeNull().acknowledged
+
+        fun told(
+            earliest: Duration,
+            latest: Duration,
+            number: Long = 2,
+        ) = listOf(DeclaredWeights(MODEL, WeightNumber(number), EventTime(earliest, latest)))
+
+        test("a version that is heard of late may have been declared since the last answer of the store") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(2, 13.seconds)
+            versions.acknowledged() shouldBe EventTime(10.seconds, 13.seconds)
+            versions.declaredAsOf(MODEL, 10.seconds)?.number shouldBe two
+            versions.declaredAsOf(MODEL, 9_999.milliseconds).shouldBeNull()
+        }
+
+        test("a version of unknown age leaves a part of its limit") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.hear(2, 13.seconds)
+            versions.acknowledged() shouldBe EventTime(7.seconds, 13.seconds)
+        }
+
+        test("what peers know narrows the time of a declaration") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(2, 13.seconds)
+            versions.onTold(told(10.5.seconds, 12.seconds), askedAt = 13.seconds)
+            versions.onTold(told(9.seconds, 11.seconds), askedAt = 13.seconds)
+            versions.onTold(told(12.seconds, 13.seconds, number = 3), askedAt = 13.seconds)
+            versions.acknowledged() shouldBe EventTime(10.5.seconds, 11.seconds)
+            versions.newest[MODEL] shouldBe two
+        }
+
+        test("a pause that the clock has not counted makes a version older, until a peer is asked after it") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(2, 10.seconds)
+            versions.onPaused(uncounted = 5.seconds, 12.seconds)
+            versions.acknowledged() shouldBe EventTime(5.seconds, 10.seconds)
+            versions.onTold(told(10.seconds, 10.seconds), askedAt = 11.9.seconds)
+            versions.acknowledged() shouldBe EventTime(5.seconds, 10.seconds)
+            versions.onTold(told(6.seconds, 6.2.seconds), askedAt = 12.1.seconds)
+            versions.acknowledged() shouldBe EventTime(6.seconds, 6.2.seconds)
+        }
+
+        test("a version that was replaced before it was heard of binds from its own time once a peer tells of it") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(3, 14.seconds)
+            versions.onTold(told(11.seconds, 11.1.seconds) + told(13.seconds, 13.1.seconds, number = 3), askedAt = 14.seconds)
+            versions.declaredAsOf(MODEL, 12.seconds)?.number shouldBe two
+            versions.oldestUnmet(MODEL, WeightNumber(1))?.number shouldBe two
+            versions.acknowledged(WeightNumber(3)) shouldBe EventTime(13.seconds, 13.1.seconds)
+        }
+
+        test("statements that miss each other by the drift of clocks keep the earlier time") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(2, 10.seconds)
+            versions.onTold(told(10.1.seconds, 10.2.seconds), askedAt = 11.seconds)
+            versions.acknowledged() shouldBe EventTime(10.seconds, 10.seconds)
+        }
+
+        test("peers are told of the versions whose limits still run") {
+            val versions = DeclaredVersions(VERSION_LIMIT)
+            versions.onUpToDate(10.seconds)
+            versions.hear(2, 10.seconds)
+            versions.onUpToDate(15.seconds)
+            versions.hear(3, 15.seconds)
+            versions.toTell(16.seconds).map { it.number } shouldBe listOf(two, WeightNumber(3))
+            versions.toTell(19.seconds).map { it.number } shouldBe listOf(WeightNumber(3))
+            versions.toTell(24.seconds).shouldBeEmpty()
+        }
+    })
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -30,6 +30,7 @@
 internal val FAR = DomainId("far")
 internal val REGIONS = mapOf(NEAR to RegionId("near-region"), FAR to RegionId("far-region"))
 internal const val LAYERS = 16
+internal val VERSION_LIMIT = 8.seconds
 
 internal fun backEnd(
     name: String,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
+import lagoonrudder.model.EventTime
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -12,7 +13,7 @@
     FunSpec({
         val declarations =
             listOf(2L to 10.seconds, 3L to 13.seconds).map { (number, since) ->
-                DeclaredWeights(MODEL, WeightNumber(number), since)
+                DeclaredWeights(MODEL, WeightNumber(number), EventTime.at(since))
             }
         val known = KnownVersions(14.seconds, WeightNumber(2), 1.seconds, declarations, 8.seconds)
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -82,12 +82,15 @@
             now,
         ).result
 
-    fun declare(number: Long) =
+    /** Declares version [number] right after an answer of the store without it, so that its age is known. */
+    fun declare(number: Long) {
+        storeView.applyChanges(emptyList(), 50, now)
         storeView.applyChanges(
             listOf(item("op/version/model", 60 + number, StoreRecord.VersionDeclaration(MODEL, WeightNumber(number)))),
             60 + number,
             now,
         )
+    }
 
     fun evacuate(domain: DomainId) =
         storeView.applyChanges(listOf(item("op/evacuate/${domain.text}", 90, StoreRecord.DomainEvacuation(domain))), 90, now)
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -85,11 +85,11 @@
                 },
                 Case("this process was paused for as long as an outage", waits = true) {
                     hearUntil(seenAt - 1.seconds)
-                    onPaused(5.seconds)
+                    onPaused(5.seconds, uncounted = Duration.ZERO, 12.seconds)
                 },
                 Case("this process was paused for a second", waits = false) {
                     hearUntil(seenAt - 1.seconds)
-                    onPaused(1.seconds)
+                    onPaused(1.seconds, uncounted = Duration.ZERO, 12.seconds)
                 },
                 Case("an old word of it came late", waits = false) {
                     hearUntil(seenAt - 1.seconds)
@@ -195,13 +195,16 @@
                 4,
                 start + 1.seconds,
             )
-            storeView.declared(MODEL).shouldNotBeNull().number shouldBe WeightNumber(2)
+            storeView.versions.newest[MODEL] shouldBe WeightNumber(2)
         }
 
         test("a version that was declared before the start gets the assumed age") {
-            val storeView = StoreViewController(strictInvariants(), ageAtStart = 6.seconds)
+            val storeView = StoreViewController(strictInvariants(), versionLimit = 8.seconds)
             storeView.applyChanges(listOf(item("op/version/model", 3, StoreRecord.VersionDeclaration(MODEL, WeightNumber(2)))), 3, start)
-            storeView.declaredAsOf(MODEL, start - 6.seconds).shouldNotBeNull().number shouldBe WeightNumber(2)
+            storeView.versions
+                .declaredAsOf(MODEL, start - 6.seconds)
+                .shouldNotBeNull()
+                .number shouldBe WeightNumber(2)
         }
 
         test("a failure domain is no longer evacuated after its item is removed") {
@@ -223,7 +226,7 @@
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, start)
             storeView.confirmed shouldBe true
-            storeView.onPaused(1.seconds)
+            storeView.onPaused(1.seconds, uncounted = Duration.ZERO, start + 1.seconds)
             storeView.confirmed shouldBe false
             storeView.applyChanges(emptyList(), 1, start + 1.seconds)
             storeView.confirmed shouldBe true
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
@@ -17,7 +17,7 @@
         if (number != null) append(":number=${number?.number}")
         append(":held=${known.held.number}@${known.heard()}")
         required?.let { append(":required=${it.number}") }
-        known.newest?.let { append(":declared=${it.number.number}@${(known.at - it.since).inWholeMilliseconds}") }
+        known.newest?.let { append(":declared=${it.number.number}@${known.ageOf(it)}") }
         headAfter?.let { append(":head=${it.inWholeMilliseconds}") }
         firstEventAfter?.let { append(":first=${it.inWholeMilliseconds}") }
     }
@@ -39,4 +39,8 @@
 
 private fun KnownVersions.heard(): String = statusAge?.let { milliseconds(it) } ?: "listed"
 
+/** Returns the lowest and the highest possible age of a declaration at the choice of the back end. */
+private fun KnownVersions.ageOf(declared: DeclaredWeights): String =
+    "${milliseconds(at - declared.acknowledged.latest)}-${milliseconds(at - declared.acknowledged.earliest)}"
+
 private fun milliseconds(duration: Duration): String = duration.inWholeMilliseconds.toString()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -23,7 +23,6 @@
 import kotlinx.coroutines.sync.Semaphore
 import kotlinx.coroutines.sync.withPermit
 import kotlinx.coroutines.withTimeoutOrNull
-import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.control.direct.WeightSource
 import lagoonrudder.model.Digest
@@ -96,9 +95,12 @@
      * Prefetches a version that was just declared, so that part of it is cached if the origin fails soon after. Retries
      * until the manifest has been fetched or a newer version is declared.
      */
-    suspend fun prefetch(declared: DeclaredWeights) {
-        while (core.thread.decide { core.storeView.declared(declared.model) } == declared) {
-            if (manifest(declared.model, declared.number).isRight()) return
+    suspend fun prefetch(
+        model: ModelId,
+        number: WeightNumber,
+    ) {
+        while (core.thread.decide { core.storeView.versions.newest[model] } == number) {
+            if (manifest(model, number).isRight()) return
             delay(RETRY_DELAY)
         }
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -36,8 +36,8 @@
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** How often an entry daemon looks for pauses and for what has expired. */
 internal val TICK_INTERVAL = 100.milliseconds
@@ -57,8 +57,7 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    private val assumedAge = settings.bounds.placement.versionLimit - UNKNOWN_AGE_ROLLOUT_TIME
-    val storeView = StoreViewController(invariants, assumedAge)
+    val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit)
     val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
@@ -70,7 +69,7 @@
     val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
-    val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
+    val staging = StagingController(peers, storeView, SwitchSchedule(storeView, settings.bounds.placement.versionLimit), settings.regions)
 
     /** Starts [loop], which is started again after an error. */
     fun launchLoop(
@@ -131,10 +130,11 @@
         change.unusable.forEach { log.warning("store-item-invalid", "detail" to it, "source" to source, "at" to at) }
     }
 
-    /** The age that decisions count from, and whether it is known: a version in the first view after a start or a pause gets an assumed one. */
+    /** The age that decisions count from, which is the highest possible one, and the lowest. */
     private fun ageFields(declared: DeclaredWeights): Array<Pair<String, Any?>> {
-        val age = clock.elapsed() - declared.since
-        return arrayOf("age-ms" to age.inWholeMilliseconds, "age" to if (age < assumedAge) "known" else "assumed")
+        val now = clock.elapsed()
+        val (earliest, latest) = declared.acknowledged
+        return arrayOf("age-ms" to (now - earliest).inWholeMilliseconds, "min-age-ms" to (now - latest).inWholeMilliseconds)
     }
 
     private fun logSuspicion(change: SuspicionChange) =
@@ -158,6 +158,13 @@
      */
     fun contactToTell(): StoreContact? = storeView.storeContact.takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
 
+    /** Returns how long ago the store held nothing that peers don't learn from this daemon; null after a pause that was not noticed yet. */
+    fun upToDateAgeToTell(): Duration? = storeView.upToDateAge(clock.elapsed()).takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
+
+    /** Returns the declared versions to tell peers of; none after a pause that no tick has noticed yet. Runs on the control thread. */
+    fun versionsToTell(): List<DeclaredWeights> =
+        if (pauseDetector.isOverdue(TICK_INTERVAL)) emptyList() else storeView.versions.toTell(clock.elapsed())
+
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
 
@@ -175,9 +182,4 @@
         loop.close()
         thread.close()
     }
-
-    private companion object {
-        /** Roll-out time that is left to a version that was declared at an unknown time before this process started. */
-        val UNKNOWN_AGE_ROLLOUT_TIME = 2.seconds
-    }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -7,14 +7,15 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
-import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
 import lagoonrudder.http.ServerReport
+import lagoonrudder.model.ModelId
 import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
 import lagoonrudder.platform.BackEndHttpClient
 import lagoonrudder.platform.CallerRequestHandler
 import lagoonrudder.platform.DEFAULT_LIMITS
@@ -30,7 +31,6 @@
 import lagoonrudder.traffic.direct.RequestEnd
 import lagoonrudder.traffic.direct.directFilters
 import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class DirectEntryDaemon(
@@ -67,7 +67,7 @@
     private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
     private val bodies = RequestBodyBudget(RequestBodyBounds(total = Runtime.getRuntime().maxMemory() / SHARE_FOR_BODIES))
-    private var prefetchedVersions = emptyList<DeclaredWeights>()
+    private var prefetchedVersions = emptyMap<ModelId, WeightNumber>()
     private var callers: HttpServer? = null
 
     @Volatile
@@ -118,8 +118,8 @@
     private fun onStoreViewChanged() {
         limits = core.storeView.serving?.limits ?: DEFAULT_LIMITS
         control.onStoreViewChanged()
-        val newest = core.storeView.newest
-        (newest - prefetchedVersions.toSet()).forEach { core.scope.launch { chunks.prefetch(it) } }
+        val newest = core.storeView.versions.newest
+        (newest.entries - prefetchedVersions.entries).forEach { (model, number) -> core.scope.launch { chunks.prefetch(model, number) } }
         prefetchedVersions = newest
     }
 
@@ -132,16 +132,16 @@
             val expired = core.thread.decide { onTick(pause) }
             expired.forEach { core.log.info("back-end-gone", "target" to it.text, "source" to "lapsed") }
             if (pause != null) {
-                core.log.warning("paused", "for" to pause)
+                core.log.warning("paused", "for" to pause.duration, "uncounted" to pause.uncounted)
                 core.http.closeIdle(settings.store)
                 store.pollNow()
             }
         }
     }
 
-    private fun onTick(pause: Duration?): List<TargetId> {
+    private fun onTick(pause: Pause?): List<TargetId> {
         val now = core.clock.elapsed()
-        if (pause != null) core.storeView.onPaused(pause)
+        if (pause != null) core.storeView.onPaused(pause.duration, pause.uncounted, now)
         core.suspicions.onTick(now)
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -3,7 +3,12 @@
  */
 package lagoonrudder.daemon.direct
 
-import lagoonrudder.control.direct.DeclaredWeights
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration.Companion.milliseconds
 
 class DirectTargetDaemon(
     core: DirectCore,
@@ -13,13 +18,14 @@
     private val peers = GossipLoop(core, client, loads = { emptyMap() }, onChange = ::onStoreViewChanged)
     private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
     private val staging = core.settings.slot?.let { StagingLoop(core, it, peers, WeightFetcher(core, client)) }
-    private var knownVersions = emptyList<DeclaredWeights>()
+    private var knownVersions = emptyMap<ModelId, WeightNumber>()
 
     override suspend fun start() {
         val slot = core.settings.slot
         startOperatorServer(this)
         core.launchLoop("gossip") { peers.run() }
         core.launchLoop("store") { store.run() }
+        core.launchLoop("pauses") { watchPauses() }
         if (staging != null) core.launchLoop("staging") { staging.run() }
         core.log.info("started", "role" to "target", "service" to slot?.service?.text, "back-end" to slot?.backEnd)
     }
@@ -30,12 +36,25 @@
 
     /** Runs on the control thread. */
     private fun onStoreViewChanged() {
-        val versions = core.storeView.newest
+        val versions = core.storeView.versions.newest
         if (versions != knownVersions) staging?.checkNow()
         knownVersions = versions
     }
 
+    private suspend fun watchPauses() {
+        while (currentCoroutineContext().isActive) {
+            delay(PAUSE_CHECK_INTERVAL)
+            val pause = core.pauseDetector.check(PAUSE_CHECK_INTERVAL) ?: continue
+            core.thread.decide { core.storeView.onPaused(pause.duration, pause.uncounted, core.clock.elapsed()) }
+            core.log.warning("paused", "for" to pause.duration, "uncounted" to pause.uncounted)
+        }
+    }
+
     override fun dump() = core.dump()
 
     override fun gauges() = core.gauges()
+
+    private companion object {
+        val PAUSE_CHECK_INTERVAL = 500.milliseconds
+    }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -23,6 +23,7 @@
 import lagoonrudder.platform.readItem
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
+import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
@@ -33,6 +34,7 @@
 import lagoonrudder.wire.messages.toMilliseconds
 import lagoonrudder.wire.messages.toPeer
 import lagoonrudder.wire.messages.toReport
+import lagoonrudder.wire.messages.upToDateAt
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -99,17 +101,25 @@
         }
     }
 
-    /** Exchanges with one random member of each other failure domain at a time. */
+    /**
+     * Exchanges with one random member of each other failure domain at a time. Where there is no other domain, with one of this domain, as
+     * only replies tell since when something has been so, and a daemon may be the one that answers in each pair.
+     */
     private suspend fun exchangeWithOtherDomains() {
         var round = 0
         while (currentCoroutineContext().isActive) {
-            val membersByDomain = core.thread.decide { core.peers.farAddresses(core.clock.elapsed()) }
+            val membersByDomain = core.thread.decide { farOrNearAddresses() }
             val peersRequested = round++ % ROUNDS_PER_FAR_PEER_LIST == 0
-            for (members in membersByDomain.values) core.scope.launch { exchange(members.random(), peersRequested) }
+            for (members in membersByDomain) core.scope.launch { exchange(members.random(), peersRequested) }
             delay(CROSS_DOMAIN_EXCHANGE_INTERVAL)
         }
     }
 
+    private fun farOrNearAddresses(): Collection<List<Address>> {
+        val now = core.clock.elapsed()
+        return core.peers.farAddresses(now).values.ifEmpty { listOf(core.peers.nearAddresses(now)).filter { it.isNotEmpty() } }
+    }
+
     /** Requests the items that [peer] has and this daemon has not, unless a request for items is under way. */
     suspend fun catchUp(peer: PeerDaemon) {
         val address = peer.address ?: return
@@ -205,8 +215,11 @@
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
-                if (!isUpdate) return@decide Triple(null, isBehind, lacksEvidence)
-                Triple(applyItems(items, reply, now).also { onChange() }, false, lacksEvidence)
+                val change = if (isUpdate) applyItems(items, reply, now) else null
+                core.storeView.versions.onTold(reply.declared(sentAt, now), askedAt = sentAt)
+                reply.upToDateAt(sentAt)?.let { core.storeView.onUpToDateHeard(reply.at, it, askedAt = sentAt) }
+                if (change != null) onChange()
+                Triple(change, isBehind && !isUpdate, lacksEvidence)
             }
         if (change != null) core.logChange(change, "peer:$address", reply.at)
         if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PauseDetector.kt
@@ -11,18 +11,26 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
+/** A pause of the process, of which the monotonic clock may not have counted [uncounted]. */
+data class Pause(
+    val duration: Duration,
+    val uncounted: Duration,
+)
+
 class PauseDetector(
     private val clock: Clock,
 ) {
     @Volatile
     private var last = clock.read()
 
-    /** Returns how much later than [expected] this call follows the last one, or null when that is within the tolerance. */
-    fun check(expected: Duration): Duration? {
+    /** Returns the pause because of which this call follows the last one later than [expected]; null within the tolerance. */
+    fun check(expected: Duration): Pause? {
         val reading = clock.read()
-        val delay = reading.since(last) - expected
+        val before = last
         last = reading
-        return delay.takeIf { it > MAX_TICK_DELAY }
+        val delay = reading.since(before) - expected
+        if (delay <= MAX_TICK_DELAY) return null
+        return Pause(delay, uncounted = reading.since(before) - (reading.elapsed - before.elapsed))
     }
 
     /** Returns whether the next [check] would find a pause if it came now. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -104,6 +104,8 @@
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
             storeHeardMilliseconds = contact?.let { now - it.until }.toMilliseconds(),
             storeSinceMilliseconds = contact?.let { now - it.since }.toMilliseconds(),
+            upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
+            declarations = core.versionsToTell().map { it.toMessage(now) },
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -225,7 +225,9 @@
 
     /** Runs on the control thread. */
     private fun declarationAge(manifest: WeightManifest): Long? =
-        core.storeView.declaration(manifest.model, manifest.number)?.let { (core.clock.elapsed() - it.since).inWholeMilliseconds }
+        core.storeView.versions
+            .declaration(manifest.model, manifest.number)
+            ?.let { (core.clock.elapsed() - it.acknowledged.earliest).inWholeMilliseconds }
 
     private suspend fun scheduledSwitch(
         manifest: WeightManifest,
@@ -234,7 +236,7 @@
 
     /** Whether a newer version was declared and can be fetched, so that [manifest] is skipped. */
     private suspend fun isOutdated(manifest: WeightManifest): Boolean {
-        val newest = core.thread.decide { core.storeView.declared(manifest.model)?.number }
+        val newest = core.thread.decide { core.storeView.versions.newest[manifest.model] }
         if (newest == null || newest <= manifest.number) return false
         val last = manifest.digests.lastIndex
         val sources = core.thread.decide { core.staging.sources(manifest.model, newest, last, core.clock.elapsed()) }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -58,22 +58,28 @@
             }
         }
 
-    private suspend fun readAll(): Either<Failure, Unit> =
-        store.readAll().map { response ->
+    private suspend fun readAll(): Either<Failure, Unit> {
+        val askedAt = core.clock.elapsed()
+        return store.readAll().map { response ->
             applyAnswer(
                 { reader.onItemsRead(core.clock.elapsed()) },
-                { core.storeView.applySnapshot(response.items, response.at, core.clock.elapsed()) },
+                { core.storeView.applySnapshot(response.items, response.at, core.clock.elapsed(), asOf = askedAt) },
             )
         }
+    }
 
-    private suspend fun watch(step: StoreStep.Watch): Either<Failure, Unit> =
-        store.watch(step.after, step.wait).map { watched ->
+    private suspend fun watch(step: StoreStep.Watch): Either<Failure, Unit> {
+        val askedAt = core.clock.elapsed()
+        return store.watch(step.after, step.wait).map { watched ->
             when (watched) {
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items
                     applyAnswer(
                         { reader.onWatched(items.size, core.clock.elapsed()) },
-                        { core.storeView.applyChanges(items, watched.response.at, core.clock.elapsed()) },
+                        {
+                            val now = core.clock.elapsed()
+                            core.storeView.applyChanges(items, watched.response.at, now, asOf = step.asOf(askedAt, now, items.size))
+                        },
                     )
                 }
                 StoreWatchResult.HistoryLost -> {
@@ -82,6 +88,7 @@
                 }
             }
         }
+    }
 
     /** Tells the reader of an answer of the store with [record], which returns how long the store was lost, and applies it with [update]. */
     private suspend fun applyAnswer(
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.shouldBe
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.KnownVersions
+import lagoonrudder.model.EventTime
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
@@ -14,7 +15,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val DECLARED = DeclaredWeights(ModelId("model"), WeightNumber(5), 10.seconds)
+private val DECLARED = DeclaredWeights(ModelId("model"), WeightNumber(5), EventTime(10.seconds, 10_200.milliseconds))
 
 private fun known(
     statusAge: Duration?,
@@ -28,7 +29,7 @@
             val versions =
                 AttemptVersions(WeightNumber(5), known(120.milliseconds, DECLARED), WeightNumber(4), 35.milliseconds, 1_700.milliseconds)
             AttemptRecord(TargetId("t1"), "answered", 12, versions).describe() shouldBe
-                "t1:answered:events=12:number=4:held=4@120:required=5:declared=5@6400:head=35:first=1700"
+                "t1:answered:events=12:number=4:held=4@120:required=5:declared=5@6200-6400:head=35:first=1700"
         }
 
         test("an attempt omits what it does not have") {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -33,8 +33,10 @@
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.DomainId
+import lagoonrudder.model.EventTime
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Invariants
+import lagoonrudder.model.ModelId
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
 import lagoonrudder.model.RegionId
@@ -42,6 +44,7 @@
 import lagoonrudder.model.ServingConfiguration
 import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
+import lagoonrudder.model.WeightNumber
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -78,11 +81,19 @@
     /** When each revision of the configuration came into force here. */
     val inForceAt = mutableMapOf<Revision, Duration>()
 
+    /** The time that the clock of this daemon has not counted while its machine was suspended. */
+    var uncounted = Duration.ZERO
+        internal set
+
     /** The calls to the store; null while the process is stopped or paused. */
     internal var reading: Job? = null
 
     val isRunning: Boolean get() = reading != null
 
+    /** Whether other daemons and the store reach this one. */
+    var isReachable = true
+        internal set
+
     internal fun forgetAll() {
         peers = PeerController(peer, emptyList())
         storeView = StoreViewController(Invariants {})
@@ -143,20 +154,51 @@
         daemon.reading = launchReading(daemon)
     }
 
-    /** Suspends the process of [daemon] for [duration]. */
+    /** Cuts [daemon] off from all others and the store, or ends that. */
+    fun setReachable(
+        daemon: VirtualStoreDaemon,
+        reachable: Boolean,
+    ) {
+        daemon.isReachable = reachable
+        daemon.treatment = if (reachable) StoreTreatment.Answers else StoreTreatment.Silent
+    }
+
+    /** Freezes the process of [daemon] for [duration], which its clock counts. */
     fun pause(
         daemon: VirtualStoreDaemon,
         duration: Duration,
+    ) = pause(daemon, duration, uncounted = Duration.ZERO)
+
+    private fun pause(
+        daemon: VirtualStoreDaemon,
+        duration: Duration,
+        uncounted: Duration,
     ) {
+        val isWatching = daemon.reader.contactAge(clockOf(daemon)) != null
+        val askedAt = clockOf(daemon)
         stop(daemon)
         scope.launch {
             delay(duration)
-            daemon.storeView.onPaused(duration)
+            // The answer to a watch waits at the connection, so it is read before the process notices its pause.
+            if (isWatching) applyWatched(daemon, StoreStep.Watch(daemon.storeView.at, Duration.ZERO), askedAt, revision)
+            daemon.storeView.onPaused(duration, uncounted, clockOf(daemon))
             daemon.reader.onPollRequested()
             daemon.reading = launchReading(daemon)
         }
     }
 
+    /** Suspends the machine of [daemon] for [duration], which its clock does not count. */
+    fun suspendMachine(
+        daemon: VirtualStoreDaemon,
+        duration: Duration,
+    ) {
+        pause(daemon, duration, uncounted = duration)
+        daemon.uncounted += duration
+    }
+
+    /** Returns the time that the clock of [daemon] shows. */
+    fun clockOf(daemon: VirtualStoreDaemon): Duration = now - daemon.uncounted
+
     private fun launchReading(daemon: VirtualStoreDaemon) = scope.launch { readStore(daemon) }
 
     /** Writes a configuration to the store; its acknowledgement comes at once. */
@@ -171,6 +213,12 @@
     /** Removes the registration of [backEnd] from the store. */
     fun remove(backEnd: BackEnd) = write(keyOf(backEnd), null)
 
+    /** Writes the declaration of version [number] of [model] to the store; its acknowledgement comes at once. */
+    fun declare(
+        model: ModelId,
+        number: WeightNumber,
+    ) = write("op/version/${model.text}", StoreRecord.VersionDeclaration(model, number))
+
     private fun keyOf(backEnd: BackEnd) = "servers/${backEnd.id.text}"
 
     private fun write(
@@ -191,7 +239,9 @@
     /** Returns the daemons that the store answered last in each failure domain. */
     fun readers(): List<VirtualStoreDaemon> =
         daemonsByDomain.values.mapNotNull { members ->
-            members.filter { it.isRunning && it.reader.contactAge(now) != null }.minByOrNull { checkNotNull(it.reader.contactAge(now)) }
+            members
+                .filter { it.isRunning && it.reader.contactAge(clockOf(it)) != null }
+                .minByOrNull { checkNotNull(it.reader.contactAge(clockOf(it))) }
         }
 
     override fun close() {
@@ -201,35 +251,49 @@
 
     private suspend fun readStore(daemon: VirtualStoreDaemon) {
         while (true) {
-            when (val step = daemon.reader.next(now)) {
+            when (val step = daemon.reader.next(clockOf(daemon))) {
                 is StoreStep.Rest -> delay(step.duration)
-                StoreStep.ReadAll ->
-                    call(daemon, 0, Duration.ZERO) { changes, at ->
-                        daemon.reader.onItemsRead(now)
-                        daemon.storeView.applySnapshot(changes.filter { it.item.value != null }, at, now)
-                    }
-                is StoreStep.Watch ->
-                    call(daemon, step.after, step.wait) { changes, at ->
-                        daemon.reader.onWatched(changes.size, now)
-                        daemon.storeView.applyChanges(changes, at, now)
+                StoreStep.ReadAll -> {
+                    val askedAt = clockOf(daemon)
+                    call(daemon, 0, Duration.ZERO) { at ->
+                        daemon.reader.onItemsRead(clockOf(daemon))
+                        val present = items.values.filter { it.item.value != null }
+                        daemon.storeView.applySnapshot(present, at, clockOf(daemon), asOf = askedAt)
                     }
+                }
+                is StoreStep.Watch -> {
+                    val askedAt = clockOf(daemon)
+                    call(daemon, step.after, step.wait) { at -> applyWatched(daemon, step, askedAt, at) }
+                }
             }
         }
     }
 
+    private fun applyWatched(
+        daemon: VirtualStoreDaemon,
+        step: StoreStep.Watch,
+        askedAt: Duration,
+        at: Long,
+    ) {
+        val now = clockOf(daemon)
+        val changes = items.values.filter { it.item.revision > step.after }
+        daemon.reader.onWatched(changes.size, now)
+        daemon.storeView.applyChanges(changes, at, now, asOf = step.asOf(askedAt, now, changes.size))
+    }
+
     private suspend fun call(
         daemon: VirtualStoreDaemon,
         after: Long,
         wait: Duration,
-        onAnswer: (List<DecodedItem>, Long) -> Unit,
+        onAnswer: (Long) -> Unit,
     ) {
         calls++
         val failure = failureOf(daemon, after, wait)
         if (failure != null) {
-            daemon.reader.onFailure(failure, now)
+            daemon.reader.onFailure(failure, clockOf(daemon))
             return
         }
-        onAnswer(items.values.filter { it.item.revision > after }, revision)
+        onAnswer(revision)
         recordInForce(daemon)
     }
 
@@ -276,7 +340,7 @@
 
     private suspend fun expireRemovals() {
         while (true) {
-            daemons.filter { it.isRunning }.forEach { it.storeView.expire(now) }
+            daemons.filter { it.isRunning }.forEach { it.storeView.expire(clockOf(it)) }
             delay(TICK_INTERVAL)
         }
     }
@@ -294,6 +358,7 @@
         delay(FAR_EXCHANGE_INTERVAL * random.nextDouble())
         while (true) {
             for ((domain, members) in daemonsByDomain) if (domain != daemon.peer.domain) exchange(daemon, members.random(random))
+            if (daemonsByDomain.size == 1) daemons.filter { it !== daemon }.randomOrNull(random)?.let { exchange(daemon, it) }
             delay(FAR_EXCHANGE_INTERVAL)
         }
     }
@@ -302,39 +367,74 @@
         first: VirtualStoreDaemon,
         second: VirtualStoreDaemon,
     ) {
-        if (!first.isRunning || !second.isRunning) return
-        second.storeView.storeContact?.let { first.storeView.onStoreHeard(it) }
+        if (!canExchange(first, second)) return
+        second.storeView.storeContact?.let { first.storeView.onStoreHeard(it.toldBy(second, first)) }
         first.storeView.storeContact?.let { tell(first, it, second) }
+        tellVersions(sender = second, receiver = first)
         for ((receiver, sender) in listOf(first to second, second to first)) {
-            receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(now), now)
+            receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
             val settled = sender.storeView.settledRevision
             if (settled <= receiver.storeView.at) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
-                if (!receiver.isRunning || !sender.isRunning) return@launch
+                if (!canExchange(receiver, sender)) return@launch
                 val sent = sender.storeView.itemsSince(receiver.storeView.at)
                 val changes = sent.items.map { DecodedItem(it, records[it]) }
                 if (sent.isComplete) {
-                    receiver.storeView.applySettledSnapshot(changes, settled, now)
+                    receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
                 } else {
-                    receiver.storeView.applySettledChanges(changes, settled, now)
+                    receiver.storeView.applySettledChanges(changes, settled, clockOf(receiver))
                 }
+                tellVersions(sender, receiver)
                 recordInForce(receiver)
             }
         }
     }
 
+    /** Lets [receiver] learn from a reply of [sender], after its items. */
+    private fun tellVersions(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+    ) {
+        val askedAt = clockOf(receiver)
+        val difference = clockOf(receiver) - clockOf(sender)
+        val told =
+            sender.storeView.versions.toTell(clockOf(sender)).map {
+                it.copy(acknowledged = EventTime(it.acknowledged.earliest + difference, it.acknowledged.latest + difference))
+            }
+        receiver.storeView.versions.onTold(told, askedAt)
+        val upToDateAge = sender.storeView.upToDateAge(clockOf(sender)) ?: return
+        receiver.storeView.onUpToDateHeard(sender.storeView.settledRevision, askedAt - upToDateAge, askedAt)
+    }
+
+    private fun canExchange(
+        first: VirtualStoreDaemon,
+        second: VirtualStoreDaemon,
+    ): Boolean = listOf(first, second).all { it.isRunning && it.isReachable }
+
+    /** Returns this contact of [sender] on the clock of [receiver]. */
+    private fun StoreContact.toldBy(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+    ): StoreContact {
+        val difference = clockOf(receiver) - clockOf(sender)
+        return StoreContact(since + difference, until + difference)
+    }
+
     /** Lets [receiver] learn from a request of [sender], which knows of [contact], and ask it if the request can't tell enough. */
     private fun tell(
         sender: VirtualStoreDaemon,
         contact: StoreContact,
         receiver: VirtualStoreDaemon,
     ) {
-        sender.reader.contactAge(now)?.let { receiver.storeView.onStoreHeard(StoreContact(contact.since, now - it)) }
-        if (!receiver.storeView.isGraceRefutedBy(contact.since, now)) return
+        val told = contact.toldBy(sender, receiver)
+        sender.reader.contactAge(clockOf(sender))?.let {
+            receiver.storeView.onStoreHeard(StoreContact(told.since, clockOf(receiver) - it))
+        }
+        if (!receiver.storeView.isGraceRefutedBy(told.since, clockOf(receiver))) return
         scope.launch {
             delay(EXCHANGE_TIME)
-            sender.storeView.storeContact?.let { receiver.storeView.onStoreHeard(it) }
+            sender.storeView.storeContact?.let { receiver.storeView.onStoreHeard(it.toldBy(sender, receiver)) }
         }
     }
 
--- /dev/null
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
@@ -0,0 +1,46 @@
+/**
+ * Protocol buffer messages about when declared versions of weights were acknowledged.
+ */
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package lagoonrudder.wire.messages
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoNumber
+import lagoonrudder.control.direct.DeclaredWeights
+import lagoonrudder.model.EventTime
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A version that was acknowledged at least [minAgeMilliseconds] and at most [maxAgeMilliseconds] before the message was written. */
+@Serializable
+data class DeclarationMessage(
+    @ProtoNumber(1) val model: String,
+    @ProtoNumber(2) val number: Long,
+    @ProtoNumber(3) val minAgeMilliseconds: Long,
+    @ProtoNumber(4) val maxAgeMilliseconds: Long,
+)
+
+fun DeclaredWeights.toMessage(now: Duration) =
+    DeclarationMessage(
+        model.text,
+        number.number,
+        (now - acknowledged.latest).inWholeMilliseconds,
+        (now - acknowledged.earliest).inWholeMilliseconds + 1,
+    )
+
+/**
+ * Returns the declarations in a reply that was received at [receivedAt] to a message sent at [sentAt]. The reply was written at an unknown
+ * time in between.
+ */
+fun GossipReply.declared(
+    sentAt: Duration,
+    receivedAt: Duration,
+): List<DeclaredWeights> =
+    declarations.map {
+        val acknowledged = EventTime(sentAt - it.maxAgeMilliseconds.milliseconds, receivedAt - it.minAgeMilliseconds.milliseconds)
+        DeclaredWeights(ModelId(it.model), WeightNumber(it.number), acknowledged)
+    }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -96,7 +96,8 @@
 /**
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
  * heard of [storeHeardMilliseconds] ago; it has kept answering for [storeSinceMilliseconds]. [items] are those that changed, or all that
- * there are if [itemsComplete] is set.
+ * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run, and the store held nothing beyond [at]
+ * [upToDateMilliseconds] ago.
  */
 @Serializable
 class GossipReply(
@@ -112,6 +113,8 @@
     @ProtoNumber(10) val storeHeardMilliseconds: Long = STORE_CONTACT_UNKNOWN,
     @ProtoNumber(11) val itemsComplete: Boolean = false,
     @ProtoNumber(12) val storeSinceMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(13) val declarations: List<DeclarationMessage> = emptyList(),
+    @ProtoNumber(14) val upToDateMilliseconds: Long = STORE_CONTACT_UNKNOWN,
 )
 
 @Serializable
@@ -173,6 +176,9 @@
     return StoreContact(minOf(since ?: last, last), last)
 }
 
+/** Returns the last time at which the store is known to have held nothing beyond the revision of this reply to a message sent at [sentAt]. */
+fun GossipReply.upToDateAt(sentAt: Duration): Duration? = storeContactAge(upToDateMilliseconds)?.let { sentAt - it - 1.milliseconds }
+
 /** Returns the age of an answer of the store as a message carries it. */
 fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: STORE_CONTACT_UNKNOWN
 
