Give up a request that might begin on an older version after its limit

What callers saw: a request that was sent in time waited in the queue of its back end and began on the version before 8,003 ms after a newer one was acknowledged, 3 ms after the limit.

Cause: the limit was heeded only where a request is placed. A back end begins a request on the version that it has loaded then, with the first token, and its queue may hold a request for longer than the margin of 1.2 s.

Change: BeginLimits decides until when a request may begin at a back end: the declaration of the oldest version that it doesn't hold, plus the limit, less 300 ms for the way of the cancellation. A placement carries that time. An attempt without a first event asks once more then, since the back end may have loaded the version; if it hasn't, the connection is closed and the request goes on like after a lost back end: elsewhere if kind, attempts and retry budget allow it, else with an unknown outcome or a broken stream. It doesn't count as a failure of the back end. Without a newer version the decision is renewed after half the limit, so that one that is declared or heard of later binds too; most requests end before that and never ask.

Not covered: a back end that doesn't drop a queued request when its connection is closed begins it all the same.

--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
@@ -0,0 +1,64 @@
+/**
+ * Decides by when a request must have begun at a back end, so that none begins on an older version after the limit of a declared one.
+ *
+ * A back end begins a request on the version that it has loaded then, and the request may have waited in its queue. So a request that
+ * was sent in time may still begin too late, and is given up early enough for its cancellation to reach the back end first. A version
+ * may be declared while a request waits, and the back end may have loaded it by its limit, so the limit is asked for again.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Whether a request that was sent to a back end may still begin there. */
+sealed class BeginLimit {
+    /** It may; one that has not begun by [until] needs another decision then. */
+    data class Open(
+        val until: Duration,
+    ) : BeginLimit()
+
+    /** It must not, since it would begin on an older version than [required]. */
+    data class Passed(
+        val required: WeightNumber,
+    ) : BeginLimit()
+}
+
+internal class BeginLimits(
+    private val bounds: PlacementBounds,
+    private val storeView: StoreViewController,
+    private val backEndStates: BackEndStateController,
+) {
+    fun limit(
+        backEnd: BackEnd,
+        now: Duration,
+    ): BeginLimit {
+        if (storeView.serving?.service(backEnd.service)?.weights == null) return BeginLimit.Open(Duration.INFINITE)
+        val unmet = oldestUnmet(backEnd, now)
+        val passesAt = unmet?.let { passesAt(it) } ?: Duration.INFINITE
+        if (unmet != null && passesAt <= now) return BeginLimit.Passed(unmet.number)
+        return BeginLimit.Open(minOf(passesAt, now + (bounds.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)))
+    }
+
+    private fun passesAt(unmet: DeclaredWeights): Duration = unmet.since + bounds.versionLimit - CANCELLATION_MARGIN
+
+    /** Returns the oldest declaration that the weights of [backEnd] don't meet; its registration may have changed since it was chosen. */
+    private fun oldestUnmet(
+        backEnd: BackEnd,
+        now: Duration,
+    ): DeclaredWeights? {
+        val registered = storeView.backEnd(backEnd.id)?.takeIf { it.born == backEnd.born } ?: backEnd
+        val held = backEndStates.held(registered, now) ?: return null
+        return storeView.oldestUnmet(held.model, held.number)
+    }
+
+    private companion object {
+        /** The longest way of a cancellation to a back end in another region, and the time until it is noticed there. */
+        val CANCELLATION_MARGIN = 300.milliseconds
+
+        /** A declaration that this process hears of late has less than the whole limit left. */
+        const val RENEWAL_SHARE = 0.5
+        val MIN_RENEWAL = 100.milliseconds
+    }
+}
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -67,10 +67,14 @@
 )
 
 sealed class Placement {
-    /** [number] is the version that the back end must hold if the request may not run on an older one. */
+    /**
+     * [number] is the version that the back end must hold if the request may not run on an older one, and [beginLimit] tells until when
+     * it may begin there.
+     */
     data class Placed(
         val backEnd: BackEnd,
         val number: WeightNumber?,
+        val beginLimit: BeginLimit,
     ) : Placement()
 
     data class Refused(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -41,6 +41,7 @@
     private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
     private val eligibility = BackEndEligibility(topology, bounds, storeView, backEndStates, notices)
+    private val beginLimits = BeginLimits(bounds, storeView, backEndStates)
     private val overload = OverloadController(random, policies)
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
@@ -83,6 +84,12 @@
         return choice.placed
     }
 
+    /** Decides whether a request that was sent to [backEnd] and has not begun may still begin there. */
+    fun beginLimit(
+        backEnd: BackEnd,
+        now: Duration,
+    ): BeginLimit = beginLimits.limit(backEnd, now)
+
     /** Records that an attempt at [target] makes no progress. */
     fun onSilent(target: TargetId) = statsOf(target).onSilent()
 
@@ -253,7 +260,8 @@
         if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
-        return Choice.Chosen(Placement.Placed(chosen, eligibility.requiredNumber(chosen, request, now)))
+        val number = eligibility.requiredNumber(chosen, request, now)
+        return Choice.Chosen(Placement.Placed(chosen, number, beginLimits.limit(chosen, now)))
     }
 
     private fun isSpeaking(
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
@@ -46,6 +46,9 @@
     var events = 0
         private set
 
+    /** Whether the back end has begun to run the request, as its answer shows: the head of a stream may precede the run. */
+    val hasBegun: Boolean get() = events > 0 || firstProgressAt != null
+
     /** Whether a successful answer was received beyond its start, so that the back end survived the request. */
     val wentOn: Boolean get() = events > 1 || isComplete
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -7,7 +7,8 @@
  * may reach a back end counts towards the retry budget that all entry daemons share.
  *
  * A back end that makes no progress is not given up for that. Where the request may run twice, another back end takes it over, and both
- * are read until one of them provides the next event; without a place, an attempt or the budget for that, the first one goes on.
+ * are read until one of them provides the next event; without a place, an attempt or the budget for that, the first one goes on. Only a
+ * request that might begin on an older version after its limit is given up at its back end.
  */
 package lagoonrudder.traffic.direct
 
@@ -20,6 +21,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.AttemptOutcome
 import lagoonrudder.control.direct.AttemptTimes
+import lagoonrudder.control.direct.BeginLimit
 import lagoonrudder.control.direct.Placement
 import lagoonrudder.model.Address
 import lagoonrudder.model.Failure
@@ -95,7 +97,7 @@
             )
         places.exclude(backEnd.id)
         live +=
-            LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
+            LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed(), placement.beginLimit) {
                 call.mayBeSent = true
                 client.send(attempt).mapLeft { DirectAttemptResult.NotRun(reached = false, it.describe()) }
             }
@@ -114,6 +116,11 @@
         /** No attempt has made progress for so long that another back end may take over. */
         data object TakeOver : Next()
 
+        /** [attempt] has not begun, and needs a decision whether it still may. */
+        class BeginDecision(
+            val attempt: LiveAttempt,
+        ) : Next()
+
         data object OutOfTime : Next()
     }
 
@@ -129,6 +136,7 @@
                 takeOver()
                 null
             }
+            is Next.BeginDecision -> decideBegin(next.attempt)
             Next.OutOfTime -> {
                 live.toList().forEach { end(it, DirectAttemptResult.OutOfTime(timedOut = !it.relay.receivedAny)) }
                 onDeadline()
@@ -155,6 +163,12 @@
 
     /** Returns what happens if no event comes, and when. */
     private fun nextTimeout(): Pair<Next, Duration> {
+        val progress = nextWithoutProgress()
+        val undecided = live.minBy { it.beginDecisionAt }
+        return if (undecided.beginDecisionAt < progress.second) Next.BeginDecision(undecided) to undecided.beginDecisionAt else progress
+    }
+
+    private fun nextWithoutProgress(): Pair<Next, Duration> {
         val deadline = Next.OutOfTime to context.deadline
         if (!kind.retryable) return deadline
         val progressAt = live.maxOf { it.relay.progressAt }
@@ -175,6 +189,20 @@
             is RequestKind.Stream -> kind.progressTimeout(context.route.latencyObjective)
         }
 
+    /** Gives [attempt] up if its request must not begin any more, as if its back end had been lost. */
+    private suspend fun decideBegin(attempt: LiveAttempt): Outcome? {
+        val limit = control.thread.decide { control.placement.beginLimit(attempt.backEnd, control.clock.elapsed()) }
+        attempt.beginLimit = limit
+        return when (limit) {
+            is BeginLimit.Open -> null
+            is BeginLimit.Passed ->
+                onResult(
+                    attempt,
+                    DirectAttemptResult.NotBegun("not begun by the limit of version ${limit.required.number}"),
+                )
+        }
+    }
+
     private suspend fun onSilence() {
         val silent = live.filter { !it.isReportedSilent }.onEach { it.isReportedSilent = true }
         control.thread.decide { silent.forEach { control.placement.onSilent(it.backEnd.id) } }
@@ -246,6 +274,7 @@
             is DirectAttemptResult.Completed -> Outcome.Completed(result.length, null)
             is DirectAttemptResult.NotRun -> onNotRun(result)
             is DirectAttemptResult.Lost -> onLost(result)
+            is DirectAttemptResult.NotBegun -> onLost(DirectAttemptResult.Lost(result.detail))
             is DirectAttemptResult.Failed -> onFailed(result)
             is DirectAttemptResult.OutOfTime, DirectAttemptResult.Superseded -> null
         }
@@ -351,7 +380,7 @@
             is DirectAttemptResult.NotRun -> if (result.reached) AttemptOutcome.NOT_RUN else AttemptOutcome.UNREACHABLE
             is DirectAttemptResult.Lost, is DirectAttemptResult.Failed -> AttemptOutcome.FAILED
             is DirectAttemptResult.OutOfTime -> if (result.timedOut) AttemptOutcome.TIMED_OUT else AttemptOutcome.ABANDONED
-            DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
+            is DirectAttemptResult.NotBegun, DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
         }
 
     private fun describe(result: DirectAttemptResult): String =
@@ -359,6 +388,7 @@
             is DirectAttemptResult.Completed -> "answered"
             is DirectAttemptResult.NotRun -> "not-run:${result.detail}"
             is DirectAttemptResult.Lost -> "lost:${result.detail}"
+            is DirectAttemptResult.NotBegun -> "not-begun:${result.detail}"
             is DirectAttemptResult.OutOfTime -> "out-of-time"
             is DirectAttemptResult.Failed -> "failed:${result.status}"
             DirectAttemptResult.Superseded -> "superseded"
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import lagoonrudder.control.direct.BeginLimit
 import lagoonrudder.model.BackEnd
 import kotlin.time.Duration
 
@@ -33,6 +34,11 @@
         val disconnected: Boolean = false,
     ) : DirectAttemptResult()
 
+    /** The request did not begin at the back end while it still might, see [BeginLimit]. */
+    data class NotBegun(
+        val detail: String,
+    ) : DirectAttemptResult()
+
     /** Another attempt has provided the response, or its next event, first. */
     data object Superseded : DirectAttemptResult()
 
@@ -47,16 +53,25 @@
     ) : DirectAttemptResult()
 }
 
-/** Reads the attempt at [backEnd], which [send] sends. */
+/** Reads the attempt at [backEnd], which [send] sends. [beginLimit] tells until when the request may begin there. */
 internal class LiveAttempt(
     val backEnd: BackEnd,
     val relay: AttemptRelay,
     val startedAt: Duration,
+    var beginLimit: BeginLimit,
     private val send: suspend () -> Either<DirectAttemptResult, OpenAttempt>,
 ) {
     private var open: OpenAttempt? = null
     private var pending: Deferred<Either<DirectAttemptResult, ResponseEvent>>? = null
 
+    /** When this attempt needs a decision whether its request may still begin; infinite once it has. */
+    val beginDecisionAt: Duration
+        get() =
+            when (val limit = beginLimit) {
+                is BeginLimit.Open -> if (relay.hasBegun) Duration.INFINITE else limit.until
+                is BeginLimit.Passed -> startedAt
+            }
+
     /** Whether the control thread knows that this attempt makes no progress. */
     var isReportedSilent = false
 
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -43,7 +43,9 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.EventId
 import lagoonrudder.model.Failure
+import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.Invariants
+import lagoonrudder.model.ModelId
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
@@ -62,6 +64,7 @@
 import lagoonrudder.model.Step
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightLayout
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.traffic.FilterChain
 import kotlin.random.Random
@@ -73,6 +76,8 @@
 private val DOMAIN = DomainId("one")
 private val REGION = RegionId("first")
 private val SERVICE = ServiceId("service")
+private val MODEL = ModelId("model")
+private const val LAYERS = 4
 private val OBJECTIVE = 400.milliseconds
 private val CONNECT_TIMEOUT = 500.milliseconds
 
@@ -101,6 +106,12 @@
         val events: List<Pair<Duration, ResponseEvent>>,
     ) : Behaviour()
 
+    /** Holds the request in a queue and begins it [at] that time, with the version loaded then, unless it was cancelled before. */
+    data class Queued(
+        val at: Duration,
+        val loaded: () -> Long = { 1 },
+    ) : Behaviour()
+
     /** Refuses no connection and accepts none. */
     data object Unconnected : Behaviour()
 
@@ -116,6 +127,12 @@
     ) : Behaviour()
 }
 
+/** The begin of a request at a back end, with the version that was loaded then. */
+internal data class Begin(
+    val version: Long,
+    val at: Duration,
+)
+
 internal class FakeClient(
     private val behaviours: MutableList<Behaviour>,
     private val elapsed: () -> Duration,
@@ -123,6 +140,9 @@
     val attempts = mutableListOf<DirectAttempt>()
     var abandoned = 0
 
+    /** The requests that began at a [Behaviour.Queued] back end. */
+    val begins = mutableListOf<Begin>()
+
     override suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt> {
         attempts += attempt
         val scripted = behaviours.removeFirst()
@@ -138,6 +158,7 @@
             is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
             is Behaviour.Paced -> PacedAttempt(behaviour).right()
             is Behaviour.Timed -> TimedAttempt(behaviour).right()
+            is Behaviour.Queued -> QueuedAttempt(behaviour, attempt).right()
         }
     }
 
@@ -188,6 +209,29 @@
         }
     }
 
+    private inner class QueuedAttempt(
+        private val behaviour: Behaviour.Queued,
+        private val attempt: DirectAttempt,
+    ) : OpenAttempt {
+        private var rest: ArrayDeque<ResponseEvent>? = null
+
+        override suspend fun next(): ResponseEvent {
+            delay(behaviour.at - elapsed())
+            return (rest ?: begin().also { rest = it }).removeFirst()
+        }
+
+        private fun begin(): ArrayDeque<ResponseEvent> {
+            val version = behaviour.loaded()
+            begins += Begin(version, elapsed())
+            val first = (attempt.resumeAfter?.number?.toInt() ?: 0) + 1
+            return ArrayDeque(listOf(head(number = version), event(first), event(first + 1), ResponseEvent.End))
+        }
+
+        override fun abandon() {
+            abandoned++
+        }
+    }
+
     private inner class FailingAttempt(
         events: List<ResponseEvent>,
         private val error: Throwable,
@@ -280,9 +324,11 @@
     vararg behaviours: Behaviour,
     retrySlack: Double = 100.0,
     backEndIds: List<String> = listOf("a", "b", "c"),
-    slots: Int = 4,
+    private val slots: Int = 4,
     customers: List<ServingCustomer> = emptyList(),
     random: Random = Random(1),
+    held: Long? = null,
+    versionLimit: Duration = 8.seconds,
 ) {
     private val clock =
         object : Clock {
@@ -299,7 +345,7 @@
     private val placement =
         PlacementController(
             Topology(DOMAIN, mapOf(DOMAIN to REGION)),
-            PlacementBounds(8.seconds, 1.5, 5.0),
+            PlacementBounds(versionLimit, 1.5, 5.0),
             storeView,
             peers,
             BackEndStateController(),
@@ -349,12 +395,11 @@
             ServingConfiguration(
                 Revision(1),
                 listOf(route),
-                listOf(ServingService(SERVICE, 9, null, null, null, null)),
+                listOf(ServingService(SERVICE, 9, null, held?.let { WeightLayout(listOf(MODEL), LAYERS, 1, 1) }, null, null)),
                 customers,
                 limits,
             )
-        val backEnds =
-            backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, null) }
+        val backEnds = backEndIds.map { backEnd(it, held) }
         val items =
             backEnds.mapIndexed {
                 index,
@@ -369,6 +414,21 @@
         )
     }
 
+    private fun backEnd(
+        name: String,
+        held: Long?,
+    ) = BackEnd(
+        id = TargetId(name),
+        service = SERVICE,
+        address = Address("10.0.0.1", 1),
+        domain = DOMAIN,
+        slots = slots,
+        leaving = false,
+        coldFor = Duration.ZERO,
+        born = 1,
+        weights = held?.let { HeldWeights(MODEL, WeightNumber(it), LAYERS) },
+    )
+
     suspend fun run(
         path: String = "/a/b",
         timeLeft: Duration = 4.seconds,
@@ -384,10 +444,24 @@
     suspend fun publish(
         next: ServingConfiguration,
         fromPeer: Boolean = false,
+    ) = put("op/config", fromPeer) { StoreRecord.Configuration(next.copy(revision = Revision(it))) }
+
+    /** Declares [version] as the one that all back ends must hold. */
+    suspend fun declare(version: Long) = put("op/version/model") { StoreRecord.VersionDeclaration(MODEL, WeightNumber(version)) }
+
+    /** Registers the back end [name] with the version that it holds now. */
+    suspend fun register(
+        name: String,
+        held: Long,
+    ) = put("servers/$name") { StoreRecord.Registered(backEnd(name, held)) }
+
+    private suspend fun put(
+        key: String,
+        fromPeer: Boolean = false,
+        recordAt: (Long) -> StoreRecord,
     ) = control.thread.decide {
         val at = ++published
-        val set = next.copy(revision = Revision(at))
-        val change = listOf(DecodedItem(StoreItem("op/config", at, ByteArray(0)), StoreRecord.Configuration(set)))
+        val change = listOf(DecodedItem(StoreItem(key, at, ByteArray(0)), recordAt(at)))
         if (fromPeer) {
             storeView.applySettledChanges(change, at, clock.elapsed())
         } else {
