--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -68,12 +68,13 @@
 
 sealed class Placement {
     /**
-     * [number] is the version that the back end must still hold, null if the request may run on each one, and [versions] tells for the log
-     * what was known; null for a back end without weights.
+     * [number] is the version that the back end must still hold, null if the request may run on each one, and [beginLimit] tells until when
+     * the request may begin there. [versions] tells for the log what was known; null for a back end without weights.
      */
     data class Placed(
         val backEnd: BackEnd,
         val number: WeightNumber?,
+        val beginLimit: BeginLimit,
         val versions: KnownVersions? = null,
     ) : Placement()
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import lagoonrudder.control.direct.BeginLimit
 import lagoonrudder.control.direct.Placement
 import lagoonrudder.model.BackEnd
 import kotlin.time.Duration
@@ -34,6 +35,11 @@
         val disconnected: Boolean = false,
     ) : DirectAttemptResult()
 
+    /** The request did not begin at the back end while it still might, see [BeginLimit]. */
+    data class NotBegun(
+        val detail: String,
+    ) : DirectAttemptResult()
+
     /** Another attempt has provided the response, or its next event, first. */
     data object Superseded : DirectAttemptResult()
 
@@ -57,6 +63,9 @@
 ) {
     val backEnd: BackEnd get() = placement.backEnd
 
+    /** Until when the request may begin there. */
+    var beginLimit: BeginLimit = placement.beginLimit
+
     /** What was known of versions at the choice of the back end, and how its response began; null for a back end without weights. */
     val versions: AttemptVersions?
         get() =
@@ -73,6 +82,14 @@
     private var open: OpenAttempt? = null
     private var pending: Deferred<Either<DirectAttemptResult, ResponseEvent>>? = null
 
+    /** When this attempt needs a decision whether its request may still begin; infinite once it has. */
+    val beginDecisionAt: Duration
+        get() =
+            when (val limit = beginLimit) {
+                is BeginLimit.Open -> if (relay.hasBegun) Duration.INFINITE else limit.until
+                is BeginLimit.Passed -> startedAt
+            }
+
     /** Whether the control thread knows that this attempt makes no progress. */
     var isReportedSilent = false
 
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/LateVersionTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/LateVersionTest.kt
@@ -15,8 +15,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-private val MODEL = ModelId("model")
-private val WEIGHTS = HeldWeights(MODEL, WeightNumber(1), 16)
+private val WEIGHTS = HeldWeights(ModelId("model"), WeightNumber(1), 16)
 
 /** Answers with a head at once and its events, on version [number], after [queued]. */
 private fun queued(
@@ -34,7 +33,7 @@
         test("a request that waits at its back end until the limit of a declared version is over is reported with its wait") {
             runTest {
                 val scene = scene(queued(number = 1, 250.milliseconds))
-                scene.declare(MODEL, 2)
+                scene.declare(2)
                 delay(7_900.milliseconds)
                 scene.run()
                 scene.lateVersions shouldHaveSize 1
@@ -51,7 +50,7 @@
         test("a request is not reported before the limit, or on the declared version") {
             runTest {
                 val scene = scene(queued(number = 1, 50.milliseconds), queued(number = 2, 250.milliseconds))
-                scene.declare(MODEL, 2)
+                scene.declare(2)
                 delay(7_900.milliseconds)
                 scene.run()
                 scene.run()
@@ -62,7 +61,7 @@
         test("an attempt is recorded with the version of its response and the declared one at its start") {
             runTest {
                 val scene = scene(queued(number = 1, 250.milliseconds))
-                scene.declare(MODEL, 2)
+                scene.declare(2)
                 delay(1_000.milliseconds)
                 scene.run()
                 val call = scene.calls.single()
