--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -117,7 +117,10 @@
 
     private fun farOrNearAddresses(): Collection<List<Address>> {
         val now = core.clock.elapsed()
-        return core.peers.farAddresses(now).values.ifEmpty { listOf(core.peers.nearAddresses(now)).filter { it.isNotEmpty() } }
+        return core.peers
+            .farAddresses(now)
+            .values
+            .ifEmpty { listOf(core.peers.nearAddresses(now)).filter { it.isNotEmpty() } }
     }
 
     /** Requests the items that [peer] has and this daemon has not, unless a request for items is under way. */
