--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
@@ -3,6 +3,7 @@
  */
 package lagoonrudder.daemon.direct
 
+import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.KnownVersions
 import lagoonrudder.traffic.direct.AttemptRecord
 import lagoonrudder.traffic.direct.AttemptVersions
