Decide again about a request whose connection opened slowly

What was seen: in virtual time, requests whose connection took 450 ms to open reached back ends that had meanwhile said or published that they leave, were gone, had started anew or wanted no requests, and a failure domain that was evacuated. 14 requests reached a back end in one second that bears 8 while it is cold (7 decided before, 7 after), and a back end got 2 s where 1.55 s were left.

Cause: the place, the version, the count towards the rate of a cold back end and the time left were taken when the request got its place. A first packet that is dropped delays the sending by up to 500 ms after that, so each limit that counts from an acknowledgement was exceeded by as much.

Change: the client asks for the request once there is a connection. If that took over 50 ms, the control thread decides again by what is known then: run and address of the back end, state, failure domain, notices, weights and the rate. A request that may still go counts as sent at that time and names the version required then; one that may not is withdrawn, which costs no retry and doesn't count against the back end, and takes another place. The connection stays in the pool. A prompt connection costs no decision. The time left is always that of the sending.

HttpClientTest: a withdrawn request is not sent and its connection carries the next one; a caller that leaves in between closes it. PlacementControllerTest: version and rate of a confirmed place.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -66,6 +66,21 @@
         claims.onTaken()
     }
 
+    /** Forgets the latest request that was recorded at or before [takenAt], since it has not been sent. It remains in flight. */
+    fun withdrawSend(takenAt: Duration) {
+        val index = sent.indexOfLast { it.at <= takenAt }
+        if (index >= 0) sent.removeAt(index)
+    }
+
+    /** Records that a request in flight which was withdrawn before is sent after all. */
+    fun recordDelayedSend(
+        promptTokens: Int,
+        now: Duration,
+    ) {
+        recentRequests(now)
+        sent.addLast(Sent(now, promptTokens))
+    }
+
     fun recordOutcome(
         outcome: AttemptOutcome,
         now: Duration,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -83,6 +83,25 @@
         return choice.placed
     }
 
+    /**
+     * Decides again about the place of [request] at [placed], which was taken at or before [takenAt] and to which nothing was sent yet.
+     * Returns null if the request may not be sent to that run of the back end any more; otherwise it counts as sent now.
+     */
+    fun confirm(
+        placed: BackEnd,
+        request: PlacementRequest,
+        takenAt: Duration,
+        now: Duration,
+    ): Placement.Placed? {
+        val stats = statsOf(placed.id)
+        stats.withdrawSend(takenAt)
+        val backEnd = storeView.backEnd(placed.id)?.takeIf { it.run == placed.run && it.address == placed.address } ?: return null
+        val isOpen = eligibility.isEligible(backEnd, request, now) && notices.closedFor(backEnd, now) == Duration.ZERO
+        if (!isOpen || !isWithinColdRate(backEnd, now)) return null
+        stats.recordDelayedSend(request.promptTokens, now)
+        return Placement.Placed(backEnd, eligibility.requiredNumber(backEnd, request, now))
+    }
+
     /** Records that an attempt at [target] makes no progress. */
     fun onSilent(target: TargetId) = statsOf(target).onSilent()
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -64,22 +65,28 @@
         number: Long? = null,
         promptTokens: Int = 0,
         isLate: Boolean = false,
-    ) = placement
-        .place(
-            PlacementRequest(
-                ENGINES,
-                customer?.let { CustomerId(it) },
-                1,
-                homeRegions,
-                excluded,
-                number?.let { WeightNumber(it) },
-                promptTokens,
-                isLate,
-                WaitLimit.Within(maxWait),
-                timeLeft = 6.seconds,
-            ),
-            now,
-        ).result
+    ) = placement.place(request(maxWait, customer, homeRegions, excluded, number, promptTokens, isLate), now).result
+
+    fun request(
+        maxWait: Duration = Duration.ZERO,
+        customer: String? = null,
+        homeRegions: List<Set<RegionId>> = emptyList(),
+        excluded: Set<TargetId> = emptySet(),
+        number: Long? = null,
+        promptTokens: Int = 0,
+        isLate: Boolean = false,
+    ) = PlacementRequest(
+        ENGINES,
+        customer?.let { CustomerId(it) },
+        1,
+        homeRegions,
+        excluded,
+        number?.let { WeightNumber(it) },
+        promptTokens,
+        isLate,
+        WaitLimit.Within(maxWait),
+        timeLeft = 6.seconds,
+    )
 
     fun declare(number: Long) =
         storeView.applyChanges(
@@ -297,6 +304,43 @@
             }
         }
 
+        // The version was the one required when the request was placed, however long its connection took to open.
+        test("a place that is confirmed requires the version of that moment, and is refused on an older one") {
+            val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
+            scene.declare(2)
+            scene.now += 6.5.seconds
+            val takenAt = scene.now
+            val old = scene.storeView.backEnd(TargetId("old")).shouldNotBeNull()
+            val new = scene.storeView.backEnd(TargetId("new")).shouldNotBeNull()
+            generateSequence { scene.place().target }.take(6).toSet() shouldBe setOf(old.id, new.id)
+            scene.placement
+                .confirm(old, scene.request(), takenAt, scene.now)
+                ?.number
+                .shouldBeNull()
+            scene.now += 500.milliseconds
+            scene.placement.confirm(old, scene.request(), takenAt, scene.now).shouldBeNull()
+            scene.placement.confirm(new, scene.request(), takenAt, scene.now)?.number shouldBe WeightNumber(2)
+        }
+
+        test("a place that is confirmed counts towards the rate of a cold back end from then on, and one that is withdrawn does not") {
+            val scene = Scene(listOf(backEnd("a")), cold = 0.0)
+            scene.peers.entryCount(90.seconds)
+            val backEnd = scene.storeView.backEnd(TargetId("a")).shouldNotBeNull()
+            // Five a second at most, a tenth of which is left to others.
+            repeat(4) { scene.place().target shouldBe backEnd.id }
+            val takenAt = scene.now
+            scene.now += 500.milliseconds
+            repeat(2) { scene.placement.confirm(backEnd, scene.request(), takenAt, scene.now).shouldNotBeNull() }
+            scene.placement.confirm(backEnd, scene.request(excluded = setOf(backEnd.id)), takenAt, scene.now).shouldBeNull()
+            repeat(4) { scene.placement.onAttemptEnded(backEnd.id, null, AttemptOutcome.ABANDONED, scene.now) }
+            scene.place().target shouldBe backEnd.id
+            scene.now += 650.milliseconds
+            scene.place().target shouldBe backEnd.id
+            scene.place().target.shouldBeNull()
+            scene.now += 500.milliseconds
+            scene.place().target shouldBe backEnd.id
+        }
+
         test("a back end close to its switch deadline gets only the requests that it can start immediately") {
             val scene = Scene(listOf(backEnd("old", number = 1)))
             scene.declare(2)
--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -76,13 +76,40 @@
         maxIdleTime: Duration = idleTimeout,
         newConnection: Boolean = false,
         ownerOf: (HttpResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
+    ): Either<Failure, HttpCall> = send(address, peer, maxIdleTime, newConnection, ownerOf) { request.right() }
+
+    /**
+     * Sends the request that [requestNow] returns once there is a connection to carry it, since opening one may take until
+     * [connectTimeout]. If that returns a failure, nothing is sent, and a new connection is kept for a later request.
+     */
+    suspend fun send(
+        address: Address,
+        peer: Peer,
+        maxIdleTime: Duration = idleTimeout,
+        newConnection: Boolean = false,
+        ownerOf: (HttpResponseHead) -> ResponseOwner = { ResponseOwner.THIS_REQUEST },
+        requestNow: suspend () -> Either<Failure, HttpRequest>,
     ): Either<Failure, HttpCall> {
         val pooled = if (newConnection) null else takeIdle(address, maxIdleTime)
-        val connection = pooled ?: open(address)
-        if (connection == null || !connection.reusable) return Failure.Unreachable(Step.CONNECT, peer, "no connection to $address").left()
-        return connection.send(request, ownerOf) { release(address, it) }.right()
+        val connection = pooled ?: open(address) ?: return unreachable(address, peer)
+        var isOwned = false
+        try {
+            val request = requestNow()
+            if (!connection.reusable) return unreachable(address, peer)
+            isOwned = true
+            return request
+                .onLeft { release(address, connection) }
+                .map { connection.send(it, ownerOf) { sent -> release(address, sent) } }
+        } finally {
+            if (!isOwned) connection.close()
+        }
     }
 
+    private fun unreachable(
+        address: Address,
+        peer: Peer,
+    ) = Failure.Unreachable(Step.CONNECT, peer, "no connection to $address").left()
+
     /**
      * Sends [request] and reads the complete response of at most [maxBytes] within [timeout]. [newConnection] requires a
      * connection that has carried nothing, so that no late copy of an earlier response can be taken for this one.
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -1,12 +1,17 @@
 package lagoonrudder.http
 
 import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -16,8 +21,11 @@
 import lagoonrudder.model.HeaderField
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
+import lagoonrudder.model.Step
 import lagoonrudder.model.SystemClock
 import java.net.ServerSocket
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -74,6 +82,39 @@
             }
         }
 
+        test("a request that is withdrawn once its connection is open is not sent, and the next one is sent there") {
+            val heads = LinkedBlockingQueue<String>()
+            ScriptedServer { connection ->
+                while (true) {
+                    heads += connection.readHead() ?: break
+                    connection.send(OK_BODY)
+                }
+            }.use { server ->
+                withClient { client ->
+                    val withdrawn = Failure.Declined(Step.CHOOSE_TARGET, Peer.SELF, "withdrawn")
+                    client.send(server.address, PEER) { withdrawn.left() }.leftOrNull() shouldBe withdrawn
+                    client
+                        .send(
+                            server.address,
+                            PEER,
+                        ) { HttpRequest("GET", "/next", emptyList()).right() }
+                        .getOrElse { error(it.describe()) }
+                    heads.poll(3, TimeUnit.SECONDS).orEmpty() shouldStartWith "GET /next "
+                    server.connections.get() shouldBe 1
+                }
+            }
+        }
+
+        test("a caller that leaves before its request is sent on an open connection closes that") {
+            val received = LinkedBlockingQueue<String>()
+            ScriptedServer { connection -> received += connection.readRest() }.use { server ->
+                withClient { client ->
+                    withTimeoutOrNull(200.milliseconds) { client.send(server.address, PEER) { awaitCancellation() } }.shouldBeNull()
+                    received.poll(3, TimeUnit.SECONDS) shouldBe ""
+                }
+            }
+        }
+
         test("a connection with a keep-alive timeout of a second is not reused") {
             ScriptedServer { connection ->
                 while (connection.readHead() !=
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectMessages.kt
@@ -38,7 +38,7 @@
  * One attempt at [backEnd]. A different back end, or one that holds another version than [number], must not run it.
  * [sentBefore] is set if an earlier attempt of the same request went to the same address.
  */
-class DirectAttempt(
+data class DirectAttempt(
     val caller: DirectRequest,
     val backEnd: BackEnd,
     val customer: CustomerId?,
@@ -112,10 +112,14 @@
 /** Sends requests to back ends. */
 interface BackEndClient {
     /**
-     * Sends an attempt; [Failure.Unreachable] means that nothing was sent. A connection carries a request at most once, so that
-     * a late copy of the response to one attempt is never taken for the response to another.
+     * Sends an attempt; a failure means that nothing was sent. A connection carries a request at most once, so that a late copy of the
+     * response to one attempt is never taken for the response to another. Opening a connection takes time, so [onConnected] decides
+     * once there is one what is sent on it, to the same back end, or why nothing is.
      */
-    suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt>
+    suspend fun send(
+        attempt: DirectAttempt,
+        onConnected: suspend (DirectAttempt) -> Either<Failure, DirectAttempt>,
+    ): Either<Failure, OpenAttempt>
 
     /** Discards the pooled connections to [backEnd] after one of them timed out, since the others may be dead as well. */
     fun discardIdleConnections(backEnd: BackEnd)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -12,6 +12,8 @@
 package lagoonrudder.traffic.direct
 
 import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.coroutineScope
@@ -94,13 +96,36 @@
                 sentBefore = !usedAddresses.add(backEnd.address),
             )
         places.exclude(backEnd.id)
+        val startedAt = control.clock.elapsed()
         live +=
-            LiveAttempt(backEnd, relay.startAttempt(), control.clock.elapsed()) {
+            LiveAttempt(backEnd, relay.startAttempt(), startedAt) {
                 call.mayBeSent = true
-                client.send(attempt).mapLeft { DirectAttemptResult.NotRun(reached = false, it.describe()) }
+                client.send(attempt) { confirmed(it, startedAt) }.mapLeft { notSent(it) }
             }
     }
 
+    /** Returns [attempt] as it may be sent now that there is a connection; its place is decided again if that took long. */
+    private suspend fun confirmed(
+        attempt: DirectAttempt,
+        startedAt: Duration,
+    ): Either<Failure, DirectAttempt> {
+        val isLate = control.clock.elapsed() - startedAt > PROMPT_CONNECTION
+        val place = if (isLate) places.confirm(attempt.backEnd, startedAt) else Placement.Placed(attempt.backEnd, attempt.number)
+        if (place == null) return Failure.Declined(Step.CHOOSE_TARGET, Peer.SELF, "the place is no longer available").left()
+        return attempt.copy(number = place.number, timeLeft = context.timeLeft(control.clock)).right()
+    }
+
+    private fun notSent(failure: Failure): DirectAttemptResult =
+        when (failure) {
+            is Failure.Declined -> DirectAttemptResult.Withdrawn(failure.describe())
+            is Failure.Malformed,
+            is Failure.Unreachable,
+            is Failure.Interrupted,
+            is Failure.TimedOut,
+            is Failure.Damaged,
+            -> DirectAttemptResult.NotRun(reached = false, failure.describe())
+        }
+
     /** What happens next to the attempts that are awaited. */
     private sealed class Next {
         class Event(
@@ -244,7 +269,8 @@
         end(attempt, result)
         return when (result) {
             is DirectAttemptResult.Completed -> Outcome.Completed(result.length, null)
-            is DirectAttemptResult.NotRun -> onNotRun(result)
+            is DirectAttemptResult.NotRun -> onNotRun(result.detail, costsRetry = result.reached)
+            is DirectAttemptResult.Withdrawn -> onNotRun(result.detail, costsRetry = false)
             is DirectAttemptResult.Lost -> onLost(result)
             is DirectAttemptResult.Failed -> onFailed(result)
             is DirectAttemptResult.OutOfTime, DirectAttemptResult.Superseded -> null
@@ -277,11 +303,14 @@
         result: DirectAttemptResult?,
     ): Boolean = result is DirectAttemptResult.Lost && result.disconnected && !attempt.relay.wentOn
 
-    private suspend fun onNotRun(result: DirectAttemptResult.NotRun): Outcome? {
+    private suspend fun onNotRun(
+        detail: String,
+        costsRetry: Boolean,
+    ): Outcome? {
         rejections++
         if (live.isNotEmpty()) return null
-        val retry = rejections <= limits.rejections && (!result.reached || takeRetry())
-        return if (retry) null else finalOutcome(result.detail)
+        val retry = rejections <= limits.rejections && (!costsRetry || takeRetry())
+        return if (retry) null else finalOutcome(detail)
     }
 
     private suspend fun onLost(result: DirectAttemptResult.Lost): Outcome? {
@@ -351,13 +380,14 @@
             is DirectAttemptResult.NotRun -> if (result.reached) AttemptOutcome.NOT_RUN else AttemptOutcome.UNREACHABLE
             is DirectAttemptResult.Lost, is DirectAttemptResult.Failed -> AttemptOutcome.FAILED
             is DirectAttemptResult.OutOfTime -> if (result.timedOut) AttemptOutcome.TIMED_OUT else AttemptOutcome.ABANDONED
-            DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
+            is DirectAttemptResult.Withdrawn, DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
         }
 
     private fun describe(result: DirectAttemptResult): String =
         when (result) {
             is DirectAttemptResult.Completed -> "answered"
             is DirectAttemptResult.NotRun -> "not-run:${result.detail}"
+            is DirectAttemptResult.Withdrawn -> "withdrawn:${result.detail}"
             is DirectAttemptResult.Lost -> "lost:${result.detail}"
             is DirectAttemptResult.OutOfTime -> "out-of-time"
             is DirectAttemptResult.Failed -> "failed:${result.status}"
@@ -369,5 +399,8 @@
 
         /** The time after which another place is looked for if there was none for a request that makes no progress. */
         val TAKE_OVER_INTERVAL = 200.milliseconds
+
+        /** What was decided this long before still holds; a connection usually opens within a round trip. */
+        val PROMPT_CONNECTION = 50.milliseconds
     }
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -24,6 +24,11 @@
         val detail: String,
     ) : DirectAttemptResult()
 
+    /** Nothing was sent, since the place was no longer available once there was a connection to the back end. */
+    data class Withdrawn(
+        val detail: String,
+    ) : DirectAttemptResult()
+
     /**
      * The request may have run at the back end, but there is no response to forward. [disconnected] is set if the back end closed the
      * connection.
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
@@ -14,6 +14,7 @@
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.control.direct.PlacementTicket
 import lagoonrudder.control.direct.admission.WaitLimit
+import lagoonrudder.model.BackEnd
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.TargetId
@@ -66,6 +67,15 @@
         return control.thread.decide { placeTakeOver(request, silent) }
     }
 
+    /** Returns the place that was taken at [backEnd] at or before [takenAt] as it is now; null if the request may not go there any more. */
+    suspend fun confirm(
+        backEnd: BackEnd,
+        takenAt: Duration,
+    ): Placement.Placed? {
+        val request = placementRequest(WaitLimit.Within(Duration.ZERO), mayHaveRun = true, excluded - backEnd.id)
+        return control.thread.decide { control.placement.confirm(backEnd, request, takenAt, control.clock.elapsed()) }
+    }
+
     /** Runs on the control thread. */
     private fun placeTakeOver(
         request: PlacementRequest,
@@ -95,6 +105,7 @@
     private fun placementRequest(
         wait: WaitLimit,
         mayHaveRun: Boolean,
+        excluded: Set<TargetId> = this.excluded,
     ) = PlacementRequest(
         service = context.service,
         customer = context.customer?.id,
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -1,6 +1,7 @@
 package lagoonrudder.traffic.direct
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.kotest.assertions.withClue
@@ -36,6 +37,7 @@
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.Clock
 import lagoonrudder.model.DaemonId
@@ -104,6 +106,12 @@
     /** Refuses no connection and accepts none. */
     data object Unconnected : Behaviour()
 
+    /** Opens a connection after [duration] and then behaves as [next]. */
+    data class Connects(
+        val duration: Duration,
+        val next: Behaviour,
+    ) : Behaviour()
+
     /** Answers each attempt in its own way. */
     data class Answers(
         val answer: (DirectAttempt) -> Behaviour,
@@ -120,26 +128,44 @@
     private val behaviours: MutableList<Behaviour>,
     private val elapsed: () -> Duration,
 ) : BackEndClient {
+    /** An attempt that was sent on a connection. */
+    class Sent(
+        val at: Duration,
+        val attempt: DirectAttempt,
+    )
+
     val attempts = mutableListOf<DirectAttempt>()
+    val sent = mutableListOf<Sent>()
     var abandoned = 0
 
-    override suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt> {
+    override suspend fun send(
+        attempt: DirectAttempt,
+        onConnected: suspend (DirectAttempt) -> Either<Failure, DirectAttempt>,
+    ): Either<Failure, OpenAttempt> {
         attempts += attempt
         val scripted = behaviours.removeFirst()
-        return when (val behaviour = if (scripted is Behaviour.Answers) scripted.answer(attempt) else scripted) {
+        val behaviour = if (scripted is Behaviour.Answers) scripted.answer(attempt) else scripted
+        if (behaviour !is Behaviour.Connects) return behave(behaviour).onRight { sent += Sent(elapsed(), attempt) }
+        delay(behaviour.duration)
+        val confirmed = onConnected(attempt).getOrElse { return it.left() }
+        sent += Sent(elapsed(), confirmed)
+        return behave(behaviour.next)
+    }
+
+    private suspend fun behave(behaviour: Behaviour): Either<Failure, OpenAttempt> =
+        when (behaviour) {
             Behaviour.Unreachable -> Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "refused").left()
             Behaviour.Unconnected -> {
                 delay(CONNECT_TIMEOUT)
                 Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "timed out").left()
             }
-            is Behaviour.Answers -> error("an answer of an answer")
+            is Behaviour.Answers, is Behaviour.Connects -> error("a behaviour inside another one")
             is Behaviour.Fails -> FailingAttempt(behaviour.events ?: throw behaviour.error, behaviour.error).right()
             is Behaviour.Replies -> FakeAttempt(behaviour.events, silent = false).right()
             is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
             is Behaviour.Paced -> PacedAttempt(behaviour).right()
             is Behaviour.Timed -> TimedAttempt(behaviour).right()
         }
-    }
 
     override fun discardIdleConnections(backEnd: BackEnd) = Unit
 
@@ -283,6 +309,7 @@
     slots: Int = 4,
     customers: List<ServingCustomer> = emptyList(),
     random: Random = Random(1),
+    coldRequestsPerSecond: Double? = null,
 ) {
     private val clock =
         object : Clock {
@@ -325,6 +352,8 @@
     val ends = mutableListOf<RequestEnd>()
     private val chain = FilterChain(directFilters(control, link, random) { _, end -> ends += end })
     private var published = 9L
+    private val backEnds =
+        backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, null) }
 
     /** The configuration at the start. */
     val configuration: ServingConfiguration
@@ -349,12 +378,10 @@
             ServingConfiguration(
                 Revision(1),
                 listOf(route),
-                listOf(ServingService(SERVICE, 9, null, null, null, null)),
+                listOf(ServingService(SERVICE, 9, coldRequestsPerSecond, null, null, null)),
                 customers,
                 limits,
             )
-        val backEnds =
-            backEndIds.map { BackEnd(TargetId(it), SERVICE, Address("10.0.0.1", 1), DOMAIN, slots, false, Duration.ZERO, 1, null) }
         val items =
             backEnds.mapIndexed {
                 index,
@@ -380,6 +407,36 @@
         return chain.run(DirectCall(request, to, clock.elapsed()))
     }
 
+    /** Publishes that the back end [id] is leaving. */
+    suspend fun publishLeaving(id: TargetId) =
+        publish("servers/${id.text}", StoreRecord.Registered(backEnds.first { it.id == id }.copy(leaving = true)))
+
+    /** Publishes that the back end [id] started anew. */
+    suspend fun publishRestart(id: TargetId) =
+        publish("servers/${id.text}", StoreRecord.Registered(backEnds.first { it.id == id }.copy(born = 2)))
+
+    /** Removes the back end [id]. */
+    suspend fun publishRemoval(id: TargetId) = publish("servers/${id.text}", null)
+
+    /** Publishes that the failure domain of all back ends is evacuated. */
+    suspend fun publishEvacuation() = publish("op/evacuate/${DOMAIN.text}", StoreRecord.DomainEvacuation(DOMAIN))
+
+    private suspend fun publish(
+        key: String,
+        record: StoreRecord?,
+    ) = control.thread.decide {
+        val at = ++published
+        val item = StoreItem(key, at, if (record == null) null else ByteArray(0))
+        storeView.applyChanges(listOf(DecodedItem(item, record)), at, clock.elapsed())
+        control.onStoreViewChanged()
+    }
+
+    /** Lets the back end [id] say [notice] of itself. */
+    suspend fun notice(
+        id: TargetId,
+        notice: BackEndNotice,
+    ) = control.thread.decide { notices.onNoticeReceived(backEnds.first { it.id == id }.run, notice, clock.elapsed()) }
+
     /** Puts [next] in force, which the store or, if [fromPeer] is set, a peer has told. */
     suspend fun publish(
         next: ServingConfiguration,
