Ignore a status of a back end that arrives after a later one

What was seen: an older status that arrives late opened a back end again that was loading, closed one that had loaded, and took its older version for the one it holds, for up to 5 s.

Cause: a target daemon sends its status on each change, beside its periodic message, each on a connection of its own. One that has to open its connection, or loses a packet, is overtaken; the entry daemon kept what arrived last. Entry daemons that aren't the one of the periodic message hear no other status until the next change.

Change: a status has a sequence number, and an older one than an unexpired status changes nothing. It is taken from the clock of the target daemon and always grows within a process, so that it goes on after a restart. If the clock was set back across a restart, the statuses count again once the earlier one has expired.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStateController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStateController.kt
@@ -2,7 +2,8 @@
  * Determines which weights a back end holds and whether it accepts requests, from the status that its target daemon gossips.
  *
  * A registration in the store lags by one heartbeat or more, whereas a target daemon sends its status on every change. A
- * status applies to the incarnation of the back end that it names and expires after a fixed time.
+ * status applies to the incarnation of the back end that it names and expires after a fixed time. Their order is that of their
+ * sequence numbers, which a target daemon takes from its clock, so that they go on after its restart.
  */
 package lagoonrudder.control.direct
 
@@ -15,12 +16,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** The status of the back end at [backEnd], as gossiped by its target daemon. [closed] is set while it loads and rejects new work. */
+/**
+ * The status of the back end at [backEnd], as gossiped by its target daemon. [closed] is set while it loads and rejects new work. A later
+ * status of the same back end has a higher [sequence].
+ */
 data class SlotWord(
     val backEnd: Address,
     val born: Long,
     val held: HeldWeights?,
     val closed: Boolean,
+    val sequence: Long = 0,
 )
 
 class BackEndStateController {
@@ -31,12 +36,17 @@
 
     private val statuses = mutableMapOf<Address, ReceivedStatus>()
 
-    /** Stores a status; returns whether it differs from the previous one of the same back end. */
+    /**
+     * Stores a status; returns whether it differs from the previous one of the same back end. Messages may overtake each other, so one
+     * that is older than an unexpired status changes nothing.
+     */
     fun onGossipReceived(
         status: SlotWord,
         now: Duration,
     ): Boolean {
-        val before = statuses.put(status.backEnd, ReceivedStatus(status, now))
+        val before = statuses[status.backEnd]
+        if (before != null && status.sequence < before.status.sequence && now - before.receivedAt < STATUS_TTL) return false
+        statuses[status.backEnd] = ReceivedStatus(status, now)
         return before?.status != status
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -52,9 +52,19 @@
         report: BackEndReport,
         closed: Boolean,
     ) {
-        val state = SlotWord(slot.backEnd, report.born, report.held, closed)
-        if (peers.slot == state) return
-        peers.slot = state
+        val last = peers.slot
+        val sequence = last?.sequence ?: 0
+        val state = SlotWord(slot.backEnd, report.born, report.held, closed, sequence)
+        if (last == state) return
+        // The clock may have been set back since the last one.
+        peers.slot =
+            state.copy(
+                sequence =
+                    core.clock
+                        .now()
+                        .toEpochMilliseconds()
+                        .coerceAtLeast(sequence + 1),
+            )
         peers.announce()
     }
 
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -59,6 +59,7 @@
     @ProtoNumber(4) val number: Long = 0,
     @ProtoNumber(5) val layers: Int = 0,
     @ProtoNumber(6) val closed: Boolean = false,
+    @ProtoNumber(7) val sequence: Long = 0,
 )
 
 @Serializable
@@ -179,12 +180,12 @@
 private fun storeContactAge(milliseconds: Long): Duration? = milliseconds.takeIf { it != STORE_CONTACT_UNKNOWN }?.milliseconds
 
 fun SlotWord.toMessage() =
-    SlotMessage(backEnd.toString(), born, held?.model?.text.orEmpty(), held?.number?.number ?: 0, held?.layers ?: 0, closed)
+    SlotMessage(backEnd.toString(), born, held?.model?.text.orEmpty(), held?.number?.number ?: 0, held?.layers ?: 0, closed, sequence)
 
 /** Returns null if the address of the back end is invalid. */
 fun SlotMessage.toGossipSlot(): SlotWord? {
     val held = if (model.isEmpty()) null else HeldWeights(ModelId(model), WeightNumber(number), layers)
-    return addressOrNull(backEnd)?.let { SlotWord(it, born, held, closed) }
+    return addressOrNull(backEnd)?.let { SlotWord(it, born, held, closed, sequence) }
 }
 
 fun StoreItem.toMessage() = ItemMessage(key, revision, value == null, value ?: ByteArray(0))
