Count the deadline of a request from the reading of its head

What was seen: a request whose body took 2 s to arrive, or that waited 3 s behind another one of its connection, counted as received when it was handled. So it could be held that much longer than its caller waits or its route allows, and its back end got that much more time than was left.

Cause: the handler of callers' requests took the time at its own start, which comes after the body and after the requests in front.

The time of a head that arrives slowly is not counted: a line feed between two requests can't be told from its beginning.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -85,7 +85,7 @@
         val readiness = ReadinessRequestHandler { isReady() }
         HttpServer.start(core.loop, core.scope, listen.ready, { HttpServer.PEER_LIMITS }, bodies = memory, handler = readiness)
         val callerHandler = CallerRequestHandler(chain, core.clock)
-        callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logReport, memory, callerHandler)
+        callers = HttpServer.start(core.loop, core.scope, listen.callers, { limits }, ::logReport, memory, core.clock, callerHandler)
         startOperatorServer(this)
         core.launchLoop("store") { store.run() }
         core.launchLoop("gossip") { peers.run() }
--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -18,7 +18,10 @@
 import kotlinx.coroutines.CoroutineScope
 import lagoonrudder.model.Address
 import lagoonrudder.model.CallerLimits
+import lagoonrudder.model.Clock
+import lagoonrudder.model.SystemClock
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -38,6 +41,9 @@
 interface HttpExchange {
     val request: HttpRequest
 
+    /** The time since the head of the request was read, also while it waited for its body or behind another request. */
+    val age: Duration
+
     /** Sends a complete response and sets its length. */
     suspend fun respond(
         status: Int,
@@ -123,7 +129,7 @@
         /**
          * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
          * for each new connection. [onReport] is called on the event loop thread. A request whose body does not fit into [bodies] is
-         * refused with 503.
+         * refused with 503. The ages of requests are measured with [clock].
          */
         fun start(
             loop: HttpEventLoop,
@@ -132,9 +138,10 @@
             limits: () -> CallerLimits,
             onReport: (ServerReport) -> Unit = {},
             bodies: BodyMemory = BodyMemory.Unbounded,
+            clock: Clock = SystemClock(),
             handler: HttpHandler,
         ): HttpServer {
-            val state = ServerState(scope, loop.dispatcher, handler, onReport, bodies)
+            val state = ServerState(scope, loop.dispatcher, handler, onReport, bodies, clock)
             val bootstrap =
                 ServerBootstrap()
                     .group(loop.group)
@@ -167,6 +174,7 @@
     val handler: HttpHandler,
     val onReport: (ServerReport) -> Unit,
     val bodies: BodyMemory,
+    val clock: Clock,
 ) {
     val connections: MutableSet<ServerConnection> = ConcurrentHashMap.newKeySet()
     val activeRequests =
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -163,7 +163,7 @@
         }
         reading = null
         if (!request.keepAlive) closing = true
-        enqueue(Received.Whole(request.toRequest(), request.body))
+        enqueue(Received.Whole(request.toRequest(), request.body, request.receivedAt))
         if (pending.size >= MAX_PIPELINED) channel.config().isAutoRead = false
         if (current == null) processNext()
     }
@@ -195,7 +195,7 @@
         channel.config().isAutoRead = true
         awaited = Awaited.REQUEST
         timer?.cancel(false)
-        val exchange = ServerExchange(received.request, channel, ExchangeEnds())
+        val exchange = ServerExchange(received.request, channel, ExchangeEnds(), received.receivedAt, server.clock)
         current = exchange
         exchange.job =
             server.scope.launch(server.dispatcher, CoroutineStart.UNDISPATCHED) {
@@ -321,10 +321,11 @@
 
     /** What was read and is answered in its turn. */
     private sealed class Received {
-        /** A complete request, whose [body] holds memory until the request has ended. */
+        /** A complete request, whose head was read at [receivedAt] and whose [body] holds memory until the request has ended. */
         class Whole(
             val request: HttpRequest,
             val body: RequestBody,
+            val receivedAt: Duration,
         ) : Received()
 
         /** A request that the handler does not see. */
@@ -351,6 +352,7 @@
     private inner class RequestReader(
         message: NettyRequest,
     ) {
+        val receivedAt = server.clock.elapsed()
         private val method = message.method().name()
         private val target = message.uri()
         private val fields = message.headers().map { HeaderField(it.key, it.value) }
--- a/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerExchange.kt
@@ -21,14 +21,18 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.suspendCancellableCoroutine
+import lagoonrudder.model.Clock
 import lagoonrudder.model.HeaderField
 import kotlin.coroutines.resume
+import kotlin.time.Duration
 import io.netty.handler.codec.http.HttpResponse as NettyResponse
 
 internal class ServerExchange(
     override val request: HttpRequest,
     private val channel: SocketChannel,
     private val connection: Connection,
+    private val receivedAt: Duration,
+    private val clock: Clock,
 ) : HttpExchange {
     /** The connection that carries an exchange. */
     interface Connection {
@@ -45,6 +49,8 @@
         fun close()
     }
 
+    override val age: Duration get() = clock.elapsed() - receivedAt
+
     var job: Job? = null
     private var begun = false
 
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -20,14 +20,18 @@
 import kotlinx.coroutines.withTimeout
 import lagoonrudder.model.Address
 import lagoonrudder.model.CallerLimits
+import lagoonrudder.model.Clock
 import lagoonrudder.model.HeaderField
+import lagoonrudder.model.SystemClock
 import java.net.ConnectException
 import java.util.Collections
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
 
 private val LIMITS = CallerLimits(headerBytes = 1_000, bodyBytes = 100, headerTimeout = 300.milliseconds, idleTimeout = 500.milliseconds)
 
@@ -36,6 +40,7 @@
 private class TestServer(
     @Volatile var limits: CallerLimits = LIMITS,
     handler: HttpHandler? = null,
+    clock: Clock = SystemClock(),
 ) : AutoCloseable {
     private val loop = HttpEventLoop("test")
     val handled: MutableList<HttpRequest> = Collections.synchronizedList(mutableListOf())
@@ -48,7 +53,8 @@
     private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
     val reports = LinkedBlockingQueue<ServerReport>()
     val unhandled: List<ServerReport.Unhandled> get() = reports.filterIsInstance<ServerReport.Unhandled>()
-    val server = HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, handler = handler ?: echo)
+    val server =
+        HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, clock = clock, handler = handler ?: echo)
 
     fun connect() = scriptedClient(server.port)
 
@@ -77,6 +83,15 @@
     }
 }
 
+/** A clock that stands still until a test moves it. */
+private class ManualClock : Clock {
+    @Volatile var time = 5.seconds
+
+    override fun now() = Instant.fromEpochMilliseconds(time.inWholeMilliseconds)
+
+    override fun elapsed() = time
+}
+
 /** Begins each response at once, and ends it with "done" once [release] completes. */
 private fun beginningThenDone(release: CompletableDeferred<Unit>) =
     HttpHandler { exchange ->
@@ -99,6 +114,44 @@
             }
         }
 
+        // Its deadline counted from the moment at which it was handled, and its back end got more time than its caller had left.
+        test("a request ages from its head on, while its body arrives and while it waits behind another one") {
+            val clock = ManualClock()
+            val release = CompletableDeferred<Unit>()
+            val ages = LinkedBlockingQueue<Pair<String, Duration>>()
+            val handler =
+                HttpHandler { exchange ->
+                    ages += exchange.request.target to exchange.age
+                    if (exchange.request.target == "/busy") release.await()
+                    exchange.respond(200, emptyList(), NO_BYTES)
+                }
+
+            /** Sends [bytes], which lead to no response yet, and lets [time] pass after their arrival. */
+            fun ScriptedConnection.sendPart(
+                bytes: String,
+                time: Duration,
+            ) {
+                send(bytes)
+                Thread.sleep(100)
+                clock.time += time
+            }
+            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler, clock).use { serving ->
+                val client = serving.connect()
+                client.sendPart("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nh", 2.seconds)
+                client.send("i")
+                client.readHead()
+                ages.poll(2, TimeUnit.SECONDS) shouldBe ("/slow" to 2.seconds)
+                clock.time += 7.seconds
+                client.sendPart("GET /busy HTTP/1.1\r\nHost: a\r\n\r\n", 1.seconds)
+                ages.poll(2, TimeUnit.SECONDS) shouldBe ("/busy" to Duration.ZERO)
+                client.sendPart("GET /behind HTTP/1.1\r\nHost: a\r\n\r\n", 1.seconds)
+                client.sendPart("POST /further HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi", 2.seconds)
+                release.complete(Unit)
+                ages.poll(2, TimeUnit.SECONDS) shouldBe ("/behind" to 3.seconds)
+                ages.poll(2, TimeUnit.SECONDS) shouldBe ("/further" to 2.seconds)
+            }
+        }
+
         val malformed =
             mapOf(
                 "two lengths" to "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
