Test that a back end's leaving is known in time for the way of a last request

Being known within two seconds, as other changes are, leaves nothing for the request that a daemon sends just before.

--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/StoreReadersTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/StoreReadersTest.kt
@@ -9,12 +9,22 @@
 import io.kotest.datatest.withTests
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import lagoonrudder.model.Address
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.DomainId
 import lagoonrudder.model.Revision
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.TargetId
 import lagoonrudder.standins.virtual.StoreTreatment
 import lagoonrudder.standins.virtual.VirtualStoreSite
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val BACK_END =
+    BackEnd(TargetId("b"), ServiceId("service"), Address("10.9.0.1", 80), DomainId("domain-0"), 4, false, Duration.ZERO, 1, null)
+
 class StoreReadersTest :
     FunSpec({
         val inForceLimit = 2.seconds
@@ -68,6 +78,30 @@
             }
         }
 
+        // A request that a daemon sends just before it hears of the leaving arrives a little later, and counts as well.
+        context("a back end that leaves is known as leaving in time for the way of a last request") {
+            val requestWay = 100.milliseconds
+            withTests(nameFn = { "$it" }, listOf(StoreTreatment.Answers, StoreTreatment.Silent, StoreTreatment.Refuses)) { treatment ->
+                for (domains in domainCounts) {
+                    for (delay in listOf(0.seconds, 100.milliseconds, 400.milliseconds, 800.milliseconds, 1_200.milliseconds)) {
+                        site(domains).use { site ->
+                            site.register(BACK_END)
+                            site.advance(2.seconds)
+                            site.readers().forEach { it.treatment = treatment }
+                            site.advance(delay)
+                            site.register(BACK_END.copy(leaving = true))
+                            site.advance(inForceLimit - requestWay)
+                            for (daemon in site.daemons.filter { it.treatment == StoreTreatment.Answers }) {
+                                withClue("${daemon.peer.daemon.text} of $domains failure domains, readers gone for $delay") {
+                                    daemon.storeView.backEnd(BACK_END.id)?.leaving shouldBe true
+                                }
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
         context("a store that is away for all daemons is not stormed") {
             val secondsAway = 10
             // The store grants 2,000 calls a second to 800 daemons in 34 failure domains, 24 in each.
