--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -1,6 +1,7 @@
 package lagoonrudder.traffic.direct
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.kotest.assertions.withClue
@@ -36,6 +37,7 @@
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.Clock
 import lagoonrudder.model.DaemonId
@@ -115,6 +117,12 @@
     /** Refuses no connection and accepts none. */
     data object Unconnected : Behaviour()
 
+    /** Opens a connection after [duration] and then behaves as [next]. */
+    data class Connects(
+        val duration: Duration,
+        val next: Behaviour,
+    ) : Behaviour()
+
     /** Answers each attempt in its own way. */
     data class Answers(
         val answer: (DirectAttempt) -> Behaviour,
@@ -137,22 +145,44 @@
     private val behaviours: MutableList<Behaviour>,
     private val elapsed: () -> Duration,
 ) : BackEndClient {
+    /** An attempt that was sent on a connection. */
+    class Sent(
+        val at: Duration,
+        val attempt: DirectAttempt,
+    )
+
     val attempts = mutableListOf<DirectAttempt>()
+    val sent = mutableListOf<Sent>()
     var abandoned = 0
 
     /** The requests that began at a [Behaviour.Queued] back end. */
     val begins = mutableListOf<Begin>()
 
-    override suspend fun send(attempt: DirectAttempt): Either<Failure, OpenAttempt> {
+    override suspend fun send(
+        attempt: DirectAttempt,
+        onConnected: suspend (DirectAttempt) -> Either<Failure, DirectAttempt>,
+    ): Either<Failure, OpenAttempt> {
         attempts += attempt
         val scripted = behaviours.removeFirst()
-        return when (val behaviour = if (scripted is Behaviour.Answers) scripted.answer(attempt) else scripted) {
+        val behaviour = if (scripted is Behaviour.Answers) scripted.answer(attempt) else scripted
+        if (behaviour !is Behaviour.Connects) return behave(behaviour, attempt).onRight { sent += Sent(elapsed(), attempt) }
+        delay(behaviour.duration)
+        val confirmed = onConnected(attempt).getOrElse { return it.left() }
+        sent += Sent(elapsed(), confirmed)
+        return behave(behaviour.next, confirmed)
+    }
+
+    private suspend fun behave(
+        behaviour: Behaviour,
+        attempt: DirectAttempt,
+    ): Either<Failure, OpenAttempt> =
+        when (behaviour) {
             Behaviour.Unreachable -> Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "refused").left()
             Behaviour.Unconnected -> {
                 delay(CONNECT_TIMEOUT)
                 Failure.Unreachable(Step.CONNECT, Peer(PeerRole.TARGET, "t"), "timed out").left()
             }
-            is Behaviour.Answers -> error("an answer of an answer")
+            is Behaviour.Answers, is Behaviour.Connects -> error("a behaviour inside another one")
             is Behaviour.Fails -> FailingAttempt(behaviour.events ?: throw behaviour.error, behaviour.error).right()
             is Behaviour.Replies -> FakeAttempt(behaviour.events, silent = false).right()
             is Behaviour.Silent -> FakeAttempt(behaviour.events, silent = true).right()
@@ -160,7 +190,6 @@
             is Behaviour.Timed -> TimedAttempt(behaviour).right()
             is Behaviour.Queued -> QueuedAttempt(behaviour, attempt).right()
         }
-    }
 
     override fun discardIdleConnections(backEnd: BackEnd) = Unit
 
@@ -330,6 +359,7 @@
     held: Long? = null,
     versionLimit: Duration = 8.seconds,
     private val weights: HeldWeights? = null,
+    coldRequestsPerSecond: Double? = null,
 ) {
     private val clock =
         object : Clock {
@@ -380,6 +410,7 @@
             },
         )
     private var published = 9L
+    private val backEnds = backEndIds.map { backEnd(it, held) }
 
     /** The configuration at the start. */
     val configuration: ServingConfiguration
@@ -404,11 +435,12 @@
             ServingConfiguration(
                 Revision(1),
                 listOf(route),
-                listOf(ServingService(SERVICE, 9, null, held?.let { WeightLayout(listOf(MODEL), LAYERS, 1, 1) }, null, null)),
+                listOf(
+                    ServingService(SERVICE, 9, coldRequestsPerSecond, held?.let { WeightLayout(listOf(MODEL), LAYERS, 1, 1) }, null, null),
+                ),
                 customers,
                 limits,
             )
-        val backEnds = backEndIds.map { backEnd(it, held) }
         val items =
             backEnds.mapIndexed {
                 index,
@@ -449,6 +481,26 @@
         return chain.run(DirectCall(request, to, clock.elapsed()))
     }
 
+    /** Publishes that the back end [id] is leaving. */
+    suspend fun publishLeaving(id: TargetId) =
+        put("servers/${id.text}") { StoreRecord.Registered(backEnds.first { it.id == id }.copy(leaving = true)) }
+
+    /** Publishes that the back end [id] started anew. */
+    suspend fun publishRestart(id: TargetId) =
+        put("servers/${id.text}") { StoreRecord.Registered(backEnds.first { it.id == id }.copy(born = 2)) }
+
+    /** Removes the back end [id]. */
+    suspend fun publishRemoval(id: TargetId) = put("servers/${id.text}") { null }
+
+    /** Publishes that the failure domain of all back ends is evacuated. */
+    suspend fun publishEvacuation() = put("op/evacuate/${DOMAIN.text}") { StoreRecord.DomainEvacuation(DOMAIN) }
+
+    /** Lets the back end [id] say [notice] of itself. */
+    suspend fun notice(
+        id: TargetId,
+        notice: BackEndNotice,
+    ) = control.thread.decide { notices.onNoticeReceived(backEnds.first { it.id == id }.run, notice, clock.elapsed()) }
+
     /** Puts [next] in force, which the store or, if [fromPeer] is set, a peer has told. */
     suspend fun publish(
         next: ServingConfiguration,
@@ -467,10 +519,11 @@
     private suspend fun put(
         key: String,
         fromPeer: Boolean = false,
-        recordAt: (Long) -> StoreRecord,
+        recordAt: (Long) -> StoreRecord?,
     ) = control.thread.decide {
         val at = ++published
-        val change = listOf(DecodedItem(StoreItem(key, at, ByteArray(0)), recordAt(at)))
+        val record = recordAt(at)
+        val change = listOf(DecodedItem(StoreItem(key, at, if (record == null) null else ByteArray(0)), record))
         if (fromPeer) {
             storeView.applySettledChanges(change, at, clock.elapsed())
         } else {
