Keep an assumed age of a version apart from what is known of it

A review of the ages of versions found two cases, both shown in virtual time.

An acknowledgement is now what is known, and is all that peers are told. The assumption bounds only the daemon's own limit, unless what is known contradicts it; so does the store's return, since it acknowledged nothing while it was away.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
@@ -41,7 +41,7 @@
         return BeginLimit.Open(minOf(passesAt, now + (bounds.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)))
     }
 
-    private fun passesAt(unmet: DeclaredWeights): Duration = unmet.acknowledged.earliest + bounds.versionLimit - CANCELLATION_MARGIN
+    private fun passesAt(unmet: DeclaredWeights): Duration = unmet.countsFrom + bounds.versionLimit - CANCELLATION_MARGIN
 
     /** Returns the oldest declaration that the weights of [backEnd] don't meet; its registration may have changed since it was chosen. */
     private fun oldestUnmet(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -3,7 +3,7 @@
  *
  * A version binds from its acknowledgement by the store, of which a daemon only hears: late when its reader stops, or when it was frozen,
  * cut off or suspended itself. So each declaration has the earliest time at which it can have been acknowledged, and limits count from
- * that. Entry daemons tell each other what they know, which narrows it.
+ * that. Entry daemons tell each other what they know, which narrows it. What a daemon assumes, because it knows too little, it tells nobody.
  */
 package lagoonrudder.control.direct
 
@@ -14,18 +14,36 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
-/** A version that back ends must hold, and when the store acknowledged its declaration. */
+/** When the store acknowledged a version of a model, as far as somebody knows. */
+data class VersionAcknowledgement(
+    val model: ModelId,
+    val number: WeightNumber,
+    val time: EventTime,
+)
+
+/** A version that back ends must hold, when the store [acknowledged] its declaration, and when its limit [countsFrom]. */
 data class DeclaredWeights(
     val model: ModelId,
     val number: WeightNumber,
     val acknowledged: EventTime,
+    val countsFrom: Duration,
 )
 
-/** [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. */
+/**
+ * [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. [storeReturnedAt] is the end of
+ * the store's last outage; null if none is known.
+ */
 class DeclaredVersions(
     private val versionLimit: Duration,
+    private val storeReturnedAt: () -> Duration? = { null },
 ) {
-    private val declaredByModel = mutableMapOf<ModelId, List<DeclaredWeights>>()
+    private class Declaration(
+        val number: WeightNumber,
+        val acknowledged: EventTime,
+        val heardAt: Duration,
+    )
+
+    private val declaredByModel = mutableMapOf<ModelId, List<Declaration>>()
 
     /** The last moment until which all that the store had acknowledged has been heard; null while there is none. */
     private var upToDateAt: Duration? = null
@@ -37,25 +55,25 @@
     val newest: Map<ModelId, WeightNumber> get() = declaredByModel.mapValues { it.value.last().number }
 
     /** Returns the declarations of [model] that are kept, oldest first. */
-    fun declarations(model: ModelId): List<DeclaredWeights> = declaredByModel[model].orEmpty()
+    fun declarations(model: ModelId): List<DeclaredWeights> = declaredByModel[model].orEmpty().map { it.of(model) }
 
     /** Returns the declaration of [number]; null for a version that was never declared or is no longer kept. */
     fun declaration(
         model: ModelId,
         number: WeightNumber,
-    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { it.number == number }
+    ): DeclaredWeights? = declarations(model).firstOrNull { it.number == number }
 
     /** Returns the newest version of [model] that may have been declared at or before [time]; each one binds from its own time. */
     fun declaredAsOf(
         model: ModelId,
         time: Duration,
-    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { it.acknowledged.earliest <= time }
+    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { countsFrom(it) <= time }?.of(model)
 
     /** Returns the oldest declaration of [model] that a back end with version [held] does not meet. */
     fun oldestUnmet(
         model: ModelId,
         held: WeightNumber?,
-    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }
+    ): DeclaredWeights? = declaredByModel[model]?.firstOrNull { held == null || it.number > held }?.of(model)
 
     /** Records a declaration heard at [now]; returns null unless it is newer than those known. */
     fun onHeard(
@@ -64,10 +82,9 @@
     ): DeclaredWeights? {
         val known = declaredByModel[offered.model].orEmpty()
         if (known.isNotEmpty() && known.last().number >= offered.number) return null
-        val earliest = maxOf(upToDateAt ?: -Duration.INFINITE, now - (versionLimit - UNKNOWN_AGE_ROLLOUT_TIME))
-        val declared = DeclaredWeights(offered.model, offered.number, EventTime(earliest.coerceAtMost(now), now))
+        val declared = Declaration(offered.number, EventTime((upToDateAt ?: -Duration.INFINITE).coerceAtMost(now), now), now)
         declaredByModel[offered.model] = (known + declared).takeLast(MAX_DECLARATIONS)
-        return declared
+        return declared.of(offered.model)
     }
 
     /** Records that everything which the store had acknowledged until [time] has been heard, by an answer that was asked for at [askedAt]. */
@@ -87,23 +104,31 @@
      * item; an older one was replaced in the store before this process could hear of it, and binds nevertheless.
      */
     fun onTold(
-        told: List<DeclaredWeights>,
+        told: List<VersionAcknowledgement>,
         askedAt: Duration,
     ) {
         if (askedAt < trustedFrom) return
-        for (each in told) declaredByModel.computeIfPresent(each.model) { _, known -> known.with(each) }
+        for (each in told) declaredByModel.computeIfPresent(each.model) { _, known -> known.with(each, askedAt) }
     }
 
-    private fun List<DeclaredWeights>.with(told: DeclaredWeights): List<DeclaredWeights> =
+    private fun List<Declaration>.with(
+        told: VersionAcknowledgement,
+        askedAt: Duration,
+    ): List<Declaration> =
         when {
-            any { it.number == told.number } -> map { if (it.number == told.number) it.narrowedBy(told) else it }
-            told.number < last().number -> (this + told).sortedBy { it.number }.takeLast(MAX_DECLARATIONS)
+            any { it.number == told.number } -> map { if (it.number == told.number) it.narrowedBy(told.time) else it }
+            told.number < last().number ->
+                (this + Declaration(told.number, told.time, askedAt)).sortedBy { it.number }.takeLast(MAX_DECLARATIONS)
             else -> this
         }
 
-    /** Returns the declarations to tell peers of; older ones bind whatever their age. */
-    fun toTell(now: Duration): List<DeclaredWeights> =
-        declaredByModel.values.flatMap { all -> all.filter { now - it.acknowledged.earliest < versionLimit } }
+    private fun Declaration.narrowedBy(time: EventTime) = Declaration(number, acknowledged.narrowedBy(time), heardAt)
+
+    /** Returns what to tell peers of versions; older ones bind whatever their age. */
+    fun toTell(now: Duration): List<VersionAcknowledgement> =
+        declaredByModel.flatMap { (model, all) ->
+            all.filter { now - countsFrom(it) < versionLimit }.map { VersionAcknowledgement(model, it.number, it.acknowledged) }
+        }
 
     /** Records a pause that was noticed at [now], of which the clock has not counted up to [uncounted]. */
     fun onPaused(
@@ -112,10 +137,23 @@
     ) {
         trustedFrom = now
         upToDateAt = upToDateAt?.let { it - uncounted }
-        declaredByModel.replaceAll { _, all -> all.map { it.copy(acknowledged = it.acknowledged.afterUncounted(uncounted)) } }
+        declaredByModel.replaceAll { _, all ->
+            all.map { Declaration(it.number, it.acknowledged.afterUncounted(uncounted), it.heardAt - uncounted) }
+        }
     }
 
-    private fun DeclaredWeights.narrowedBy(other: DeclaredWeights) = copy(acknowledged = acknowledged.narrowedBy(other.acknowledged))
+    private fun Declaration.of(model: ModelId) = DeclaredWeights(model, number, acknowledged, countsFrom(this))
+
+    /**
+     * Returns the time from which the limit of [declared] counts: the earliest at which it can have been acknowledged, but not before the
+     * store was back from an outage, and, while nothing contradicts that, not so long before hearing that no part of the limit was left.
+     */
+    private fun countsFrom(declared: Declaration): Duration {
+        val (earliest, latest) = declared.acknowledged
+        val assumed = declared.heardAt - (versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
+        val bounds = listOfNotNull(assumed, storeReturnedAt()).filter { it <= latest }
+        return maxOf(earliest, bounds.maxOrNull() ?: earliest)
+    }
 
     private companion object {
         /**
--- a/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
@@ -24,5 +24,5 @@
     fun violated(
         number: WeightNumber,
         time: Duration,
-    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time - it.acknowledged.earliest > limit }
+    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time - it.countsFrom > limit }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -117,7 +117,10 @@
      */
     private var contactRevision: Long? = null
 
-    val versions = DeclaredVersions(versionLimit)
+    /** The first contact after the store had been away, as far as was known then. */
+    private var returnedAt: Duration? = null
+
+    val versions = DeclaredVersions(versionLimit) { returnedAt?.takeIf { it <= (storeContact?.since ?: it) } }
 
     /** The store revision up to which this process has seen every change. */
     var at = 0L
@@ -256,7 +259,9 @@
     fun onStoreHeard(contact: StoreContact) {
         val before = storeContact
         val joined = before?.joinedWith(contact) ?: contact
-        if (before == null || joined.since > before.until) contactRevision = null
+        val isAfterOutage = before != null && joined.since > before.until
+        if (isAfterOutage) returnedAt = joined.since
+        if (before == null || isAfterOutage) contactRevision = null
         storeContact = joined
     }
 
@@ -291,6 +296,7 @@
     ) {
         confirmedAt = null
         versions.onPaused(uncounted, now)
+        returnedAt = null
         if (pause >= STORE_AWAY_AFTER) storeContact = null
     }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
@@ -53,8 +53,8 @@
         val candidates = storeView.backEnds.filter { it.service == backEnd.service }.map { it.id }
         val order = rendezvousOrder("${model.text} ${number.number}", candidates) { it.text }
         val position = order.indexOf(backEnd.id).coerceAtLeast(0)
-        val first = declared.acknowledged.earliest + FIRST_SWITCH_DELAY
-        val last = (oldest.acknowledged.earliest + versionLimit - LAST_SWITCH_MARGIN).coerceAtLeast(first)
+        val first = declared.countsFrom + FIRST_SWITCH_DELAY
+        val last = (oldest.countsFrom + versionLimit - LAST_SWITCH_MARGIN).coerceAtLeast(first)
         val canResumeElsewhere = order.size >= MIN_BACK_ENDS_FOR_HANDOVER && allResumable(backEnd.service)
         return ScheduledSwitch(
             at = first + (last - first) * (position.toDouble() / order.size.coerceAtLeast(1)),
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
@@ -31,7 +31,7 @@
             earliest: Duration,
             latest: Duration,
             number: Long = 2,
-        ) = listOf(DeclaredWeights(MODEL, WeightNumber(number), EventTime(earliest, latest)))
+        ) = listOf(VersionAcknowledgement(MODEL, WeightNumber(number), EventTime(earliest, latest)))
 
         test("a version that is heard of late may have been declared since the last answer of the store") {
             val versions = DeclaredVersions(VERSION_LIMIT)
@@ -45,7 +45,34 @@
         test("a version of unknown age leaves a part of its limit") {
             val versions = DeclaredVersions(VERSION_LIMIT)
             versions.hear(2, 13.seconds)
-            versions.acknowledged() shouldBe EventTime(7.seconds, 13.seconds)
+            versions.declaration(MODEL, two).shouldNotBeNull().countsFrom shouldBe 7.seconds
+        }
+
+        // Peers took the assumption for knowledge, and counted the limit of a version from too late.
+        test("an age that is only assumed is told to nobody, and gives way to what a peer knows") {
+            val others = DeclaredVersions(VERSION_LIMIT)
+            others.onUpToDate(9.9.seconds)
+            others.hear(2, 11.2.seconds)
+            val started = DeclaredVersions(VERSION_LIMIT)
+            started.hear(2, 17.seconds)
+            others.onTold(started.toTell(17.seconds), askedAt = 17.seconds)
+            others.acknowledged() shouldBe EventTime(9.9.seconds, 11.2.seconds)
+            started.onTold(others.toTell(17.1.seconds), askedAt = 17.1.seconds)
+            started.declaration(MODEL, two).shouldNotBeNull().countsFrom shouldBe 11.seconds
+            started.onTold(told(9.9.seconds, 10.5.seconds), askedAt = 17.2.seconds)
+            started.declaration(MODEL, two).shouldNotBeNull().countsFrom shouldBe 9.9.seconds
+        }
+
+        // All daemons ended the older version at once when a version was declared at the store's return from an outage.
+        test("the limit of a version that was declared after an outage of the store counts from its return at the earliest") {
+            var returnedAt: Duration? = null
+            val versions = DeclaredVersions(VERSION_LIMIT) { returnedAt }
+            versions.onUpToDate(10.seconds)
+            returnedAt = 20.seconds
+            versions.hear(2, 20.5.seconds)
+            versions.declaration(MODEL, two).shouldNotBeNull().countsFrom shouldBe 20.seconds
+            returnedAt = null
+            versions.declaration(MODEL, two).shouldNotBeNull().countsFrom shouldBe 14.5.seconds
         }
 
         test("what peers know narrows the time of a declaration") {
--- a/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
@@ -13,7 +13,7 @@
     FunSpec({
         val declarations =
             listOf(2L to 10.seconds, 3L to 13.seconds).map { (number, since) ->
-                DeclaredWeights(MODEL, WeightNumber(number), EventTime.at(since))
+                DeclaredWeights(MODEL, WeightNumber(number), EventTime.at(since), since)
             }
         val known = KnownVersions(14.seconds, WeightNumber(2), 1.seconds, declarations, 8.seconds)
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/AttemptText.kt
@@ -40,8 +40,8 @@
 
 private fun KnownVersions.heard(): String = statusAge?.let { milliseconds(it) } ?: "listed"
 
-/** Returns the lowest and the highest possible age of a declaration at the choice of the back end. */
+/** Returns the lowest possible age of a declaration at the choice of the back end, and the one that decisions count from. */
 private fun KnownVersions.ageOf(declared: DeclaredWeights): String =
-    "${milliseconds(at - declared.acknowledged.latest)}-${milliseconds(at - declared.acknowledged.earliest)}"
+    "${milliseconds(at - declared.acknowledged.latest)}-${milliseconds(at - declared.countsFrom)}"
 
 private fun milliseconds(duration: Duration): String = duration.inWholeMilliseconds.toString()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.SwitchSchedule
+import lagoonrudder.control.direct.VersionAcknowledgement
 import lagoonrudder.control.direct.WeightSourceController
 import lagoonrudder.control.direct.suspicion.SuspicionChange
 import lagoonrudder.control.direct.suspicion.SuspicionController
@@ -130,11 +131,11 @@
         change.unusable.forEach { log.warning("store-item-invalid", "detail" to it, "source" to source, "at" to at) }
     }
 
-    /** The age that decisions count from, which is the highest possible one, and the lowest. */
+    /** The age that decisions count from, and the lowest possible one. */
     private fun ageFields(declared: DeclaredWeights): Array<Pair<String, Any?>> {
         val now = clock.elapsed()
-        val (earliest, latest) = declared.acknowledged
-        return arrayOf("age-ms" to (now - earliest).inWholeMilliseconds, "min-age-ms" to (now - latest).inWholeMilliseconds)
+        val minAge = now - declared.acknowledged.latest
+        return arrayOf("age-ms" to (now - declared.countsFrom).inWholeMilliseconds, "min-age-ms" to minAge.inWholeMilliseconds)
     }
 
     private fun logSuspicion(change: SuspicionChange) =
@@ -162,7 +163,7 @@
     fun upToDateAgeToTell(): Duration? = storeView.upToDateAge(clock.elapsed()).takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
 
     /** Returns the declared versions to tell peers of; none after a pause that no tick has noticed yet. Runs on the control thread. */
-    fun versionsToTell(): List<DeclaredWeights> =
+    fun versionsToTell(): List<VersionAcknowledgement> =
         if (pauseDetector.isOverdue(TICK_INTERVAL)) emptyList() else storeView.versions.toTell(clock.elapsed())
 
     /** Returns the dump sections that both roles have. Runs on the control thread. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -227,7 +227,7 @@
     private fun declarationAge(manifest: WeightManifest): Long? =
         core.storeView.versions
             .declaration(manifest.model, manifest.number)
-            ?.let { (core.clock.elapsed() - it.acknowledged.earliest).inWholeMilliseconds }
+            ?.let { (core.clock.elapsed() - it.countsFrom).inWholeMilliseconds }
 
     private suspend fun scheduledSwitch(
         manifest: WeightManifest,
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
@@ -15,7 +15,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val DECLARED = DeclaredWeights(ModelId("model"), WeightNumber(5), EventTime(10.seconds, 10_200.milliseconds))
+private val DECLARED = DeclaredWeights(ModelId("model"), WeightNumber(5), EventTime(10.seconds, 10_200.milliseconds), 10.seconds)
 
 private fun known(
     statusAge: Duration?,
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
@@ -92,6 +92,6 @@
         site.advance(observed)
         site.daemons.filter { it.isRunning }.map { daemon ->
             val declaration = daemon.storeView.versions.declaration(model, declared)
-            acknowledgedAt - (declaration?.acknowledged?.earliest ?: site.now)
+            acknowledgedAt - (declaration?.countsFrom ?: site.now)
         }
     }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -400,7 +400,7 @@
         val difference = clockOf(receiver) - clockOf(sender)
         val told =
             sender.storeView.versions.toTell(clockOf(sender)).map {
-                it.copy(acknowledged = EventTime(it.acknowledged.earliest + difference, it.acknowledged.latest + difference))
+                it.copy(time = EventTime(it.time.earliest + difference, it.time.latest + difference))
             }
         receiver.storeView.versions.onTold(told, askedAt)
         val upToDateAge = sender.storeView.upToDateAge(clockOf(sender)) ?: return
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
@@ -87,6 +87,11 @@
     return late
 }
 
+private fun VirtualStoreSite.ageAt(daemon: VirtualStoreDaemon): Duration? =
+    daemon.storeView.versions
+        .declaration(MODEL, NEWER)
+        ?.let { clockOf(daemon) - it.countsFrom }
+
 class VersionAgeTest :
     FunSpec({
         for (domains in listOf(1, 3)) {
@@ -117,5 +122,42 @@
                     }
                 }
             }
+
+            context("a daemon that starts late moves no limit at the others, $domains failure domains") {
+                withTests(nameFn = { "started after $it" }, listOf(6_500.milliseconds, 7.seconds, 7_500.milliseconds, 8_500.milliseconds)) {
+                    VirtualStoreSite(domains, daemonsPerDomain = 3).use { site ->
+                        site.declare(MODEL, OLDER)
+                        site.advance(10.seconds)
+                        val stopped = site.readers().first()
+                        site.stop(stopped)
+                        site.advance(20.milliseconds)
+                        site.declare(MODEL, NEWER)
+                        val declaredAt = site.now
+                        site.advance(it)
+                        site.start(stopped)
+                        site.advance(1.seconds)
+                        val age = site.now - declaredAt
+                        val younger = site.daemons.filter { each -> each !== stopped && (site.ageAt(each) ?: Duration.ZERO) < age }
+                        withClue("true age $age") { younger.map { each -> each.peer.daemon.text to site.ageAt(each) }.shouldBeEmpty() }
+                    }
+                }
+            }
+            context("a declaration after the store was away leaves its rollout time, $domains failure domains") {
+                withTests(nameFn = { "away for $it" }, listOf(3.seconds, 5.seconds, 10.seconds)) {
+                    VirtualStoreSite(domains, daemonsPerDomain = 3).use { site ->
+                        site.declare(MODEL, OLDER)
+                        site.advance(10.seconds)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Refuses }
+                        site.advance(it)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Answers }
+                        site.declare(MODEL, NEWER)
+                        val declaredAt = site.now
+                        site.advance(VERSION_LIMIT - 2_500.milliseconds)
+                        val age = site.now - declaredAt
+                        val older = site.daemons.filter { each -> (site.ageAt(each) ?: Duration.ZERO) >= VERSION_LIMIT }
+                        withClue("true age $age") { older.map { each -> each.peer.daemon.text to site.ageAt(each) }.shouldBeEmpty() }
+                    }
+                }
+            }
         }
     })
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -274,7 +274,7 @@
         val begunAt = attempt.relay.firstEventAt ?: return null
         val versions = attempt.versions ?: return null
         val declared = versions.number?.let { versions.known.violated(it, begunAt) } ?: return null
-        return LateVersion(attempt.backEnd.id, declared, begunAt - declared.acknowledged.earliest, versions, isResumed)
+        return LateVersion(attempt.backEnd.id, declared, begunAt - declared.countsFrom, versions, isResumed)
     }
 
     /** Passes on what the back end says of itself, before anything else is decided about this answer. */
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
@@ -8,14 +8,19 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoNumber
-import lagoonrudder.control.direct.DeclaredWeights
+import lagoonrudder.control.direct.VersionAcknowledgement
 import lagoonrudder.model.EventTime
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A version that was acknowledged at least [minAgeMilliseconds] and at most [maxAgeMilliseconds] before the message was written. */
+private const val UNKNOWN_AGE = -1L
+
+/**
+ * A version that was acknowledged at least [minAgeMilliseconds] and at most [maxAgeMilliseconds] before the message was written; the latter
+ * is [UNKNOWN_AGE] if it may be of any age.
+ */
 @Serializable
 data class DeclarationMessage(
     @ProtoNumber(1) val model: String,
@@ -24,13 +29,15 @@
     @ProtoNumber(4) val maxAgeMilliseconds: Long,
 )
 
-fun DeclaredWeights.toMessage(now: Duration) =
-    DeclarationMessage(
+fun VersionAcknowledgement.toMessage(now: Duration): DeclarationMessage {
+    val maxAge = now - time.earliest
+    return DeclarationMessage(
         model.text,
         number.number,
-        (now - acknowledged.latest).inWholeMilliseconds,
-        (now - acknowledged.earliest).inWholeMilliseconds + 1,
+        (now - time.latest).inWholeMilliseconds,
+        if (maxAge.isInfinite()) UNKNOWN_AGE else maxAge.inWholeMilliseconds + 1,
     )
+}
 
 /**
  * Returns the declarations in a reply that was received at [receivedAt] to a message sent at [sentAt]. The reply was written at an unknown
@@ -39,8 +46,9 @@
 fun GossipReply.declared(
     sentAt: Duration,
     receivedAt: Duration,
-): List<DeclaredWeights> =
+): List<VersionAcknowledgement> =
     declarations.map {
-        val acknowledged = EventTime(sentAt - it.maxAgeMilliseconds.milliseconds, receivedAt - it.minAgeMilliseconds.milliseconds)
-        DeclaredWeights(ModelId(it.model), WeightNumber(it.number), acknowledged)
+        val maxAge = if (it.maxAgeMilliseconds == UNKNOWN_AGE) Duration.INFINITE else it.maxAgeMilliseconds.milliseconds
+        val time = EventTime(sentAt - maxAge, receivedAt - it.minAgeMilliseconds.milliseconds)
+        VersionAcknowledgement(ModelId(it.model), WeightNumber(it.number), time)
     }
