Give a retry back to the budget if there is no back end for it

A request that was given up by the limit of its version took a retry from the budget before it looked for a place. At that moment there often is none, so many such requests spent the retries of ten seconds and requests that were lost afterwards were not retried. The new case of QueuedAtBackEndTest failed before (the second request ended as unknown instead of completed).

--- a/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RetryBudgetShare.kt
@@ -46,6 +46,9 @@
         return true
     }
 
+    /** Returns a retry to the budget that was taken and not sent. */
+    fun giveBack(service: ServiceId) = windowOf(service).retries.removeLast()
+
     /** Returns whether the share of one of [entryDaemons] daemons has a retry left. */
     fun allows(
         service: ServiceId,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SlidingCount.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SlidingCount.kt
@@ -16,6 +16,11 @@
         times.addLast(now)
     }
 
+    /** Takes the last event back. */
+    fun removeLast() {
+        times.removeLastOrNull()
+    }
+
     /** Returns the number of events in the window that ends at [now]. */
     fun count(now: Duration): Int {
         while (times.isNotEmpty() && now - times.first() > window) times.removeFirst()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -55,6 +55,9 @@
     private var mayHaveRun: DirectAttemptResult.Lost? = null
     private var nextTakeOverAt = Duration.ZERO
 
+    /** Whether the next attempt was taken from the retry budget. */
+    private var hasTakenRetry = false
+
     suspend fun run(): Outcome {
         // Waits within an attempt have timeouts of their own; these are for a caller that does not read.
         val outcome = withTimeoutOrNull(context.timeLeft(control.clock) + SLOW_READER_MARGIN) { attempts() } ?: return onDeadline()
@@ -78,10 +81,14 @@
     private suspend fun startAttempt(): Outcome? =
         when (val placement = places.take(mayHaveRun = mayHaveRun != null)) {
             is Placement.Placed -> {
+                hasTakenRetry = false
                 startAt(placement)
                 null
             }
-            is Placement.Refused -> refusedOutcome(placement)
+            is Placement.Refused -> {
+                if (hasTakenRetry) control.thread.decide { control.retryBudget.giveBack(context.service) }
+                refusedOutcome(placement)
+            }
         }
 
     private fun startAt(placement: Placement.Placed) {
@@ -374,10 +381,13 @@
         return Outcome.Completed(relay.forwardErrorResponse(), null).also { call.lastFailure = failure("status ${result.status}") }
     }
 
-    private suspend fun takeRetry(): Boolean =
-        control.thread.decide {
-            control.retryBudget.spend(context.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed())
-        }
+    private suspend fun takeRetry(): Boolean {
+        hasTakenRetry =
+            control.thread.decide {
+                control.retryBudget.spend(context.service, control.peers.entryCount(control.clock.elapsed()), control.clock.elapsed())
+            }
+        return hasTakenRetry
+    }
 
     private suspend fun refusedOutcome(placement: Placement.Refused): Outcome {
         if (relay.started || mayHaveRun != null || relay.holdsErrorResponse) return finalOutcome(placement.reason)
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/QueuedAtBackEndTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/QueuedAtBackEndTest.kt
@@ -149,4 +149,18 @@
                 scene.link.begins.map { it.version } shouldBe listOf(2L)
             }
         }
+
+        test("a request that is given up and has no back end to go to leaves its retry to others") {
+            runTest {
+                val lost = Behaviour.Replies(emptyList())
+                val answer = Behaviour.Queued(Duration.ZERO) { 2 }
+                val scene = Scene(this, STREAM, 2, Behaviour.Queued(9.seconds), lost, answer, held = 1, retrySlack = 2.0)
+                scene.declare(2)
+                delay(6_700.milliseconds)
+                scene.run().shouldBeInstanceOf<Outcome.Unknown>()
+                scene.link.attempts.size shouldBe 1
+                listOf("a", "b", "c").forEach { scene.register(it, held = 2) }
+                scene.run(id = "second", to = FakeResponse()).shouldBeInstanceOf<Outcome.Completed>()
+            }
+        }
     })
