End the other attempts before a caller gets a part of the response

While the caller of a request read slowly, its other attempts were neither superseded nor given up by the limit of their version, and could begin on the older one after it. They now end before the part is written. The new case of QueuedAtBackEndTest failed before (0 instead of 1 attempts given up).

--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
@@ -3,7 +3,7 @@
  *
  * A response that is not a stream is buffered until it is complete or exceeds a size limit, so that an incomplete one can still be
  * replaced. Of a stream only complete events are passed on. Several attempts of a request may be read side by side; nothing reaches
- * the caller twice, since every event goes through the relay.
+ * the caller twice, since every event goes through the relay. The caller may be slow, so the other attempts end before it gets anything.
  */
 package lagoonrudder.traffic.direct
 
@@ -15,6 +15,7 @@
 internal class AttemptRelay(
     private val relay: DirectRelay,
     private val clock: Clock,
+    private val beforeForwarding: suspend () -> Unit,
 ) {
     private var head: ResponseHead? = null
     private var buffered = ByteArrayOutputStream(0)
@@ -106,6 +107,7 @@
         buffered.write(data)
         if (buffered.size() > MAX_BUFFERED_BYTES) {
             forwardedParts++
+            beforeForwarding()
             relay.begin(current)
             relay.forward(buffered.toByteArray())
             buffered = ByteArrayOutputStream(0)
@@ -135,7 +137,10 @@
         event: StreamEvent,
         current: ResponseHead,
     ) {
-        if (!event.isComment) forwardedParts++
+        if (!event.isComment) {
+            forwardedParts++
+            beforeForwarding()
+        }
         relay.forwardEvent(event, current)
         if (event.id == null) return
         resuming = false
@@ -154,9 +159,11 @@
         if (!current.isSuccess && !relay.started) {
             relay.holdErrorResponse(current, buffered.toByteArray())
             if (current.status >= FIRST_SERVER_ERROR) return DirectAttemptResult.Failed(current.status)
+            beforeForwarding()
             return DirectAttemptResult.Completed(relay.forwardErrorResponse())
         }
         isComplete = true
+        beforeForwarding()
         return DirectAttemptResult.Completed(relay.end(current, buffered.toByteArray()))
     }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectRelay.kt
@@ -56,7 +56,8 @@
 
     val holdsErrorResponse: Boolean get() = errorResponse != null && !started
 
-    fun startAttempt() = AttemptRelay(this, clock)
+    /** Returns the relay of a new attempt, which calls [beforeForwarding] each time before the caller gets a part of its response. */
+    fun startAttempt(beforeForwarding: suspend () -> Unit) = AttemptRelay(this, clock, beforeForwarding)
 
     /** Returns whether a response with [head] is the stream that the route of the request gives. */
     fun isStreamOf(head: ResponseHead): Boolean = call.context.route.kind is RequestKind.Stream && head.isSuccess && head.isEventStream
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -107,11 +107,13 @@
             )
         places.exclude(backEnd.id)
         val startedAt = control.clock.elapsed()
-        live +=
-            LiveAttempt(placement, relay.startAttempt(), startedAt) {
+        lateinit var started: LiveAttempt
+        started =
+            LiveAttempt(placement, relay.startAttempt { supersedeOthers(started) }, startedAt) {
                 call.mayBeSent = true
                 client.send(attempt) { confirmed(it, startedAt) }.mapLeft { notSent(it) }
             }
+        live += started
     }
 
     /** Returns [attempt] as it may be sent now that there is a connection; its place is decided again if that took long. */
@@ -256,7 +258,6 @@
         attempt: LiveAttempt,
         event: Either<DirectAttemptResult, ResponseEvent>,
     ): Outcome? {
-        val forwardedBefore = attempt.relay.forwardedParts
         val beginsNow = attempt.relay.firstEventAt == null
         val isResumed = relay.lastEvent != null || call.request.resumeAfter != null
         val result =
@@ -268,7 +269,6 @@
                 }
             }
         if (beginsNow) lateVersion(attempt, isResumed)?.let { onLateVersion(call, it) }
-        if (attempt.relay.forwardedParts > forwardedBefore || result is DirectAttemptResult.Completed) supersedeOthers(attempt)
         reportProgress(attempt)
         return result?.let { onResult(attempt, it) }
     }
@@ -295,6 +295,7 @@
     }
 
     private suspend fun supersedeOthers(attempt: LiveAttempt) {
+        if (live.size == 1) return
         for (other in live - attempt) {
             runs++
             end(other, DirectAttemptResult.Superseded)
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/QueuedAtBackEndTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/QueuedAtBackEndTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.async
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
@@ -150,6 +151,21 @@
             }
         }
 
+        test("an attempt that took over and waits in a queue is given up by the limit while the caller reads slowly") {
+            runTest {
+                val late = Behaviour.Timed(listOf(Duration.ZERO to head(number = 1), 2_300.milliseconds to event(1)))
+                val scene = Scene(this, STREAM, 2, late, Behaviour.Queued(9.seconds), held = 1)
+                scene.response.readTime = 3.seconds
+                scene.declare(2)
+                delay(5.seconds)
+                val outcome = async { scene.run(timeLeft = 6.seconds) }
+                delay(3.seconds)
+                scene.link.attempts.size shouldBe 2
+                scene.link.abandoned shouldBe 1
+                outcome.await()
+            }
+        }
+
         test("a request that is given up and has no back end to go to leaves its retry to others") {
             runTest {
                 val lost = Behaviour.Replies(emptyList())
