Send no request to a back end that would begin it too late, as recent attempts tell

Close to the limit of a version, a back end with the older one still got requests while it was silent with others, or while its first events took longer than was left. Such a request is given up by the limit and costs a retry, or its caller the answer.

Change: in the last second in which a back end with the older version gets requests, it gets none while an attempt there makes no progress; and it gets none once the time that recent attempts of this process waited there for their first event is longer than what is left. That time rises with one attempt and falls by a quarter of the difference with each further one. The request waits for another place as if the back end were full.

Evidence: PlacementControllerTest, "close to its switch deadline, a back end that is silent ..." and "a back end whose first events took longer ..." fail without the check (expected new, was old). "a back end whose first events come soon gets requests until its switch deadline, ..." passes with and without it: one slow answer before ten of 300 ms takes nothing away 10 ms before the end of the sending.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndStats.kt
@@ -37,6 +37,10 @@
     var silent = 0
         private set
 
+    /** The time that recent attempts waited for their first event; it rises with one attempt and falls slowly. */
+    var firstEvent = Duration.ZERO
+        private set
+
     /** What this process may take of the last free places. */
     val claims = PlaceClaims()
 
@@ -81,6 +85,12 @@
         }
     }
 
+    /** Records when the first event of an attempt came; one without any tells no more than how long it waited for it. */
+    fun recordTimes(times: AttemptTimes) {
+        val waited = times.firstEvent ?: times.held.takeIf { it > firstEvent } ?: return
+        firstEvent = maxOf(waited, firstEvent + (waited - firstEvent) * FIRST_EVENT_SMOOTHING)
+    }
+
     /** Records that the back end gave no answer in time, or no connection; it changes nothing while the back end is ejected. */
     fun onTimedOut(now: Duration) {
         if (now >= ejectedUntil) onFailure(immediately = true, now)
@@ -119,6 +129,7 @@
     private companion object {
         const val FAILURES_BEFORE_EJECTION = 3
         const val MAX_DOUBLINGS = 3
+        const val FIRST_EVENT_SMOOTHING = 0.25
 
         /** A back end takes slightly longer than this to restart; with three doublings it covers most restarts. */
         val BASE_EJECTION_TIME = 700.milliseconds
--- a/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
@@ -41,6 +41,12 @@
         return BeginLimit.Open(minOf(passesAt, now + (bounds.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)))
     }
 
+    /** Returns the time that is left to begin a request at [backEnd]; infinite if it holds every declared version. */
+    fun timeLeft(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Duration = oldestUnmet(backEnd, now)?.let { passesAt(it) - now } ?: Duration.INFINITE
+
     private fun passesAt(unmet: DeclaredWeights): Duration = unmet.since + bounds.versionLimit - CANCELLATION_MARGIN
 
     /** Returns the oldest declaration that the weights of [backEnd] don't meet; its registration may have changed since it was chosen. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -118,6 +118,7 @@
         times: AttemptTimes? = null,
     ) {
         statsOf(target).recordOutcome(outcome, now)
+        if (times != null) statsOf(target).recordTimes(times)
         if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
         val service = storeView.backEnd(target)?.service ?: return
         val answered = outcome == AttemptOutcome.ANSWERED
@@ -254,7 +255,7 @@
             open
                 .filter { statsOf(it.id).ejectedUntil <= now }
                 .ifEmpty { listOf(open.minBy { statsOf(it.id).ejectedUntil }) }
-        val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) }
+        val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) && beginsInTime(it, now) }
         if (available.isEmpty()) return Choice.Full(candidates.size)
         val chosen = available.minBy { score(it, now) }
         if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
@@ -269,6 +270,16 @@
         now: Duration,
     ): Boolean = statsOf(backEnd.id).let { it.silent == 0 && it.ejectedUntil <= now }
 
+    /** Returns whether a request sent to [backEnd] would begin before its limit, as far as recent attempts there tell. */
+    private fun beginsInTime(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean {
+        val stats = statsOf(backEnd.id)
+        val isStuck = stats.silent > 0 && eligibility.isNearSwitchDeadline(backEnd, now)
+        return !isStuck && stats.firstEvent < beginLimits.timeLeft(backEnd, now)
+    }
+
     private fun hasPlace(
         backEnd: BackEnd,
         late: Boolean,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/BackEndStatsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/BackEndStatsTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeGreaterThan
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -24,4 +25,14 @@
             stats.recordOutcome(AttemptOutcome.TIMED_OUT, 5.seconds)
             stats.ejectedUntil - 5.seconds shouldBeGreaterThan first
         }
+
+        test("an attempt without a first event counts for how long it waited, unless others waited longer") {
+            val stats = BackEndStats()
+            stats.recordTimes(AttemptTimes(held = 900.milliseconds, firstEvent = null))
+            stats.firstEvent shouldBe 900.milliseconds
+            stats.recordTimes(AttemptTimes(held = 10.milliseconds, firstEvent = null))
+            stats.firstEvent shouldBe 900.milliseconds
+            stats.recordTimes(AttemptTimes(held = 1.seconds, firstEvent = 100.milliseconds))
+            stats.firstEvent shouldBe 700.milliseconds
+        }
     })
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -310,6 +310,51 @@
                 .shouldBeInstanceOf<Refusal.Overloaded>()
         }
 
+        test("close to its switch deadline, a back end that is silent gets no request that could begin there too late") {
+            val scene = Scene(listOf(backEnd("old", number = 1)))
+            scene.declare(2)
+            scene.placement.onSilent(TargetId("old"))
+            scene.now += 5.seconds
+            scene.place().target shouldBe TargetId("old")
+            scene.placement.onAttemptEnded(TargetId("old"), null, AttemptOutcome.ANSWERED, scene.now)
+            scene.now += 1.seconds
+            val waiting = scene.place(maxWait = 1.seconds)
+            waiting.isCompleted shouldBe false
+            scene.placement.onNoLongerSilent(TargetId("old"))
+            scene.placement.dispatchQueued(scene.now)
+            waiting.target shouldBe TargetId("old")
+        }
+
+        test("a back end whose first events took longer than what is left until its limit gets no further request") {
+            val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
+
+            fun answerAtOld(firstEvent: Duration) {
+                scene.place(excluded = setOf(TargetId("new"))).target shouldBe TargetId("old")
+                val times = AttemptTimes(firstEvent + 1.seconds, firstEvent)
+                scene.placement.onAttemptEnded(TargetId("old"), null, AttemptOutcome.ANSWERED, scene.now, times)
+            }
+            scene.declare(2)
+            answerAtOld(2.seconds)
+            scene.now += 5_500.milliseconds
+            scene.place(excluded = setOf(TargetId("new"))).target shouldBe TargetId("old")
+            scene.placement.onAttemptEnded(TargetId("old"), null, AttemptOutcome.ANSWERED, scene.now)
+            scene.now += 500.milliseconds
+            repeat(4) { scene.place().target shouldBe TargetId("new") }
+            scene.place(excluded = setOf(TargetId("new"))).getCompleted().shouldBeInstanceOf<Placement.Refused>()
+        }
+
+        test("a back end whose first events come soon gets requests until its switch deadline, whatever one of them took long ago") {
+            val scene = Scene(listOf(backEnd("old", number = 1)))
+            scene.declare(2)
+            for (firstEvent in listOf(2_000) + List(10) { 300 }) {
+                scene.place().target shouldBe TargetId("old")
+                val times = AttemptTimes(1.seconds, firstEvent.milliseconds)
+                scene.placement.onAttemptEnded(TargetId("old"), null, AttemptOutcome.ANSWERED, scene.now, times)
+            }
+            scene.now += 6_790.milliseconds
+            scene.place().target shouldBe TargetId("old")
+        }
+
         test("a further declared version does not postpone the switch deadline of the previous one") {
             val scene = Scene(listOf(backEnd("old", number = 1), backEnd("new", number = 2)))
             scene.declare(2)
