Give the fake back end slots and a queue

Requests beyond the slots wait in order and begin with their first event on the version that is loaded then. A load lets the running ones end and begins the queue on the new version. A request whose connection closes leaves the queue, unless the back end drops none. Each begin is recorded with version and time; without slots the fake works as before.

WorkerQueueTest: over connections, a request that waits at a back end which keeps the older version is ended with 502 and does not begin there after the limit.

--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.http.NO_BYTES
 import lagoonrudder.model.HeaderField
 import lagoonrudder.model.digestOf
+import kotlin.time.ComparableTimeMark
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeMark
@@ -41,6 +42,13 @@
 /** How a back end handles the following requests. */
 enum class WorkerBehavior { NORMAL, ABORTS_MID_EVENT, RESETS_BEFORE_RESPONSE, OVERLOADED, STALLED, PAUSES_BEFORE_HEAD, PAUSES_IN_BODY }
 
+/** The begin of [request] at a back end, on the version that was loaded then. */
+data class WorkerBegin(
+    val request: String,
+    val version: Long,
+    val at: ComparableTimeMark,
+)
+
 /** All functions must be called on the thread of the event loop. */
 class FakeWorker(
     val id: String,
@@ -74,6 +82,15 @@
     /** Runs when this back end is back after a crash. */
     var onRestarted: () -> Unit = {}
 
+    /** The slots and the queue of this back end; null if it runs all requests at once. */
+    var slots: WorkerSlots? = null
+
+    /** The time from the first event of a stream to its last one, of the next requests. */
+    var requestTime = EVENT_INTERVAL * (EVENT_COUNT - 1)
+
+    /** The requests that began, each with its first event. */
+    val begins = mutableListOf<WorkerBegin>()
+
     private val exchanges = mutableSetOf<HttpExchange>()
     private var isDown = false
 
@@ -191,8 +208,8 @@
                 writeLoadedWeights()
                 put("busy", loading)
                 put("seq", orders)
-                put("running", 0)
-                put("waiting", 0)
+                put("running", slots?.running ?: 0)
+                put("waiting", slots?.waiting ?: 0)
                 put("born", born)
             },
         )
@@ -221,9 +238,11 @@
         loading = true
         if (!hasStaged(ordered)) loadedInvalidChunks = true
         scope.launch {
+            slots?.close()
             delay(LOAD_TIME)
             loadedVersion = ordered
             loading = false
+            slots?.open()
         }
         return 202
     }
@@ -248,20 +267,23 @@
         val isOtherVersion = request.field("Expect-Version")?.let { it.toLong() != loaded } ?: false
         when {
             isOtherInstance || isOtherVersion -> exchange.respond(421, listOf(echo), NO_BYTES)
-            loaded == null || loading || behavior == WorkerBehavior.OVERLOADED ->
+            loaded == null || loading || slots?.isFull == true || behavior == WorkerBehavior.OVERLOADED ->
                 exchange.respond(
                     503,
                     listOf(echo, HeaderField("Not-Executed", "1")) + notices(),
                     NO_BYTES,
                 )
-            else -> run(exchange, loaded)
+            else -> runInSlot(exchange)
         }
     }
 
-    private suspend fun run(
-        exchange: HttpExchange,
-        loaded: Long,
-    ) {
+    private suspend fun runInSlot(exchange: HttpExchange) {
+        val slots = slots
+        if (slots == null) run(exchange) else slots.withSlot { run(exchange) }
+    }
+
+    private suspend fun run(exchange: HttpExchange) {
+        val loaded = loadedVersion ?: return exchange.abort()
         executed += exchange.request
         when (behavior) {
             WorkerBehavior.RESETS_BEFORE_RESPONSE -> return exchange.abort()
@@ -282,6 +304,8 @@
             return crash()
         }
         val first = (exchange.request.field("Last-Event-Id")?.toInt() ?: 0) + 1
+        val interval = requestTime / (EVENT_COUNT - 1)
+        begins += WorkerBegin(exchange.request.field("Request-Id").orEmpty(), loaded, TimeSource.Monotonic.markNow())
         for (event in first..EVENT_COUNT) {
             if (event == EVENT_COUNT / 2 && behavior == WorkerBehavior.ABORTS_MID_EVENT) {
                 exchange.write("id: $event\nda".encodeToByteArray())
@@ -289,7 +313,7 @@
             }
             if (event == EVENT_COUNT / 2 && behavior == WorkerBehavior.PAUSES_IN_BODY) delay(PAUSE_TIME)
             exchange.write("id: $event\ndata: $event\n\n".encodeToByteArray())
-            delay(EVENT_INTERVAL)
+            delay(interval)
         }
         exchange.end()
     }
