Send no load order on a verification that has become too old

What was seen: a chunk that turned bad 3.6 s before was loaded (LateOrderTest, "a chunk that turns bad long before an order is sent again ...", fails before and passes after). A layer from it makes tokens.

Cause: an order relies on a verification whose first read is at most two seconds old. That was looked at before the order was sent, and only for the first order; one that is sent again after an order without an answer relied on its verification however long that took. Opening the connection of the order, or a suspension meanwhile, was not counted either.

One that may not be sent counts as never sent, and the chunks are read again. Log event order-not-sent.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -120,11 +120,16 @@
      * another version may still overwrite one.
      */
     suspend fun isReadyToLoad(manifest: WeightManifest): Boolean {
-        val isIntact = isRecentlyVerified || (verify(manifest) && isRecentlyVerified)
+        if (!isRecentlyVerified) verify(manifest)
+        return isStillReadyToLoad(manifest)
+    }
+
+    /** Returns whether an order can rely on what is known of the chunks of [manifest], without reading them again. */
+    suspend fun isStillReadyToLoad(manifest: WeightManifest): Boolean {
         val endangered = core.thread.decide { core.chunkWrites.endangered(manifest, core.clock.elapsed()) }
         if (endangered != lastEndangered) core.log.info("chunks-endangered", "number" to manifest.number.number, "chunks" to endangered)
         lastEndangered = endangered
-        return isIntact && endangered.isEmpty()
+        return this.manifest == manifest && isRecentlyVerified && endangered.isEmpty()
     }
 
     /** Reads every chunk back and compares its digest. Those that do not match are missing from then on. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -239,10 +239,10 @@
                 "running" to report.running,
                 "verified-before" to area.timeSinceVerification,
             )
-        when (val result = backEnd.start(order, handover)) {
+        when (val result = backEnd.start(order, handover) { area.isStillReadyToLoad(manifest) }) {
             is Either.Left -> {
                 core.thread.decide { recordFailure(order, result.value, orderedAt) }
-                core.log.failure("order-unanswered", result.value, *fields)
+                core.log.failure(if (isSent(result.value)) "order-unanswered" else "order-not-sent", result.value, *fields)
             }
             is Either.Right -> {
                 core.thread.decide { core.loadOrders.onResponse(result.value, orderedAt) }
@@ -283,7 +283,10 @@
         order: LoadOrder,
         failure: Failure,
         orderedAt: Duration,
-    ) = if (failure is Failure.Unreachable) core.loadOrders.onNotAccepted(orderedAt) else core.loadOrders.onUnanswered(order, orderedAt)
+    ) = if (isSent(failure)) core.loadOrders.onUnanswered(order, orderedAt) else core.loadOrders.onNotAccepted(orderedAt)
+
+    /** Whether an order that failed with [failure] may have reached the back end. */
+    private fun isSent(failure: Failure): Boolean = failure !is Failure.Unreachable && failure !is Failure.Declined
 
     private fun logOrder(
         result: OrderResponse,
--- a/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpClient.kt
@@ -112,7 +112,8 @@
 
     /**
      * Sends [request] and reads the complete response of at most [maxBytes] within [timeout]. [newConnection] requires a
-     * connection that has carried nothing, so that no late copy of an earlier response can be taken for this one.
+     * connection that has carried nothing, so that no late copy of an earlier response can be taken for this one. Nothing is sent if
+     * [onConnected] returns a failure once there is a connection.
      */
     suspend fun exchange(
         address: Address,
@@ -121,10 +122,11 @@
         timeout: Duration,
         maxBytes: Int = MAX_RESPONSE_BYTES,
         newConnection: Boolean = false,
+        onConnected: suspend () -> Either<Failure, Unit> = { Unit.right() },
     ): Either<Failure, HttpResponse> {
         val body = ByteArrayOutputStream(0)
         val limits = ResponseLimits(first = timeout, next = timeout, total = timeout, maxBytes = maxBytes.toLong())
-        return receive(address, request, peer, limits, newConnection) { _, bytes -> body.write(bytes) }
+        return receive(address, request, peer, limits, newConnection, onConnected) { _, bytes -> body.write(bytes) }
             .map { HttpResponse(it, body.toByteArray()) }
     }
 
@@ -135,13 +137,14 @@
         peer: Peer,
         limits: ResponseLimits,
         newConnection: Boolean = false,
+        onConnected: suspend () -> Either<Failure, Unit> = { Unit.right() },
         onBody: (HttpResponseHead, ByteArray) -> Unit,
     ): Either<Failure, HttpResponseHead> {
         var call: HttpCall? = null
         try {
             val result =
                 withTimeoutOrNull(limits.total) {
-                    when (val sent = send(address, request, peer, newConnection = newConnection)) {
+                    when (val sent = send(address, peer, newConnection = newConnection) { onConnected().map { request } }) {
                         is Either.Left -> sent
                         is Either.Right -> readResponse(sent.value.also { call = it }, peer, limits, onBody)
                     }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/LateOrderTest.kt
@@ -10,6 +10,9 @@
 /** Longer than a target daemon waits for the answer to an order, and time enough to stage the chunks of another version. */
 private val ORDER_DELAY = 3.seconds
 
+/** Longer than any of these tests. */
+private val LOST_ORDER_DELAY = 60.seconds
+
 /** Two reads that take this long are together longer than the time for which a load may rely on a chunk that has turned bad. */
 private val SLOW_READ = 1_800.milliseconds
 
@@ -71,6 +74,25 @@
             }
         }
 
+        // An order that is sent again relied on its verification however long that took.
+        test("a chunk that turns bad long before an order is sent again, while others are still being verified, is replaced") {
+            withSite(entries = 1, workers = 1) {
+                val worker = workers.first()
+                val slowReads = mutableListOf(1, 2)
+                worker.orderDelays += LOST_ORDER_DELAY
+                worker.onChunkRead = { index ->
+                    if (2L in worker.orderedVersions) {
+                        if (index == 1 && index in slowReads) worker.corruptStagedChunk(0)
+                        if (slowReads.remove(index)) delay(SLOW_READ)
+                    }
+                }
+                declare(2)
+                eventually(25.seconds) { worker.loadedVersion == 2L }
+                slowReads.size shouldBe 0
+                worker.loadedInvalidChunks shouldBe false
+            }
+        }
+
         test("a chunk whose write was given up does not arrive under the order of a newer version") {
             withSite(entries = 1, workers = 1) {
                 val worker = workers.first()
