--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
@@ -42,7 +42,10 @@
 fun measureVersions(options: MeasureOptions): Verdict {
     val seed = options.int("seed", 1)
     val measured =
-        sizes.flatMap { size -> ReaderTrouble.entries.map { (size to it) } }.associateWith { (size, trouble) -> observe(size, trouble, seed) }
+        sizes
+            .flatMap { size ->
+                ReaderTrouble.entries.map { (size to it) }
+            }.associateWith { (size, trouble) -> observe(size, trouble, seed) }
     measured.forEach { (case, errors) -> println(lineOf(case.first, case.second, errors)) }
     val line =
         figures {
