--- a/cli/src/main/kotlin/lagoonrudder/cli/RequestTrace.kt
+++ b/cli/src/main/kotlin/lagoonrudder/cli/RequestTrace.kt
@@ -22,11 +22,11 @@
         val before = ordered.filter { it.process == line.process && it.at <= line.at && it !== line }
         val elsewhere = ordered.filter { it.process != line.process && it.at <= line.at }
         val known = knownState(line, before).sortedBy { it.at }.map { describeKnown(it, line) }
-        known + elsewhere(line, before, elsewhere) + line.text
+        known + knownElsewhere(line, before, elsewhere) + line.text
     }
 }
 
-private fun elsewhere(
+private fun knownElsewhere(
     line: LogLine,
     before: List<LogLine>,
     elsewhere: List<LogLine>,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -11,7 +11,6 @@
 
 internal class BackEndEligibility(
     private val topology: Topology,
-    private val bounds: PlacementBounds,
     private val storeView: StoreViewController,
     private val backEndStates: BackEndStateController,
     private val notices: BackEndNoticeController,
@@ -43,7 +42,7 @@
         if (held.layers < layout.layers) return false
         val pinned = request.number
         if (pinned != null && held.number != pinned) return false
-        val binding = bindingNumber(held, now) ?: return true
+        val binding = bindingNumber(held, now + SWITCH_MARGIN) ?: return true
         return held.number >= binding
     }
 
@@ -57,15 +56,15 @@
         now: Duration,
     ): WeightNumber? {
         val held = backEndStates.held(backEnd, now) ?: return request.number
-        val mayRunOnEach = request.number == null && bindingNumber(held, now) == null
+        val mayRunOnEach = request.number == null && bindingNumber(held, now + SWITCH_MARGIN) == null
         return if (mayRunOnEach) null else held.number
     }
 
-    /** Returns the version on which or on a newer one requests must start: a declared one once its limit is nearly over. */
+    /** Returns the version on which or on a newer one requests must begin at [time]. */
     private fun bindingNumber(
         held: HeldWeights,
-        now: Duration,
-    ): WeightNumber? = storeView.versions.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN)?.number
+        time: Duration,
+    ): WeightNumber? = storeView.versions.bindingAt(held.model, time)?.number
 
     /** Describes why no back end is eligible for [request]. */
     fun describeNone(
@@ -84,9 +83,8 @@
         now: Duration,
     ): Boolean {
         val held = backEndStates.held(backEnd, now) ?: return false
-        val declared =
-            storeView.versions.declaredAsOf(held.model, now - bounds.versionLimit + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
-        return held.number < declared.number
+        val binding = bindingNumber(held, now + SWITCH_MARGIN + DEADLINE_NOTICE) ?: return false
+        return held.number < binding
     }
 
     private companion object {
--- a/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
@@ -26,7 +26,6 @@
 }
 
 internal class BeginLimits(
-    private val bounds: PlacementBounds,
     private val storeView: StoreViewController,
     private val backEndStates: BackEndStateController,
 ) {
@@ -35,10 +34,9 @@
         now: Duration,
     ): BeginLimit {
         if (!holdsWeights(backEnd)) return BeginLimit.Open(Duration.INFINITE)
-        val unmet = oldestUnmet(backEnd, now)
-        val passesAt = unmet?.let { passesAt(it) } ?: Duration.INFINITE
-        if (unmet != null && passesAt <= now) return BeginLimit.Passed(unmet.number)
-        return BeginLimit.Open(minOf(passesAt, now + (bounds.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)))
+        val renewal = now + (storeView.versions.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)
+        val unmet = oldestUnmet(backEnd, now) ?: return BeginLimit.Open(renewal)
+        return if (passesAt(unmet) <= now) BeginLimit.Passed(unmet.number) else BeginLimit.Open(minOf(passesAt(unmet), renewal))
     }
 
     /** Returns the time that is left to begin a request at [backEnd]; infinite if it holds every declared version. */
@@ -47,7 +45,7 @@
         now: Duration,
     ): Duration = oldestUnmet(backEnd, now)?.let { passesAt(it) - now } ?: Duration.INFINITE
 
-    private fun passesAt(unmet: DeclaredWeights): Duration = unmet.countsFrom + bounds.versionLimit - CANCELLATION_MARGIN
+    private fun passesAt(unmet: DeclaredWeights): Duration = unmet.limitAt - CANCELLATION_MARGIN
 
     /** Returns the oldest declaration that the weights of [backEnd] don't meet; its registration may have changed since it was chosen. */
     private fun oldestUnmet(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -21,20 +21,24 @@
     val time: EventTime,
 )
 
-/** A version that back ends must hold, when the store [acknowledged] its declaration, and when its limit [countsFrom]. */
+/**
+ * A version that back ends must hold. The store [acknowledged] its declaration, its limit [countsFrom] the earliest time for that, and from
+ * [limitAt] on no request may begin on an older version.
+ */
 data class DeclaredWeights(
     val model: ModelId,
     val number: WeightNumber,
     val acknowledged: EventTime,
     val countsFrom: Duration,
+    val limitAt: Duration,
 )
 
 /**
- * [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. [storeReturnedAt] is the end of
- * the store's last outage; null if none is known.
+ * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one. [storeReturnedAt] is the end
+ * of the store's last outage; null if none is known.
  */
 class DeclaredVersions(
-    private val versionLimit: Duration,
+    val versionLimit: Duration,
     private val storeReturnedAt: () -> Duration? = { null },
 ) {
     private class Declaration(
@@ -63,11 +67,11 @@
         number: WeightNumber,
     ): DeclaredWeights? = declarations(model).firstOrNull { it.number == number }
 
-    /** Returns the newest version of [model] that may have been declared at or before [time]; each one binds from its own time. */
-    fun declaredAsOf(
+    /** Returns the newest version of [model] whose limit is over at [time]; each one binds from its own time. */
+    fun bindingAt(
         model: ModelId,
         time: Duration,
-    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { countsFrom(it) <= time }?.of(model)
+    ): DeclaredWeights? = declaredByModel[model]?.lastOrNull { countsFrom(it) + versionLimit <= time }?.of(model)
 
     /** Returns the oldest declaration of [model] that a back end with version [held] does not meet. */
     fun oldestUnmet(
@@ -142,7 +146,10 @@
         }
     }
 
-    private fun Declaration.of(model: ModelId) = DeclaredWeights(model, number, acknowledged, countsFrom(this))
+    private fun Declaration.of(model: ModelId): DeclaredWeights {
+        val countsFrom = countsFrom(this)
+        return DeclaredWeights(model, number, acknowledged, countsFrom, limitAt = countsFrom + versionLimit)
+    }
 
     /**
      * Returns the time from which the limit of [declared] counts: the earliest at which it can have been acknowledged, but not before the
--- a/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/KnownVersions.kt
@@ -8,14 +8,13 @@
 
 /**
  * The back end held [held] as far as was known [at] the time of the choice. A status of its target daemon told so [statusAge] before;
- * null if only its registration did. [declarations] are those of its model, oldest first. Each binds once it is older than [limit].
+ * null if only its registration did. [declarations] are those of its model, oldest first.
  */
 class KnownVersions(
     val at: Duration,
     val held: WeightNumber,
     val statusAge: Duration?,
     private val declarations: List<DeclaredWeights>,
-    private val limit: Duration,
 ) {
     /** The newest declaration; null if there was none. */
     val newest: DeclaredWeights? get() = declarations.lastOrNull()
@@ -24,5 +23,5 @@
     fun violated(
         number: WeightNumber,
         time: Duration,
-    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time - it.countsFrom > limit }
+    ): DeclaredWeights? = declarations.firstOrNull { it.number > number && time > it.limitAt }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -22,12 +22,8 @@
     val regions: Map<DomainId, RegionId>,
 )
 
-/**
- * The limits of the deployment. [versionLimit] bounds how long back ends may serve an older version after a newer one was
- * declared; [coldRatio] and [coldAllowance] scale and extend the request rate of a cold back end.
- */
+/** The limits of the deployment: [coldRatio] and [coldAllowance] scale and extend the request rate of a cold back end. */
 data class PlacementBounds(
-    val versionLimit: Duration,
     val coldRatio: Double,
     val coldAllowance: Double,
 )
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -40,8 +40,8 @@
     private val random: Random,
     private val policies: OverloadPolicies = OverloadPolicies(),
 ) {
-    private val eligibility = BackEndEligibility(topology, bounds, storeView, backEndStates, notices)
-    private val beginLimits = BeginLimits(bounds, storeView, backEndStates)
+    private val eligibility = BackEndEligibility(topology, storeView, backEndStates, notices)
+    private val beginLimits = BeginLimits(storeView, backEndStates)
     private val overload = OverloadController(random, policies)
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
@@ -297,8 +297,7 @@
         now: Duration,
     ): KnownVersions? {
         val held = backEndStates.held(backEnd, now) ?: return null
-        val declarations = storeView.versions.declarations(held.model)
-        return KnownVersions(now, held.number, backEndStates.statusAge(backEnd, now), declarations, bounds.versionLimit)
+        return KnownVersions(now, held.number, backEndStates.statusAge(backEnd, now), storeView.versions.declarations(held.model))
     }
 
     private fun isSpeaking(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -85,7 +85,7 @@
     }
 }
 
-/** [versionLimit] is how long back ends may serve an older version after a newer one was declared. */
+/** [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one. */
 class StoreViewController(
     private val invariants: Invariants,
     versionLimit: Duration = 8.seconds,
@@ -152,9 +152,16 @@
         upTo: Long,
         now: Duration,
         asOf: Duration = now,
+    ): StoreViewChange = applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
+
+    /** Applies changes whose removals wait while the registrations may come back. */
+    private fun applyUnsettled(
+        changes: List<DecodedItem>,
+        upTo: Long,
+        now: Duration,
     ): StoreViewChange {
         if (contactRevision == null) contactRevision = upTo
-        return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now)).also { versions.onUpToDate(asOf) }
+        return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
     }
 
     /**
@@ -201,10 +208,7 @@
         all: List<DecodedItem>,
         upTo: Long,
         now: Duration,
-    ): StoreViewChange {
-        if (contactRevision == null) contactRevision = upTo
-        return applyChanges(completed(all, upTo), upTo, now, holdRemovals = mayReturn(now))
-    }
+    ): StoreViewChange = applyUnsettled(completed(all, upTo), upTo, now)
 
     /** Returns [all] items at the revision [upTo] and the removals of those that are not among them. */
     private fun completed(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SwitchSchedule.kt
@@ -36,10 +36,8 @@
     DRAIN,
 }
 
-/** [versionLimit] is how long back ends may serve an older version after the acknowledgement of a newer one. */
 class SwitchSchedule(
     private val storeView: StoreViewController,
-    private val versionLimit: Duration,
 ) {
     /** Returns when [backEnd], which holds [held], stops accepting in order to load [number]; null if it holds that version or none. */
     fun scheduledSwitch(
@@ -54,7 +52,7 @@
         val order = rendezvousOrder("${model.text} ${number.number}", candidates) { it.text }
         val position = order.indexOf(backEnd.id).coerceAtLeast(0)
         val first = declared.countsFrom + FIRST_SWITCH_DELAY
-        val last = (oldest.countsFrom + versionLimit - LAST_SWITCH_MARGIN).coerceAtLeast(first)
+        val last = (oldest.limitAt - LAST_SWITCH_MARGIN).coerceAtLeast(first)
         val canResumeElsewhere = order.size >= MIN_BACK_ENDS_FOR_HANDOVER && allResumable(backEnd.service)
         return ScheduledSwitch(
             at = first + (last - first) * (position.toDouble() / order.size.coerceAtLeast(1)),
--- a/control/src/test/kotlin/lagoonrudder/control/direct/BeginLimitsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/BeginLimitsTest.kt
@@ -23,9 +23,9 @@
 private class LimitScene(
     val backEnd: BackEnd,
 ) {
-    val storeView = StoreViewController(strictInvariants())
+    val storeView = StoreViewController(strictInvariants(), LIMIT)
     val states = BackEndStateController()
-    private val limits = BeginLimits(PlacementBounds(LIMIT, 1.5, 5.0), storeView, states)
+    private val limits = BeginLimits(storeView, states)
     private var revision = 2L
 
     init {
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
@@ -25,6 +25,15 @@
             now: Duration,
         ) = onHeard(StoreRecord.VersionDeclaration(MODEL, WeightNumber(number)), now)
 
+        /** A process that was up to date at 10 s and heard of version [number] at [now]. */
+        fun heard(
+            now: Duration,
+            number: Long = 2,
+        ) = DeclaredVersions(VERSION_LIMIT).apply {
+            onUpToDate(10.seconds)
+            hear(number, now)
+        }
+
         fun DeclaredVersions.acknowledged(number: WeightNumber = two) = declaration(MODEL, number).shouldNotBeNull().acknowledged
 
         fun told(
@@ -34,12 +43,10 @@
         ) = listOf(VersionAcknowledgement(MODEL, WeightNumber(number), EventTime(earliest, latest)))
 
         test("a version that is heard of late may have been declared since the last answer of the store") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(2, 13.seconds)
+            val versions = heard(13.seconds)
             versions.acknowledged() shouldBe EventTime(10.seconds, 13.seconds)
-            versions.declaredAsOf(MODEL, 10.seconds)?.number shouldBe two
-            versions.declaredAsOf(MODEL, 9_999.milliseconds).shouldBeNull()
+            versions.bindingAt(MODEL, 10.seconds + VERSION_LIMIT)?.number shouldBe two
+            versions.bindingAt(MODEL, 9_999.milliseconds + VERSION_LIMIT).shouldBeNull()
         }
 
         test("a version of unknown age leaves a part of its limit") {
@@ -76,9 +83,7 @@
         }
 
         test("what peers know narrows the time of a declaration") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(2, 13.seconds)
+            val versions = heard(13.seconds)
             versions.onTold(told(10.5.seconds, 12.seconds), askedAt = 13.seconds)
             versions.onTold(told(9.seconds, 11.seconds), askedAt = 13.seconds)
             versions.onTold(told(12.seconds, 13.seconds, number = 3), askedAt = 13.seconds)
@@ -87,9 +92,7 @@
         }
 
         test("a pause that the clock has not counted makes a version older, until a peer is asked after it") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(2, 10.seconds)
+            val versions = heard(10.seconds)
             versions.onPaused(uncounted = 5.seconds, 12.seconds)
             versions.acknowledged() shouldBe EventTime(5.seconds, 10.seconds)
             versions.onTold(told(10.seconds, 10.seconds), askedAt = 11.9.seconds)
@@ -99,27 +102,21 @@
         }
 
         test("a version that was replaced before it was heard of binds from its own time once a peer tells of it") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(3, 14.seconds)
+            val versions = heard(14.seconds, number = 3)
             versions.onTold(told(11.seconds, 11.1.seconds) + told(13.seconds, 13.1.seconds, number = 3), askedAt = 14.seconds)
-            versions.declaredAsOf(MODEL, 12.seconds)?.number shouldBe two
+            versions.bindingAt(MODEL, 12.seconds + VERSION_LIMIT)?.number shouldBe two
             versions.oldestUnmet(MODEL, WeightNumber(1))?.number shouldBe two
             versions.acknowledged(WeightNumber(3)) shouldBe EventTime(13.seconds, 13.1.seconds)
         }
 
         test("statements that miss each other by the drift of clocks keep the earlier time") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(2, 10.seconds)
+            val versions = heard(10.seconds)
             versions.onTold(told(10.1.seconds, 10.2.seconds), askedAt = 11.seconds)
             versions.acknowledged() shouldBe EventTime(10.seconds, 10.seconds)
         }
 
         test("peers are told of the versions whose limits still run") {
-            val versions = DeclaredVersions(VERSION_LIMIT)
-            versions.onUpToDate(10.seconds)
-            versions.hear(2, 10.seconds)
+            val versions = heard(10.seconds)
             versions.onUpToDate(15.seconds)
             versions.hear(3, 15.seconds)
             versions.toTell(16.seconds).map { it.number } shouldBe listOf(two, WeightNumber(3))
--- a/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/KnownVersionsTest.kt
@@ -13,9 +13,9 @@
     FunSpec({
         val declarations =
             listOf(2L to 10.seconds, 3L to 13.seconds).map { (number, since) ->
-                DeclaredWeights(MODEL, WeightNumber(number), EventTime.at(since), since)
+                DeclaredWeights(MODEL, WeightNumber(number), EventTime(since, since), since, since + VERSION_LIMIT)
             }
-        val known = KnownVersions(14.seconds, WeightNumber(2), 1.seconds, declarations, 8.seconds)
+        val known = KnownVersions(14.seconds, WeightNumber(2), 1.seconds, declarations)
 
         test("a version is violated once it is older than the limit, and not at the limit itself") {
             known.violated(WeightNumber(1), 18.seconds).shouldBeNull()
@@ -31,6 +31,6 @@
 
         test("the newest declaration is the last one") {
             known.newest shouldBe declarations[1]
-            KnownVersions(1.seconds, WeightNumber(1), null, emptyList(), 8.seconds).newest.shouldBeNull()
+            KnownVersions(1.seconds, WeightNumber(1), null, emptyList()).newest.shouldBeNull()
         }
     })
--- a/control/src/test/kotlin/lagoonrudder/control/direct/ManifestCheckTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/ManifestCheckTest.kt
@@ -24,7 +24,7 @@
             val storeView = StoreViewController(strictInvariants())
             storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, 1.seconds)
             val peers = PeerController(peer("self"), emptyList())
-            return StagingController(peers, storeView, SwitchSchedule(storeView, VERSION_LIMIT), REGIONS)
+            return StagingController(peers, storeView, SwitchSchedule(storeView), REGIONS)
         }
 
         test("a manifest must have the model, the version and the number of chunks that are expected") {
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -43,7 +43,7 @@
     val placement =
         PlacementController(
             Topology(NEAR, REGIONS),
-            PlacementBounds(8.seconds, 1.5, 5.0),
+            PlacementBounds(1.5, 5.0),
             storeView,
             peers,
             slots,
@@ -57,17 +57,21 @@
         storeView.applyChanges(backEnds.mapIndexed { index, each -> registered(each, index + 2L) }, 50, 10.seconds)
     }
 
-    fun place(
-        maxWait: Duration = Duration.ZERO,
-        customer: String? = null,
-        homeRegions: List<Set<RegionId>> = emptyList(),
-        excluded: Set<TargetId> = emptySet(),
-        number: Long? = null,
-        promptTokens: Int = 0,
-        isLate: Boolean = false,
-    ) = placement.place(request(maxWait, customer, homeRegions, excluded, number, promptTokens, isLate), now).result
+    val plainRequest =
+        PlacementRequest(
+            service = ENGINES,
+            customer = null,
+            priority = 1,
+            homeRegions = emptyList(),
+            excluded = emptySet(),
+            number = null,
+            promptTokens = 0,
+            isLate = false,
+            wait = WaitLimit.Within(Duration.ZERO),
+            timeLeft = 6.seconds,
+        )
 
-    fun request(
+    fun place(
         maxWait: Duration = Duration.ZERO,
         customer: String? = null,
         homeRegions: List<Set<RegionId>> = emptyList(),
@@ -75,18 +79,19 @@
         number: Long? = null,
         promptTokens: Int = 0,
         isLate: Boolean = false,
-    ) = PlacementRequest(
-        ENGINES,
-        customer?.let { CustomerId(it) },
-        1,
-        homeRegions,
-        excluded,
-        number?.let { WeightNumber(it) },
-        promptTokens,
-        isLate,
-        WaitLimit.Within(maxWait),
-        timeLeft = 6.seconds,
-    )
+    ): CompletableDeferred<Placement> {
+        val request =
+            plainRequest.copy(
+                customer = customer?.let { CustomerId(it) },
+                homeRegions = homeRegions,
+                excluded = excluded,
+                number = number?.let { WeightNumber(it) },
+                promptTokens = promptTokens,
+                isLate = isLate,
+                wait = WaitLimit.Within(maxWait),
+            )
+        return placement.place(request, now).result
+    }
 
     /** Declares version [number] right after an answer of the store without it, so that its age is known. */
     fun declare(number: Long) {
@@ -342,12 +347,12 @@
             val new = scene.storeView.backEnd(TargetId("new")).shouldNotBeNull()
             generateSequence { scene.place().target }.take(6).toSet() shouldBe setOf(old.id, new.id)
             scene.placement
-                .confirm(old, scene.request(), takenAt, scene.now)
+                .confirm(old, scene.plainRequest, takenAt, scene.now)
                 ?.number
                 .shouldBeNull()
             scene.now += 500.milliseconds
-            scene.placement.confirm(old, scene.request(), takenAt, scene.now).shouldBeNull()
-            scene.placement.confirm(new, scene.request(), takenAt, scene.now)?.number shouldBe WeightNumber(2)
+            scene.placement.confirm(old, scene.plainRequest, takenAt, scene.now).shouldBeNull()
+            scene.placement.confirm(new, scene.plainRequest, takenAt, scene.now)?.number shouldBe WeightNumber(2)
         }
 
         test("a place that is confirmed counts towards the rate of a cold back end from then on, and one that is withdrawn does not") {
@@ -358,8 +363,8 @@
             repeat(4) { scene.place().target shouldBe backEnd.id }
             val takenAt = scene.now
             scene.now += 500.milliseconds
-            repeat(2) { scene.placement.confirm(backEnd, scene.request(), takenAt, scene.now).shouldNotBeNull() }
-            scene.placement.confirm(backEnd, scene.request(excluded = setOf(backEnd.id)), takenAt, scene.now).shouldBeNull()
+            repeat(2) { scene.placement.confirm(backEnd, scene.plainRequest, takenAt, scene.now).shouldNotBeNull() }
+            scene.placement.confirm(backEnd, scene.plainRequest.copy(excluded = setOf(backEnd.id)), takenAt, scene.now).shouldBeNull()
             repeat(4) { scene.placement.onAttemptEnded(backEnd.id, null, AttemptOutcome.ABANDONED, scene.now) }
             scene.place().target shouldBe backEnd.id
             scene.now += 650.milliseconds
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -221,7 +221,7 @@
             peers.onGossipReceived(peer("far-entry", FAR), emptyMap(), 10.seconds)
             storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(servingSet(1)))), 1, 1.seconds)
             storeView.applyChanges((1..8).map { registered(backEnd("b$it"), it + 1L) }, 9, 2.seconds)
-            return storeView to StagingController(peers, storeView, SwitchSchedule(storeView, VERSION_LIMIT), REGIONS)
+            return storeView to StagingController(peers, storeView, SwitchSchedule(storeView), REGIONS)
         }
 
         fun declare(
@@ -269,7 +269,7 @@
                 StagingController(
                     PeerController(TARGET_DAEMON, emptyList()),
                     servingStoreView(),
-                    SwitchSchedule(servingStoreView(), VERSION_LIMIT),
+                    SwitchSchedule(servingStoreView()),
                     REGIONS,
                 )
             alone.sources(MODEL, WeightNumber(1), 0, 10.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
@@ -279,7 +279,7 @@
             val seed = peer("near-entry")
             for (self in listOf(TARGET_DAEMON, peer("self"))) {
                 val peers = PeerController(self, listOfNotNull(seed.address))
-                val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView(), VERSION_LIMIT), REGIONS)
+                val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
 
                 fun sources(now: Duration) =
                     when (self.role) {
@@ -291,12 +291,12 @@
                 sources(13.seconds).single().shouldBeInstanceOf<WeightSource.Origin>()
             }
             val peers = PeerController(TARGET_DAEMON, listOfNotNull(seed.address))
-            val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView(), VERSION_LIMIT), REGIONS)
+            val staging = StagingController(peers, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
             staging.sources(MODEL, WeightNumber(1), 0, 10.seconds).shouldBeEmpty()
             peers.onGossipReceived(seed, emptyMap(), 10.1.seconds)
             staging.sources(MODEL, WeightNumber(1), 0, 10.1.seconds) shouldBe listOf(WeightSource.Entry(seed.address.shouldNotBeNull()))
             val first = PeerController(seed, listOfNotNull(seed.address))
-            StagingController(first, servingStoreView(), SwitchSchedule(servingStoreView(), VERSION_LIMIT), REGIONS)
+            StagingController(first, servingStoreView(), SwitchSchedule(servingStoreView()), REGIONS)
                 .upstreamSources(MODEL, WeightNumber(1), 0, 10.seconds)
                 .single()
                 .shouldBeInstanceOf<WeightSource.Origin>()
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -199,10 +199,10 @@
         }
 
         test("a version that was declared before the start gets the assumed age") {
-            val storeView = StoreViewController(strictInvariants(), versionLimit = 8.seconds)
+            val storeView = StoreViewController(strictInvariants(), VERSION_LIMIT)
             storeView.applyChanges(listOf(item("op/version/model", 3, StoreRecord.VersionDeclaration(MODEL, WeightNumber(2)))), 3, start)
             storeView.versions
-                .declaredAsOf(MODEL, start - 6.seconds)
+                .bindingAt(MODEL, start - 6.seconds + VERSION_LIMIT)
                 .shouldNotBeNull()
                 .number shouldBe WeightNumber(2)
         }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -58,8 +58,8 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    val storeView = StoreViewController(invariants, settings.bounds.placement.versionLimit)
-    val pauseDetector = PauseDetector(clock)
+    val storeView = StoreViewController(invariants, settings.bounds.versionLimit)
+    private val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
     val storeReader = StoreReaderController(peers, storeView)
@@ -70,7 +70,7 @@
     val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
-    val staging = StagingController(peers, storeView, SwitchSchedule(storeView, settings.bounds.placement.versionLimit), settings.regions)
+    val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
 
     /** Starts [loop], which is started again after an error. */
     fun launchLoop(
@@ -154,17 +154,27 @@
     }
 
     /**
-     * Returns the store's contact to tell peers of; null after a pause that no tick has noticed yet, as the monotonic clock may not have
-     * counted it. Runs on the control thread.
+     * Looks for a pause since the last call, which was to be [expected] ago, and marks the known state as possibly stale after one. Returns
+     * the pause; null if there was none. Runs on the control thread, so that nothing is told to peers in between.
      */
-    fun contactToTell(): StoreContact? = storeView.storeContact.takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
+    fun noticePause(expected: Duration): Pause? {
+        val pause = pauseDetector.check(expected) ?: return null
+        storeView.onPaused(pause.duration, pause.uncounted, clock.elapsed())
+        log.warning("paused", "for" to pause.duration, "uncounted" to pause.uncounted)
+        return pause
+    }
+
+    /** Whether this process paused and hasn't noticed yet, so that its clock may not have counted what it tells peers the age of. */
+    private val hasUnnoticedPause: Boolean get() = pauseDetector.isOverdue(TICK_INTERVAL)
+
+    /** Returns the store's contact to tell peers of; null after an unnoticed pause. Runs on the control thread. */
+    fun contactToTell(): StoreContact? = storeView.storeContact.takeUnless { hasUnnoticedPause }
 
-    /** Returns how long ago the store held nothing that peers don't learn from this daemon; null after a pause that was not noticed yet. */
-    fun upToDateAgeToTell(): Duration? = storeView.upToDateAge(clock.elapsed()).takeUnless { pauseDetector.isOverdue(TICK_INTERVAL) }
+    /** Returns how long ago the store held nothing that peers don't learn from this daemon; null after an unnoticed pause. */
+    fun upToDateAgeToTell(): Duration? = storeView.upToDateAge(clock.elapsed()).takeUnless { hasUnnoticedPause }
 
-    /** Returns the declared versions to tell peers of; none after a pause that no tick has noticed yet. Runs on the control thread. */
-    fun versionsToTell(): List<VersionAcknowledgement> =
-        if (pauseDetector.isOverdue(TICK_INTERVAL)) emptyList() else storeView.versions.toTell(clock.elapsed())
+    /** Returns what to tell peers of the declared versions; nothing after an unnoticed pause. Runs on the control thread. */
+    fun versionsToTell(): List<VersionAcknowledgement> = if (hasUnnoticedPause) emptyList() else storeView.versions.toTell(clock.elapsed())
 
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -128,20 +128,17 @@
     private suspend fun runTicks() {
         while (currentCoroutineContext().isActive) {
             delay(TICK_INTERVAL)
-            val pause = core.pauseDetector.check(TICK_INTERVAL)
-            val expired = core.thread.decide { onTick(pause) }
+            val (pause, expired) = core.thread.decide { core.noticePause(TICK_INTERVAL) to onTick() }
             expired.forEach { core.log.info("back-end-gone", "target" to it.text, "source" to "lapsed") }
             if (pause != null) {
-                core.log.warning("paused", "for" to pause.duration, "uncounted" to pause.uncounted)
                 core.http.closeIdle(settings.store)
                 store.pollNow()
             }
         }
     }
 
-    private fun onTick(pause: Pause?): List<TargetId> {
+    private fun onTick(): List<TargetId> {
         val now = core.clock.elapsed()
-        if (pause != null) core.storeView.onPaused(pause.duration, pause.uncounted, now)
         core.suspicions.onTick(now)
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
@@ -38,8 +38,12 @@
     val backEnd: Address,
 )
 
-/** Limits from the section `bounds`; [stopGrace] is the time from the stop signal to the exit of the process. */
+/**
+ * Limits from the section `bounds`; [versionLimit] is how long requests may begin on an older version after a newer one was declared, and
+ * [stopGrace] is the time from the stop signal to the exit of the process.
+ */
 data class DirectBounds(
+    val versionLimit: Duration,
     val placement: PlacementBounds,
     val retryBudget: RetryBudgetBounds,
     val stopGrace: Duration,
@@ -102,7 +106,8 @@
 private fun Raise<Failure.Malformed>.bounds(section: IniSection): DirectBounds =
     with(section) {
         DirectBounds(
-            placement = PlacementBounds(duration("version"), double("cold-ratio"), double("cold-allowance")),
+            versionLimit = duration("version"),
+            placement = PlacementBounds(double("cold-ratio"), double("cold-allowance")),
             retryBudget = RetryBudgetBounds(double("repeat-ratio"), duration("repeat-window"), double("repeat-allowance")),
             stopGrace = duration("stop-grace"),
         )
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -44,9 +44,7 @@
     private suspend fun watchPauses() {
         while (currentCoroutineContext().isActive) {
             delay(PAUSE_CHECK_INTERVAL)
-            val pause = core.pauseDetector.check(PAUSE_CHECK_INTERVAL) ?: continue
-            core.thread.decide { core.storeView.onPaused(pause.duration, pause.uncounted, core.clock.elapsed()) }
-            core.log.warning("paused", "for" to pause.duration, "uncounted" to pause.uncounted)
+            core.thread.decide { core.noticePause(PAUSE_CHECK_INTERVAL) }
         }
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -71,7 +71,7 @@
 
     private suspend fun exchangeWithAll() {
         coroutineScope {
-            launch { exchangeWithOtherDomains() }
+            launch { exchangeWithRandomMembers() }
             exchangeWithNear()
         }
     }
@@ -105,7 +105,7 @@
      * Exchanges with one random member of each other failure domain at a time. Where there is no other domain, with one of this domain, as
      * only replies tell since when something has been so, and a daemon may be the one that answers in each pair.
      */
-    private suspend fun exchangeWithOtherDomains() {
+    private suspend fun exchangeWithRandomMembers() {
         var round = 0
         while (currentCoroutineContext().isActive) {
             val membersByDomain = core.thread.decide { farOrNearAddresses() }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -52,22 +52,16 @@
         report: BackEndReport,
         closed: Boolean,
     ) {
-        val last = peers.slot
-        val sequence = last?.sequence ?: 0
-        val state = SlotWord(slot.backEnd, report.born, report.held, closed, sequence)
-        if (last == state) return
-        // The clock may have been set back since the last one.
-        peers.slot =
-            state.copy(
-                sequence =
-                    core.clock
-                        .now()
-                        .toEpochMilliseconds()
-                        .coerceAtLeast(sequence + 1),
-            )
+        val lastSequence = peers.slot?.sequence ?: 0
+        val state = SlotWord(slot.backEnd, report.born, report.held, closed, lastSequence)
+        if (peers.slot == state) return
+        peers.slot = state.copy(sequence = sequenceAfter(lastSequence))
         peers.announce()
     }
 
+    /** Returns a higher sequence number than [last]; the clock may have been set back since. */
+    private fun sequenceAfter(last: Long): Long = maxOf(core.clock.now().toEpochMilliseconds(), last + 1)
+
     /** Logs what the back end loaded or accepted since its last report, also when it never answered the order that led to it. */
     private fun logChange(report: BackEndReport) {
         val last = lastReport
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -36,11 +36,9 @@
     private val area = StagingArea(core, backEnd)
     private val monitor = SlotMonitor(core, slot, backEnd, area, peers)
     private val earlierOrders = EarlierOrderCheck(core, area, fetcher)
+    private val switchLog = SwitchLog(core)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
 
-    /** The version and the time of the last scheduled switch that was logged. */
-    private var loggedSwitch: Pair<WeightNumber, Duration>? = null
-
     /** Checks at once whether other weights are wanted. May be called on any thread. */
     fun checkNow() {
         checkRequests.trySend(Unit)
@@ -133,7 +131,7 @@
             "drawn" to total - missing.size,
             "missing" to missing.size,
             "took" to core.clock.elapsed() - started,
-            "declared-ms" to ageOf(manifest),
+            "declared-ms" to switchLog.ageOf(manifest),
         )
         if (missing.isNotEmpty()) replaceIfDoubted(manifest)
         return missing.isEmpty()
@@ -190,45 +188,14 @@
         while (isStillWanted(manifest)) {
             if (isOutdated(manifest)) return false
             val scheduledSwitch = scheduledSwitch(manifest, report) ?: return true
+            switchLog.onScheduled(manifest, scheduledSwitch)
             val wait = scheduledSwitch.at - core.clock.elapsed()
-            logSchedule(manifest, scheduledSwitch, wait)
             if (wait <= Duration.ZERO) return true
             delay(minOf(wait, SCHEDULE_CHECK_INTERVAL))
         }
         return false
     }
 
-    /** Logs a switch when it is first scheduled and whenever its time has moved by much. */
-    private suspend fun logSchedule(
-        manifest: WeightManifest,
-        scheduledSwitch: ScheduledSwitch,
-        wait: Duration,
-    ) {
-        val isLogged =
-            loggedSwitch?.let { (number, at) ->
-                number == manifest.number &&
-                    (scheduledSwitch.at - at).absoluteValue < NOTABLE_MOVE
-            }
-        if (isLogged == true) return
-        loggedSwitch = manifest.number to scheduledSwitch.at
-        core.log.info(
-            "switch-scheduled",
-            "number" to manifest.number.number,
-            "declared-ms" to ageOf(manifest),
-            "in-ms" to wait.inWholeMilliseconds,
-            "handover" to scheduledSwitch.handover(scheduledSwitch.at).name.lowercase(),
-        )
-    }
-
-    /** Returns how many milliseconds ago the version of [manifest] was declared, as decisions count them; null if it was not. */
-    private suspend fun ageOf(manifest: WeightManifest): Long? = core.thread.decide { declarationAge(manifest) }
-
-    /** Runs on the control thread. */
-    private fun declarationAge(manifest: WeightManifest): Long? =
-        core.storeView.versions
-            .declaration(manifest.model, manifest.number)
-            ?.let { (core.clock.elapsed() - it.countsFrom).inWholeMilliseconds }
-
     private suspend fun scheduledSwitch(
         manifest: WeightManifest,
         report: BackEndReport,
@@ -254,34 +221,13 @@
         manifest: WeightManifest,
         before: BackEndReport,
     ) {
-        val (scheduledSwitch, declarationAge) =
-            core.thread.decide {
-                core.staging.scheduledSwitch(slot.service, slot.backEnd, before, manifest.number) to declarationAge(manifest)
-            }
+        val scheduledSwitch = scheduledSwitch(manifest, before)
         val handover = scheduledSwitch?.handover(core.clock.elapsed()) ?: Handover.DRAIN
-        if (before.held != null) logClosing(manifest, scheduledSwitch, declarationAge, handover, before)
+        if (before.held != null) switchLog.onBegun(manifest, scheduledSwitch, handover, before)
         val report = (if (before.held == null) reportOfSameRun(before) else closeAndDrain(before, handover)) ?: return
         if (area.isReadyToLoad(manifest)) sendOrder(manifest, report, handover)
     }
 
-    /** Logs that the back end stops accepting, and how long after the time that was scheduled for it. */
-    private fun logClosing(
-        manifest: WeightManifest,
-        scheduledSwitch: ScheduledSwitch?,
-        declarationAge: Long?,
-        handover: Handover,
-        report: BackEndReport,
-    ) = core.log.info(
-        "switch-begun",
-        "number" to manifest.number.number,
-        "held" to report.held?.number?.number,
-        "declared-ms" to declarationAge,
-        "scheduled-ms" to scheduledSwitch?.let { (core.clock.elapsed() - it.at).inWholeMilliseconds },
-        "handover" to handover.name.lowercase(),
-        "running" to report.running,
-        "waiting" to report.waiting,
-    )
-
     private suspend fun sendOrder(
         manifest: WeightManifest,
         report: BackEndReport,
@@ -289,11 +235,7 @@
     ) {
         val order = LoadOrder(manifest, report.born, report.orders)
         val orderedAt = core.clock.elapsed()
-        val declarationAge =
-            core.thread.decide {
-                core.loadOrders.onSent(order, orderedAt)
-                declarationAge(manifest)
-            }
+        core.thread.decide { core.loadOrders.onSent(order, orderedAt) }
         val fields =
             arrayOf<Pair<String, Any?>>(
                 "number" to manifest.number.number,
@@ -301,7 +243,7 @@
                 "orders" to report.orders,
                 "running" to report.running,
                 "verified-before" to area.timeSinceVerification,
-                "declared-ms" to declarationAge,
+                "declared-ms" to switchLog.ageOf(manifest),
             )
         when (val result = backEnd.start(order, handover) { area.isStillReadyToLoad(manifest) }) {
             is Either.Left -> {
@@ -330,34 +272,22 @@
         handover: Handover,
     ): BackEndReport? {
         val closedAt = core.clock.elapsed()
-        var report = monitor.report() ?: return null.also { logDrain(closedAt, "unreachable", null) }
+        var report = monitor.report() ?: return null.also { switchLog.onDrained(closedAt, "unreachable", null) }
         while (report.born == before.born && !report.loading) {
             monitor.announce(report, closed = true)
             val waited = core.clock.elapsed() - closedAt
             val isEmpty = report.waiting == 0 && (handover == Handover.DRAIN || report.running == 0)
             if (waited > QUEUE_DRAIN_TIMEOUT || (isEmpty && waited > GOSSIP_PROPAGATION_TIME)) {
-                logDrain(closedAt, if (isEmpty) "empty" else "timeout", report)
+                switchLog.onDrained(closedAt, if (isEmpty) "empty" else "timeout", report)
                 return report
             }
             delay(QUEUE_CHECK_INTERVAL)
-            report = backEnd.report().getOrElse { return null.also { logDrain(closedAt, "unreachable", null) } }
+            report = backEnd.report().getOrElse { return null.also { switchLog.onDrained(closedAt, "unreachable", null) } }
         }
-        logDrain(closedAt, if (report.loading) "loading" else "restarted", report)
+        switchLog.onDrained(closedAt, if (report.loading) "loading" else "restarted", report)
         return null
     }
 
-    private fun logDrain(
-        closedAt: Duration,
-        end: String,
-        report: BackEndReport?,
-    ) = core.log.info(
-        "drained",
-        "end" to end,
-        "took" to core.clock.elapsed() - closedAt,
-        "running" to report?.running,
-        "waiting" to report?.waiting,
-    )
-
     /** Runs on the control thread. */
     private fun recordFailure(
         order: LoadOrder,
@@ -389,7 +319,7 @@
             val report = monitor.report() ?: return
             if (report.held?.number == manifest.number) {
                 val took = core.clock.elapsed() - orderedAt
-                core.log.info("loaded", "number" to manifest.number.number, "took" to took, "declared-ms" to ageOf(manifest))
+                core.log.info("loaded", "number" to manifest.number.number, "took" to took, "declared-ms" to switchLog.ageOf(manifest))
                 return
             }
             if (!report.loading) return
@@ -411,7 +341,6 @@
         /** How long chunks that can't be had are waited for before the back end's report is read again. */
         val STAGE_LIMIT = 1_500.milliseconds
         val SCHEDULE_CHECK_INTERVAL = 200.milliseconds
-        val NOTABLE_MOVE = 500.milliseconds
 
         /** A chunk that an entry daemon of the region has cached arrives within a few round trips. */
         val NEWER_VERSION_TIMEOUT = 400.milliseconds
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/AttemptTextTest.kt
@@ -15,12 +15,13 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-private val DECLARED = DeclaredWeights(ModelId("model"), WeightNumber(5), EventTime(10.seconds, 10_200.milliseconds), 10.seconds)
+private val DECLARED =
+    DeclaredWeights(ModelId("model"), WeightNumber(5), EventTime(10.seconds, 10_200.milliseconds), 10.seconds, 18.seconds)
 
 private fun known(
     statusAge: Duration?,
     vararg declarations: DeclaredWeights,
-) = KnownVersions(16_400.milliseconds, WeightNumber(4), statusAge, declarations.toList(), 8.seconds)
+) = KnownVersions(16_400.milliseconds, WeightNumber(4), statusAge, declarations.toList())
 
 /** The fields by which a request on an old version is explained can be read from the lines. */
 class AttemptTextTest :
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
@@ -25,7 +25,7 @@
             settings.role shouldBe DaemonRole.ENTRY
             settings.listen.shouldNotBeNull().callers shouldBe Address("127.0.0.1", 17611)
             settings.regions shouldBe mapOf(DomainId("one") to RegionId("first"))
-            settings.bounds.placement.versionLimit shouldBe 8.seconds
+            settings.bounds.versionLimit shouldBe 8.seconds
             settings.slot.shouldBeNull()
         }
 
--- a/model/src/main/kotlin/lagoonrudder/model/EventTime.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/EventTime.kt
@@ -21,9 +21,4 @@
 
     /** Returns this time after the clock has missed up to [uncounted], which makes the event seem younger than it is. */
     fun afterUncounted(uncounted: Duration): EventTime = EventTime(earliest - uncounted, latest)
-
-    companion object {
-        /** An event whose [time] is known. */
-        fun at(time: Duration) = EventTime(time, time)
-    }
 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -224,7 +224,7 @@
         seeds = entryListens.take(1).map { it.peers },
         store = storeAddress,
         slot = slot,
-        bounds = DirectBounds(PlacementBounds(8.seconds, 1.5, 5.0), RetryBudgetBounds(0.2, 10.seconds, 100.0), STOP_GRACE),
+        bounds = DirectBounds(8.seconds, PlacementBounds(1.5, 5.0), RetryBudgetBounds(0.2, 10.seconds, 100.0), STOP_GRACE),
     )
 
     private companion object {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -301,7 +301,7 @@
         val placement =
             PlacementController(
                 Topology(DOMAIN, mapOf(DOMAIN to REGION)),
-                PlacementBounds(8.seconds, 1.5, 5.0),
+                PlacementBounds(1.5, 5.0),
                 storeView,
                 peers,
                 BackEndStateController(),
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/VersionMeasure.kt
@@ -15,14 +15,18 @@
 private val model = ModelId("model")
 private val declared = WeightNumber(2)
 
-/** Failure domains and the daemons in each. */
-private val sizes = listOf(2 to 5, 10 to 10, 32 to 25)
+private class FleetSize(
+    val domains: Int,
+    val daemonsPerDomain: Int,
+)
+
+private val sizes = listOf(FleetSize(2, 5), FleetSize(10, 10), FleetSize(32, 25))
 private val warmUp = 10.seconds
 private val observed = 3.seconds
 private val phases = listOf(0, 190, 380, 570).map { it.milliseconds }
 
 /** What a daemon without a word from others loses while its reader is replaced. */
-private val maxEarly = 2_500.milliseconds
+private val earlyLimit = 2_500.milliseconds
 
 private enum class ReaderTrouble(
     val strike: (VirtualStoreSite) -> Unit,
@@ -41,29 +45,26 @@
 
 fun measureVersions(options: MeasureOptions): Verdict {
     val seed = options.int("seed", 1)
-    val measured =
-        sizes
-            .flatMap { size ->
-                ReaderTrouble.entries.map { (size to it) }
-            }.associateWith { (size, trouble) -> observe(size, trouble, seed) }
-    measured.forEach { (case, errors) -> println(lineOf(case.first, case.second, errors)) }
+    val measured = sizes.flatMap { size -> ReaderTrouble.entries.map { trouble -> Triple(size, trouble, observe(size, trouble, seed)) } }
+    measured.forEach { (size, trouble, errors) -> println(lineOf(size, trouble, errors)) }
+    val all = measured.map { it.third }
     val line =
         figures {
             add("seed", seed)
-            add("max-early", measured.values.maxOf { it.maxEarly })
-            add("max-late", measured.values.maxOf { it.late })
+            add("max-early", all.maxOf { it.maxEarly })
+            add("max-late", all.maxOf { it.late })
         }
-    return Verdict(line, measured.values.all { it.late == Duration.ZERO && it.maxEarly <= maxEarly })
+    return Verdict(line, all.all { it.late == Duration.ZERO && it.maxEarly <= earlyLimit })
 }
 
 private fun lineOf(
-    size: Pair<Int, Int>,
+    size: FleetSize,
     trouble: ReaderTrouble,
     errors: AgeErrors,
 ): String =
     figures {
-        add("daemons", size.first * size.second)
-        add("domains", size.first)
+        add("daemons", size.domains * size.daemonsPerDomain)
+        add("domains", size.domains)
         add("trouble", trouble.name.lowercase())
         add("mean-early", errors.meanEarly)
         add("max-early", errors.maxEarly)
@@ -71,7 +72,7 @@
     }
 
 private fun observe(
-    size: Pair<Int, Int>,
+    size: FleetSize,
     trouble: ReaderTrouble,
     seed: Int,
 ): AgeErrors {
@@ -81,12 +82,12 @@
 
 /** Returns how long before its acknowledgement each daemon counts a version from; negative if it counts from later. */
 private fun earliness(
-    size: Pair<Int, Int>,
+    size: FleetSize,
     trouble: ReaderTrouble,
     seed: Int,
     phase: Duration,
 ): List<Duration> =
-    VirtualStoreSite(size.first, size.second, seed).use { site ->
+    VirtualStoreSite(size.domains, size.daemonsPerDomain, seed).use { site ->
         site.declare(model, WeightNumber(1))
         site.advance(warmUp + phase)
         trouble.strike(site)
--- /dev/null
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -0,0 +1,134 @@
+/**
+ * The exchanges between entry daemons in virtual time, with the intervals of the real loops. Only the one that asks learns from the reply
+ * since when something has been so.
+ */
+package lagoonrudder.standins.virtual
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import lagoonrudder.control.direct.DecodedItem
+import lagoonrudder.control.direct.LoadReport
+import lagoonrudder.control.direct.StoreContact
+import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.model.EventTime
+import lagoonrudder.model.StoreRecord
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class VirtualStoreGossip(
+    private val scope: CoroutineScope,
+    private val random: Random,
+    private val daemons: List<VirtualStoreDaemon>,
+    private val clockOf: (VirtualStoreDaemon) -> Duration,
+    private val recordOf: (StoreItem) -> StoreRecord?,
+    private val onItemsApplied: (VirtualStoreDaemon) -> Unit,
+) {
+    private val daemonsByDomain = daemons.groupBy { it.peer.domain }
+
+    fun launchAll() {
+        daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
+        daemons.forEach { scope.launch { gossipWithRandomMembers(it) } }
+    }
+
+    private suspend fun gossipWithin(members: List<VirtualStoreDaemon>) {
+        while (true) {
+            for ((index, first) in members.withIndex()) {
+                for (second in members.drop(index + 1)) exchange(first, second)
+            }
+            delay(NEAR_EXCHANGE_INTERVAL)
+        }
+    }
+
+    private suspend fun gossipWithRandomMembers(daemon: VirtualStoreDaemon) {
+        delay(FAR_EXCHANGE_INTERVAL * random.nextDouble())
+        while (true) {
+            for ((domain, members) in daemonsByDomain) if (domain != daemon.peer.domain) exchange(daemon, members.random(random))
+            if (daemonsByDomain.size == 1) (daemons - daemon).randomOrNull(random)?.let { exchange(daemon, it) }
+            delay(FAR_EXCHANGE_INTERVAL)
+        }
+    }
+
+    private fun exchange(
+        first: VirtualStoreDaemon,
+        second: VirtualStoreDaemon,
+    ) {
+        if (!canExchange(first, second)) return
+        second.storeView.storeContact?.let { first.storeView.onStoreHeard(it.toldBy(second, first)) }
+        first.storeView.storeContact?.let { tell(first, it, second) }
+        tellVersions(sender = second, receiver = first)
+        for ((receiver, sender) in listOf(first to second, second to first)) {
+            receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
+            val settled = sender.storeView.settledRevision
+            if (settled <= receiver.storeView.at) continue
+            scope.launch {
+                delay(EXCHANGE_TIME)
+                if (!canExchange(receiver, sender)) return@launch
+                val sent = sender.storeView.itemsSince(receiver.storeView.at)
+                val changes = sent.items.map { DecodedItem(it, recordOf(it)) }
+                if (sent.isComplete) {
+                    receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
+                } else {
+                    receiver.storeView.applySettledChanges(changes, settled, clockOf(receiver))
+                }
+                tellVersions(sender, receiver)
+                onItemsApplied(receiver)
+            }
+        }
+    }
+
+    /** Lets [receiver] learn from a reply of [sender], after its items. */
+    private fun tellVersions(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+    ) {
+        val askedAt = clockOf(receiver)
+        val difference = clockOf(receiver) - clockOf(sender)
+        val told =
+            sender.storeView.versions.toTell(clockOf(sender)).map {
+                it.copy(time = EventTime(it.time.earliest + difference, it.time.latest + difference))
+            }
+        receiver.storeView.versions.onTold(told, askedAt)
+        val upToDateAge = sender.storeView.upToDateAge(clockOf(sender)) ?: return
+        receiver.storeView.onUpToDateHeard(sender.storeView.settledRevision, askedAt - upToDateAge, askedAt)
+    }
+
+    private fun canExchange(
+        first: VirtualStoreDaemon,
+        second: VirtualStoreDaemon,
+    ): Boolean = listOf(first, second).all { it.isRunning && it.isReachable }
+
+    /** Returns this contact of [sender] on the clock of [receiver]. */
+    private fun StoreContact.toldBy(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+    ): StoreContact {
+        val difference = clockOf(receiver) - clockOf(sender)
+        return StoreContact(since + difference, until + difference)
+    }
+
+    /** Lets [receiver] learn from a request of [sender], which knows of [contact], and ask it if the request can't tell enough. */
+    private fun tell(
+        sender: VirtualStoreDaemon,
+        contact: StoreContact,
+        receiver: VirtualStoreDaemon,
+    ) {
+        val told = contact.toldBy(sender, receiver)
+        sender.reader.contactAge(clockOf(sender))?.let {
+            receiver.storeView.onStoreHeard(StoreContact(told.since, clockOf(receiver) - it))
+        }
+        if (!receiver.storeView.isGraceRefutedBy(told.since, clockOf(receiver))) return
+        scope.launch {
+            delay(EXCHANGE_TIME)
+            sender.storeView.storeContact?.let { receiver.storeView.onStoreHeard(it.toldBy(sender, receiver)) }
+        }
+    }
+
+    private companion object {
+        val NO_LOAD = LoadReport(emptyMap(), 1)
+        val EXCHANGE_TIME = 6.milliseconds
+        val NEAR_EXCHANGE_INTERVAL = 100.milliseconds
+        val FAR_EXCHANGE_INTERVAL = 450.milliseconds
+    }
+}
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -10,7 +10,6 @@
 
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
@@ -19,23 +18,16 @@
 import kotlinx.coroutines.test.TestCoroutineScheduler
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.DecodedItem
-import lagoonrudder.control.direct.LoadReport
-import lagoonrudder.control.direct.PeerController
 import lagoonrudder.control.direct.PeerDaemon
-import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreItem
-import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreStep
-import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.DomainId
-import lagoonrudder.model.EventTime
 import lagoonrudder.model.Failure
-import lagoonrudder.model.Invariants
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
@@ -50,57 +42,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** How the store treats the calls of one daemon. */
-sealed class StoreTreatment {
-    data object Answers : StoreTreatment()
-
-    /** Refuses each call at once. */
-    data object Refuses : StoreTreatment()
-
-    /** Gives no response, and the connection stays open. */
-    data object Silent : StoreTreatment()
-
-    /** Answers [factor] times later than usual. */
-    data class Slow(
-        val factor: Int,
-    ) : StoreTreatment()
-}
-
-/** An entry daemon with what it knows; [treatment] is that of its calls. A start forgets all that it knew. */
-class VirtualStoreDaemon(
-    val peer: PeerDaemon,
-) {
-    var treatment: StoreTreatment = StoreTreatment.Answers
-    var peers = PeerController(peer, emptyList())
-        private set
-    var storeView = StoreViewController(Invariants {})
-        private set
-    var reader = StoreReaderController(peers, storeView)
-        private set
-
-    /** When each revision of the configuration came into force here. */
-    val inForceAt = mutableMapOf<Revision, Duration>()
-
-    /** The time that the clock of this daemon has not counted while its machine was suspended. */
-    var uncounted = Duration.ZERO
-        internal set
-
-    /** The calls to the store; null while the process is stopped or paused. */
-    internal var reading: Job? = null
-
-    val isRunning: Boolean get() = reading != null
-
-    /** Whether other daemons and the store reach this one. */
-    var isReachable = true
-        internal set
-
-    internal fun forgetAll() {
-        peers = PeerController(peer, emptyList())
-        storeView = StoreViewController(Invariants {})
-        reader = StoreReaderController(peers, storeView)
-    }
-}
-
 /** [domains] failure domains with [daemonsPerDomain] entry daemons each. */
 class VirtualStoreSite(
     domains: Int,
@@ -132,8 +73,7 @@
         publish(Revision(1))
         daemons.forEach { it.reading = launchReading(it) }
         scope.launch { expireRemovals() }
-        daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
-        daemons.forEach { scope.launch { gossipWithOtherDomains(it) } }
+        VirtualStoreGossip(scope, random, daemons, ::clockOf, { records[it] }, ::recordInForce).launchAll()
     }
 
     /** Lets [duration] pass. */
@@ -345,99 +285,6 @@
         }
     }
 
-    private suspend fun gossipWithin(members: List<VirtualStoreDaemon>) {
-        while (true) {
-            for ((index, first) in members.withIndex()) {
-                for (second in members.drop(index + 1)) exchange(first, second)
-            }
-            delay(NEAR_EXCHANGE_INTERVAL)
-        }
-    }
-
-    private suspend fun gossipWithOtherDomains(daemon: VirtualStoreDaemon) {
-        delay(FAR_EXCHANGE_INTERVAL * random.nextDouble())
-        while (true) {
-            for ((domain, members) in daemonsByDomain) if (domain != daemon.peer.domain) exchange(daemon, members.random(random))
-            if (daemonsByDomain.size == 1) daemons.filter { it !== daemon }.randomOrNull(random)?.let { exchange(daemon, it) }
-            delay(FAR_EXCHANGE_INTERVAL)
-        }
-    }
-
-    private fun exchange(
-        first: VirtualStoreDaemon,
-        second: VirtualStoreDaemon,
-    ) {
-        if (!canExchange(first, second)) return
-        second.storeView.storeContact?.let { first.storeView.onStoreHeard(it.toldBy(second, first)) }
-        first.storeView.storeContact?.let { tell(first, it, second) }
-        tellVersions(sender = second, receiver = first)
-        for ((receiver, sender) in listOf(first to second, second to first)) {
-            receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
-            val settled = sender.storeView.settledRevision
-            if (settled <= receiver.storeView.at) continue
-            scope.launch {
-                delay(EXCHANGE_TIME)
-                if (!canExchange(receiver, sender)) return@launch
-                val sent = sender.storeView.itemsSince(receiver.storeView.at)
-                val changes = sent.items.map { DecodedItem(it, records[it]) }
-                if (sent.isComplete) {
-                    receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
-                } else {
-                    receiver.storeView.applySettledChanges(changes, settled, clockOf(receiver))
-                }
-                tellVersions(sender, receiver)
-                recordInForce(receiver)
-            }
-        }
-    }
-
-    /** Lets [receiver] learn from a reply of [sender], after its items. */
-    private fun tellVersions(
-        sender: VirtualStoreDaemon,
-        receiver: VirtualStoreDaemon,
-    ) {
-        val askedAt = clockOf(receiver)
-        val difference = clockOf(receiver) - clockOf(sender)
-        val told =
-            sender.storeView.versions.toTell(clockOf(sender)).map {
-                it.copy(time = EventTime(it.time.earliest + difference, it.time.latest + difference))
-            }
-        receiver.storeView.versions.onTold(told, askedAt)
-        val upToDateAge = sender.storeView.upToDateAge(clockOf(sender)) ?: return
-        receiver.storeView.onUpToDateHeard(sender.storeView.settledRevision, askedAt - upToDateAge, askedAt)
-    }
-
-    private fun canExchange(
-        first: VirtualStoreDaemon,
-        second: VirtualStoreDaemon,
-    ): Boolean = listOf(first, second).all { it.isRunning && it.isReachable }
-
-    /** Returns this contact of [sender] on the clock of [receiver]. */
-    private fun StoreContact.toldBy(
-        sender: VirtualStoreDaemon,
-        receiver: VirtualStoreDaemon,
-    ): StoreContact {
-        val difference = clockOf(receiver) - clockOf(sender)
-        return StoreContact(since + difference, until + difference)
-    }
-
-    /** Lets [receiver] learn from a request of [sender], which knows of [contact], and ask it if the request can't tell enough. */
-    private fun tell(
-        sender: VirtualStoreDaemon,
-        contact: StoreContact,
-        receiver: VirtualStoreDaemon,
-    ) {
-        val told = contact.toldBy(sender, receiver)
-        sender.reader.contactAge(clockOf(sender))?.let {
-            receiver.storeView.onStoreHeard(StoreContact(told.since, clockOf(receiver) - it))
-        }
-        if (!receiver.storeView.isGraceRefutedBy(told.since, clockOf(receiver))) return
-        scope.launch {
-            delay(EXCHANGE_TIME)
-            sender.storeView.storeContact?.let { receiver.storeView.onStoreHeard(it.toldBy(sender, receiver)) }
-        }
-    }
-
     private fun recordInForce(daemon: VirtualStoreDaemon) {
         val serving = daemon.storeView.serving ?: return
         daemon.inForceAt.getOrPut(serving.revision) { now }
@@ -447,14 +294,10 @@
         const val CONFIGURATION_KEY = "op/config"
         const val PORTS_PER_HOST = 250
         val LIMITS = CallerLimits(8_192, 65_536, 1.seconds, 5.seconds)
-        val NO_LOAD = LoadReport(emptyMap(), 1)
         val ANSWER_TIME = 4.milliseconds
         val STORE = Peer(PeerRole.PLATFORM, "store")
         val READ_TIMEOUT = 1.seconds
         val TICK_INTERVAL = 100.milliseconds
         val WATCH_CHECK_INTERVAL = 5.milliseconds
-        val EXCHANGE_TIME = 6.milliseconds
-        val NEAR_EXCHANGE_INTERVAL = 100.milliseconds
-        val FAR_EXCHANGE_INTERVAL = 450.milliseconds
     }
 }
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
@@ -70,7 +70,7 @@
 }
 
 private fun VirtualStoreSite.isBinding(daemon: VirtualStoreDaemon): Boolean {
-    val binding = daemon.storeView.versions.declaredAsOf(MODEL, clockOf(daemon) - VERSION_LIMIT) ?: return false
+    val binding = daemon.storeView.versions.bindingAt(MODEL, clockOf(daemon)) ?: return false
     return binding.number >= NEWER
 }
 
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/WorkerSlotsTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/WorkerSlotsTest.kt
@@ -12,16 +12,23 @@
 
 private val REQUEST_TIME = 100.milliseconds
 
-/** Sends a request and returns its coroutine; the time of its begin goes to [begins]. */
+/** A back end with one slot and two places in its queue, and the times at which requests began there. */
 @OptIn(ExperimentalCoroutinesApi::class)
-private fun TestScope.send(
-    slots: WorkerSlots,
-    begins: MutableList<Long>,
-) = launch {
-    slots.withSlot {
-        begins += currentTime
-        delay(REQUEST_TIME)
-    }
+private class QueueScene(
+    private val scope: TestScope,
+    dropsClosed: Boolean = true,
+) {
+    val slots = WorkerSlots(slots = 1, queueLength = 2, dropsClosed)
+    val begins = mutableListOf<Long>()
+
+    /** Sends a request and returns its coroutine. */
+    fun send() =
+        scope.launch {
+            slots.withSlot {
+                begins += scope.currentTime
+                delay(REQUEST_TIME)
+            }
+        }
 }
 
 @OptIn(ExperimentalCoroutinesApi::class)
@@ -29,44 +36,41 @@
     FunSpec({
         test("requests beyond the slots wait in order, and those beyond the queue find it full") {
             runTest {
-                val slots = WorkerSlots(slots = 1, queueLength = 2)
-                val begins = mutableListOf<Long>()
-                repeat(3) { send(slots, begins) }
+                val scene = QueueScene(this)
+                repeat(3) { scene.send() }
                 delay(1.milliseconds)
-                slots.isFull shouldBe true
+                scene.slots.isFull shouldBe true
                 delay(300.milliseconds)
-                begins shouldBe listOf(0L, 100L, 200L)
-                slots.running shouldBe 0
+                scene.begins shouldBe listOf(0L, 100L, 200L)
+                scene.slots.running shouldBe 0
             }
         }
 
         test("a load waits for the running requests, and the queue for the load") {
             runTest {
-                val slots = WorkerSlots(slots = 1, queueLength = 2)
-                val begins = mutableListOf<Long>()
-                repeat(2) { send(slots, begins) }
+                val scene = QueueScene(this)
+                repeat(2) { scene.send() }
                 delay(50.milliseconds)
-                slots.close()
+                scene.slots.close()
                 testScheduler.currentTime shouldBe 100
                 delay(70.milliseconds)
-                slots.open()
+                scene.slots.open()
                 delay(1.milliseconds)
-                begins shouldBe listOf(0L, 170L)
+                scene.begins shouldBe listOf(0L, 170L)
             }
         }
 
         test("a request whose connection closes leaves the queue, unless the back end drops none") {
             for ((drops, expected) in listOf(true to listOf(0L), false to listOf(0L, 100L))) {
                 runTest {
-                    val slots = WorkerSlots(slots = 1, queueLength = 2, dropsClosed = drops)
-                    val begins = mutableListOf<Long>()
-                    send(slots, begins)
-                    val waiting = send(slots, begins)
+                    val scene = QueueScene(this, dropsClosed = drops)
+                    scene.send()
+                    val waiting = scene.send()
                     delay(50.milliseconds)
                     waiting.cancel()
                     delay(200.milliseconds)
-                    begins shouldBe expected
-                    slots.running shouldBe 0
+                    scene.begins shouldBe expected
+                    scene.slots.running shouldBe 0
                 }
             }
         }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptRelay.kt
@@ -60,7 +60,7 @@
         private set
 
     /** Whether the back end has begun to run the request, as its answer shows: the head of a stream may precede the run. */
-    val hasBegun: Boolean get() = events > 0 || firstProgressAt != null
+    val hasBegun: Boolean get() = firstEventAt != null
 
     /** Whether a successful answer was received beyond its start, so that the back end survived the request. */
     val wentOn: Boolean get() = events > 1 || isComplete
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -58,7 +58,7 @@
     val firstEventAfter: Duration?,
 )
 
-/** A request whose first event came from [target] on an older version than [declared], [age] after that declaration was heard of. */
+/** A request whose first event came from [target] on an older version than [declared], [age] after its limit began to count. */
 data class LateVersion(
     val target: TargetId,
     val declared: DeclaredWeights,
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectSendOperation.kt
@@ -13,8 +13,6 @@
 package lagoonrudder.traffic.direct
 
 import arrow.core.Either
-import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.coroutineScope
@@ -25,7 +23,6 @@
 import lagoonrudder.control.direct.AttemptTimes
 import lagoonrudder.control.direct.BeginLimit
 import lagoonrudder.control.direct.Placement
-import lagoonrudder.model.Address
 import lagoonrudder.model.Failure
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
@@ -48,7 +45,7 @@
     private val relay = DirectRelay(call, control.clock)
     private val live = mutableListOf<LiveAttempt>()
     private val places = RequestPlaces(call, control, relay, limits)
-    private val usedAddresses = mutableSetOf<Address>()
+    private val sender = AttemptSender(call, control, client, places, relay)
     private val parts = call.request.sharedParts.toSet()
     private var runs = 0
     private var rejections = 0
@@ -92,53 +89,12 @@
         }
 
     private fun startAt(placement: Placement.Placed) {
-        val backEnd = placement.backEnd
-        val attempt =
-            DirectAttempt(
-                caller = call.request,
-                backEnd = backEnd,
-                customer = context.customer?.id,
-                priority = context.priority,
-                timeLeft = context.timeLeft(control.clock),
-                number = placement.number,
-                resumeAfter = relay.lastEvent ?: call.request.resumeAfter,
-                // Two incarnations at one address are both registered until the entry of the earlier one expires.
-                sentBefore = !usedAddresses.add(backEnd.address),
-            )
-        places.exclude(backEnd.id)
-        val startedAt = control.clock.elapsed()
+        places.exclude(placement.backEnd.id)
         lateinit var started: LiveAttempt
-        started =
-            LiveAttempt(placement, relay.startAttempt { supersedeOthers(started) }, startedAt) {
-                call.mayBeSent = true
-                client.send(attempt) { confirmed(it, startedAt) }.mapLeft { notSent(it) }
-            }
+        started = sender.start(placement, relay.startAttempt { supersedeOthers(started) })
         live += started
     }
 
-    /** Returns [attempt] as it may be sent now that there is a connection; its place is decided again if that took long. */
-    private suspend fun confirmed(
-        attempt: DirectAttempt,
-        startedAt: Duration,
-    ): Either<Failure, DirectAttempt> {
-        val isPrompt = control.clock.elapsed() - startedAt <= PROMPT_CONNECTION
-        if (isPrompt) return attempt.copy(timeLeft = context.timeLeft(control.clock)).right()
-        val place = places.confirm(attempt.backEnd, startedAt)
-        if (place == null) return Failure.Declined(Step.CHOOSE_TARGET, Peer.SELF, "the place is no longer available").left()
-        return attempt.copy(number = place.number, timeLeft = context.timeLeft(control.clock)).right()
-    }
-
-    private fun notSent(failure: Failure): DirectAttemptResult =
-        when (failure) {
-            is Failure.Declined -> DirectAttemptResult.Withdrawn(failure.describe())
-            is Failure.Malformed,
-            is Failure.Unreachable,
-            is Failure.Interrupted,
-            is Failure.TimedOut,
-            is Failure.Damaged,
-            -> DirectAttemptResult.NotRun(reached = false, failure.describe())
-        }
-
     /** What happens next to the attempts that are awaited. */
     private sealed class Next {
         class Event(
@@ -337,8 +293,8 @@
     ) {
         live -= attempt
         attempt.abandon()
-        if (result != null) call.attempts += AttemptRecord(attempt.backEnd.id, describe(result), attempt.relay.events, attempt.versions)
-        val outcome = result?.let { attemptOutcomeOf(it) } ?: AttemptOutcome.ABANDONED
+        if (result != null) call.attempts += AttemptRecord(attempt.backEnd.id, result.describe(), attempt.relay.events, attempt.versions)
+        val outcome = result?.outcome ?: AttemptOutcome.ABANDONED
         withContext(NonCancellable) {
             control.thread.decide {
                 val now = control.clock.elapsed()
@@ -430,34 +386,10 @@
             detail,
         )
 
-    private fun attemptOutcomeOf(result: DirectAttemptResult): AttemptOutcome =
-        when (result) {
-            is DirectAttemptResult.Completed -> AttemptOutcome.ANSWERED
-            is DirectAttemptResult.NotRun -> if (result.reached) AttemptOutcome.NOT_RUN else AttemptOutcome.UNREACHABLE
-            is DirectAttemptResult.Lost, is DirectAttemptResult.Failed -> AttemptOutcome.FAILED
-            is DirectAttemptResult.OutOfTime -> if (result.timedOut) AttemptOutcome.TIMED_OUT else AttemptOutcome.ABANDONED
-            is DirectAttemptResult.NotBegun, is DirectAttemptResult.Withdrawn, DirectAttemptResult.Superseded -> AttemptOutcome.ABANDONED
-        }
-
-    private fun describe(result: DirectAttemptResult): String =
-        when (result) {
-            is DirectAttemptResult.Completed -> "answered"
-            is DirectAttemptResult.NotRun -> "not-run:${result.detail}"
-            is DirectAttemptResult.Withdrawn -> "withdrawn:${result.detail}"
-            is DirectAttemptResult.Lost -> "lost:${result.detail}"
-            is DirectAttemptResult.NotBegun -> "not-begun:${result.detail}"
-            is DirectAttemptResult.OutOfTime -> "out-of-time"
-            is DirectAttemptResult.Failed -> "failed:${result.status}"
-            DirectAttemptResult.Superseded -> "superseded"
-        }
-
     private companion object {
         val SLOW_READER_MARGIN = 200.milliseconds
 
         /** The time after which another place is looked for if there was none for a request that makes no progress. */
         val TAKE_OVER_INTERVAL = 200.milliseconds
-
-        /** What was decided this long before still holds; a connection usually opens within a round trip. */
-        val PROMPT_CONNECTION = 50.milliseconds
     }
 }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/LiveAttempt.kt
@@ -1,5 +1,5 @@
 /**
- * An attempt at a back end whose response is awaited, and the results that it may have.
+ * An attempt at a back end whose response is awaited.
  *
  * Sending is the first step of reading, so that several attempts of a request can be awaited side by side from their start.
  */
@@ -14,51 +14,6 @@
 import lagoonrudder.model.BackEnd
 import kotlin.time.Duration
 
-/** The result of one attempt. */
-internal sealed class DirectAttemptResult {
-    data class Completed(
-        val length: Long,
-    ) : DirectAttemptResult()
-
-    /** The request did not run at the back end. [reached] is set if it arrived there. */
-    data class NotRun(
-        val reached: Boolean,
-        val detail: String,
-    ) : DirectAttemptResult()
-
-    /** Nothing was sent, since the place was no longer available once there was a connection to the back end. */
-    data class Withdrawn(
-        val detail: String,
-    ) : DirectAttemptResult()
-
-    /**
-     * The request may have run at the back end, but there is no response to forward. [disconnected] is set if the back end closed the
-     * connection.
-     */
-    data class Lost(
-        val detail: String,
-        val disconnected: Boolean = false,
-    ) : DirectAttemptResult()
-
-    /** The request did not begin at the back end while it still might, see [BeginLimit]. */
-    data class NotBegun(
-        val detail: String,
-    ) : DirectAttemptResult()
-
-    /** Another attempt has provided the response, or its next event, first. */
-    data object Superseded : DirectAttemptResult()
-
-    /** The deadline of the caller or the route expired; [timedOut] is set if the back end had sent nothing at all. */
-    data class OutOfTime(
-        val timedOut: Boolean,
-    ) : DirectAttemptResult()
-
-    /** The back end ran the request and it failed; [DirectRelay] holds the error response. */
-    data class Failed(
-        val status: Int,
-    ) : DirectAttemptResult()
-}
-
 /** Reads the attempt at the back end of [placement], which [send] sends. */
 internal class LiveAttempt(
     val placement: Placement.Placed,
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -368,7 +368,7 @@
             override fun elapsed() = scope.currentTime.milliseconds
         }
     private val invariants = Invariants { error("violated: $it") }
-    private val storeView = StoreViewController(invariants)
+    private val storeView = StoreViewController(invariants, versionLimit)
     private val self = PeerDaemon(DaemonId("self"), DaemonRole.ENTRY, DOMAIN, REGION, null)
     private val peers = PeerController(self, emptyList())
     private val suspicions = SuspicionController(peers)
@@ -376,7 +376,7 @@
     private val placement =
         PlacementController(
             Topology(DOMAIN, mapOf(DOMAIN to REGION)),
-            PlacementBounds(versionLimit, 1.5, 5.0),
+            PlacementBounds(1.5, 5.0),
             storeView,
             peers,
             BackEndStateController(),
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
@@ -15,8 +15,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-private const val UNKNOWN_AGE = -1L
-
 /**
  * A version that was acknowledged at least [minAgeMilliseconds] and at most [maxAgeMilliseconds] before the message was written; the latter
  * is [UNKNOWN_AGE] if it may be of any age.
@@ -29,15 +27,13 @@
     @ProtoNumber(4) val maxAgeMilliseconds: Long,
 )
 
-fun VersionAcknowledgement.toMessage(now: Duration): DeclarationMessage {
-    val maxAge = now - time.earliest
-    return DeclarationMessage(
+fun VersionAcknowledgement.toMessage(now: Duration) =
+    DeclarationMessage(
         model.text,
         number.number,
         (now - time.latest).inWholeMilliseconds,
-        if (maxAge.isInfinite()) UNKNOWN_AGE else maxAge.inWholeMilliseconds + 1,
+        (now - time.earliest + 1.milliseconds).takeIf { it.isFinite() }.toMilliseconds(),
     )
-}
 
 /**
  * Returns the declarations in a reply that was received at [receivedAt] to a message sent at [sentAt]. The reply was written at an unknown
@@ -48,7 +44,7 @@
     receivedAt: Duration,
 ): List<VersionAcknowledgement> =
     declarations.map {
-        val maxAge = if (it.maxAgeMilliseconds == UNKNOWN_AGE) Duration.INFINITE else it.maxAgeMilliseconds.milliseconds
+        val maxAge = ageOrNull(it.maxAgeMilliseconds) ?: Duration.INFINITE
         val time = EventTime(sentAt - maxAge, receivedAt - it.minAgeMilliseconds.milliseconds)
         VersionAcknowledgement(ModelId(it.model), WeightNumber(it.number), time)
     }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -70,8 +70,8 @@
     @ProtoNumber(4) val value: ByteArray,
 )
 
-/** The time since an answer of the store to a daemon that does not know it. */
-private const val STORE_CONTACT_UNKNOWN = -1L
+/** An age that its sender does not know. */
+internal const val UNKNOWN_AGE = -1L
 
 /**
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
@@ -88,10 +88,10 @@
     @ProtoNumber(5) val slot: SlotMessage? = null,
     @ProtoNumber(6) val peersRequested: Boolean = false,
     @ProtoNumber(7) val loadDaemons: Int = 1,
-    @ProtoNumber(8) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(8) val storeContactMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(9) val evidenceDigest: Long = 0,
     @ProtoNumber(10) val evidence: EvidenceMessage? = null,
-    @ProtoNumber(11) val storeSinceMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(11) val storeSinceMilliseconds: Long = UNKNOWN_AGE,
 )
 
 /**
@@ -108,14 +108,14 @@
     @ProtoNumber(4) val livePeers: List<LivePeerMessage> = emptyList(),
     @ProtoNumber(5) val items: List<ItemMessage> = emptyList(),
     @ProtoNumber(6) val loadDaemons: Int = 1,
-    @ProtoNumber(7) val storeContactMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(7) val storeContactMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(8) val evidenceDigest: Long = 0,
     @ProtoNumber(9) val evidence: EvidenceMessage? = null,
-    @ProtoNumber(10) val storeHeardMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(10) val storeHeardMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(11) val itemsComplete: Boolean = false,
-    @ProtoNumber(12) val storeSinceMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(12) val storeSinceMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(13) val declarations: List<DeclarationMessage> = emptyList(),
-    @ProtoNumber(14) val upToDateMilliseconds: Long = STORE_CONTACT_UNKNOWN,
+    @ProtoNumber(14) val upToDateMilliseconds: Long = UNKNOWN_AGE,
 )
 
 @Serializable
@@ -148,15 +148,15 @@
 
 val GossipReply.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons)
 
-val GossipMessage.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
+val GossipMessage.storeContactAge: Duration? get() = ageOrNull(storeContactMilliseconds)
 
-val GossipReply.storeContactAge: Duration? get() = storeContactAge(storeContactMilliseconds)
+val GossipReply.storeContactAge: Duration? get() = ageOrNull(storeContactMilliseconds)
 
 /**
  * Returns since when the store has kept answering, by a message that arrived at [receivedAt]. A beginning before the real one would hide
  * an outage, so the time that the message took isn't subtracted.
  */
-fun GossipMessage.storeSince(receivedAt: Duration): Duration? = storeContactAge(storeSinceMilliseconds)?.let { receivedAt - it }
+fun GossipMessage.storeSince(receivedAt: Duration): Duration? = ageOrNull(storeSinceMilliseconds)?.let { receivedAt - it }
 
 /** Returns the store's contact with the sender of a message that arrived at [receivedAt]; null if it doesn't read the store. */
 fun GossipMessage.storeContact(receivedAt: Duration): StoreContact? {
@@ -172,18 +172,18 @@
     sentAt: Duration,
     receivedAt: Duration,
 ): StoreContact? {
-    val last = sentAt - (storeContactAge(storeHeardMilliseconds) ?: return null)
-    val since = storeContactAge(storeSinceMilliseconds)?.let { receivedAt - it }
+    val last = sentAt - (ageOrNull(storeHeardMilliseconds) ?: return null)
+    val since = ageOrNull(storeSinceMilliseconds)?.let { receivedAt - it }
     return StoreContact(minOf(since ?: last, last), last)
 }
 
 /** Returns the last time at which the store is known to have held nothing beyond the revision of this reply to a message sent at [sentAt]. */
-fun GossipReply.upToDateAt(sentAt: Duration): Duration? = storeContactAge(upToDateMilliseconds)?.let { sentAt - it - 1.milliseconds }
+fun GossipReply.upToDateAt(sentAt: Duration): Duration? = ageOrNull(upToDateMilliseconds)?.let { sentAt - it - 1.milliseconds }
 
-/** Returns the age of an answer of the store as a message carries it. */
-fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: STORE_CONTACT_UNKNOWN
+/** Returns an age as a message carries it. */
+fun Duration?.toMilliseconds(): Long = this?.inWholeMilliseconds ?: UNKNOWN_AGE
 
-private fun storeContactAge(milliseconds: Long): Duration? = milliseconds.takeIf { it != STORE_CONTACT_UNKNOWN }?.milliseconds
+internal fun ageOrNull(milliseconds: Long): Duration? = milliseconds.takeIf { it != UNKNOWN_AGE }?.milliseconds
 
 fun SlotWord.toMessage() =
     SlotMessage(backEnd.toString(), born, held?.model?.text.orEmpty(), held?.number?.number ?: 0, held?.layers ?: 0, closed, sequence)
