--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -9,6 +9,7 @@
 package lagoonrudder.control.direct
 
 import lagoonrudder.control.DumpSection
+import lagoonrudder.control.direct.admission.LevelDemand
 import lagoonrudder.control.dumpSection
 import lagoonrudder.control.entry
 import lagoonrudder.model.Address
@@ -16,6 +17,7 @@
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
@@ -43,10 +45,14 @@
     val storeContactAge: Duration?,
 )
 
-/** Requests in flight by back end, at one entry daemon or in all of a failure domain; [daemons] is how many they are the sum of. */
+/**
+ * Requests in flight by back end, at one entry daemon or in all of a failure domain; [daemons] is how many they are the sum of. [demand] is
+ * that for the services whose routes differ in rank, by level from the most urgent on.
+ */
 data class LoadReport(
     val inFlight: Map<TargetId, Int>,
     val daemons: Int,
+    val demand: Map<ServiceId, List<LevelDemand>> = emptyMap(),
 )
 
 class PeerController(
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -68,6 +68,29 @@
     @ProtoNumber(2) val revision: Long,
     @ProtoNumber(3) val removed: Boolean,
     @ProtoNumber(4) val value: ByteArray,
+    @ProtoNumber(5) val era: Long = 0,
+)
+
+/** The chunks of one version that [daemon] holds: the lowest bit of the first byte of [chunks] stands for chunk 0. */
+@Serializable
+class HoldingMessage(
+    @ProtoNumber(1) val model: String,
+    @ProtoNumber(2) val number: Long,
+    @ProtoNumber(3) val chunks: ByteArray,
+    @ProtoNumber(4) val daemon: String,
+    @ProtoNumber(5) val address: String,
+    @ProtoNumber(6) val ageMilliseconds: Long = 0,
+)
+
+/** Requests for [service] of one urgency [level] in the last second, and how many of them wait now. */
+@Serializable
+data class DemandMessage(
+    @ProtoNumber(1) val service: String,
+    @ProtoNumber(2) val level: Int,
+    @ProtoNumber(3) val arrivals: Int = 0,
+    @ProtoNumber(4) val placed: Int = 0,
+    @ProtoNumber(5) val refused: Int = 0,
+    @ProtoNumber(6) val waiting: Int = 0,
 )
 
 /** An age that its sender does not know. */
@@ -92,6 +115,11 @@
     @ProtoNumber(9) val evidenceDigest: Long = 0,
     @ProtoNumber(10) val evidence: EvidenceMessage? = null,
     @ProtoNumber(11) val storeSinceMilliseconds: Long = UNKNOWN_AGE,
+    @ProtoNumber(12) val holdings: List<HoldingMessage> = emptyList(),
+    @ProtoNumber(13) val declarations: List<DeclarationMessage> = emptyList(),
+    @ProtoNumber(14) val upToDateMilliseconds: Long = UNKNOWN_AGE,
+    @ProtoNumber(15) val demand: List<DemandMessage> = emptyList(),
+    @ProtoNumber(16) val era: Long = 0,
 )
 
 /**
@@ -116,6 +144,9 @@
     @ProtoNumber(12) val storeSinceMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(13) val declarations: List<DeclarationMessage> = emptyList(),
     @ProtoNumber(14) val upToDateMilliseconds: Long = UNKNOWN_AGE,
+    @ProtoNumber(15) val holdings: List<HoldingMessage> = emptyList(),
+    @ProtoNumber(16) val demand: List<DemandMessage> = emptyList(),
+    @ProtoNumber(17) val era: Long = 0,
 )
 
 @Serializable
