Reset the connection of a request that is given up

An orderly close delivers what was sent before it; a reset discards what has not arrived.

HttpClientTest, 'a request that is given up before its response is reset ...': red without the change.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -186,6 +186,8 @@
             if (ended) return
             ended = true
             detach()
+            // A reset discards what has not reached a server that stands still; after an orderly close it would still be served.
+            channel.config().soLinger = 0
             close()
         }
 
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldStartWith
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -24,6 +25,7 @@
 import lagoonrudder.model.Step
 import lagoonrudder.model.SystemClock
 import java.net.ServerSocket
+import java.net.SocketException
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -105,6 +107,23 @@
             }
         }
 
+        // After an orderly close, a server that stood still would serve the request later, for a caller that has left.
+        test("a request that is given up before its response is reset, not closed in order") {
+            val ends = LinkedBlockingQueue<Result<String>>()
+            ScriptedServer { connection ->
+                connection.readHead()
+                ends += runCatching { connection.readRest() }
+            }.use { server ->
+                withClient { client ->
+                    val call = client.send(server.address, get(), PEER).getOrElse { error(it.describe()) }
+                    withTimeoutOrNull(100.milliseconds) { call.next() }.shouldBeNull()
+                    call.abandon()
+                    val end = withContext(Dispatchers.IO) { ends.poll(3, TimeUnit.SECONDS) }
+                    end?.exceptionOrNull().shouldBeInstanceOf<SocketException>()
+                }
+            }
+        }
+
         test("a caller that leaves before its request is sent on an open connection closes that") {
             val received = LinkedBlockingQueue<String>()
             ScriptedServer { connection -> received += connection.readRest() }.use { server ->
