Tell peers of the newest binding version, and bind a daemon from its start

An entry daemon that had started at 29.2 s heard of version 3 at 32.7 s, took it for 2 s younger than its limit, and never heard of version 2, whose limit was over and which was told to nobody. It let requests begin on version 1 at 33.2 s, 15.3 s after the acknowledgement that forbids it.

- DeclaredVersions.toTell also tells the newest version whose limit is over.
- Messages carry declarations as replies do, so target daemons that kept running inform entry daemons that all started anew.
A message may have been under way for any time: it bounds only the latest time of an acknowledgement.
That contradicts the assumption of a young version.
- A version of unknown age has at most the time until start + contact left (section bounds, key contact, 3 s by default), and a request that waits at a back end is decided again then.

DeclaredVersionsTest, DeclarationMessagesTest, BeginLimitsTest, DirectSettingsTest, VersionAgeTest, StoreReadersTest, StoreOutagesTest and StartedDaemonsTest pass. Without the cap, toTell and the renewal, "a version of unknown age binds ..." (14.5 s, expected 13 s), "peers are told of ..." and "a request that was sent shortly after the start ..." fail.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BeginLimits.kt
@@ -34,11 +34,18 @@
         now: Duration,
     ): BeginLimit {
         if (!holdsWeights(backEnd)) return BeginLimit.Open(Duration.INFINITE)
-        val renewal = now + (storeView.versions.versionLimit * RENEWAL_SHARE).coerceAtLeast(MIN_RENEWAL)
+        val renewal = renewalAt(now)
         val unmet = oldestUnmet(backEnd, now) ?: return BeginLimit.Open(renewal)
         return if (passesAt(unmet) <= now) BeginLimit.Passed(unmet.number) else BeginLimit.Open(minOf(passesAt(unmet), renewal))
     }
 
+    /** A daemon that has started may hear of a version whose limit is over, which binds it from a certain time on. */
+    private fun renewalAt(now: Duration): Duration {
+        val renewal = now + storeView.versions.versionLimit * RENEWAL_SHARE
+        val binding = (storeView.versions.bindingFrom - CANCELLATION_MARGIN).takeIf { it > now }
+        return minOf(renewal, binding ?: renewal).coerceAtLeast(now + MIN_RENEWAL)
+    }
+
     /** Returns the time that is left to begin a request at [backEnd]; infinite if it holds every declared version. */
     fun timeLeft(
         backEnd: BackEnd,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -3,7 +3,8 @@
  *
  * A version binds from its acknowledgement by the store, of which a daemon only hears: late when its reader stops, or when it was frozen,
  * cut off or suspended itself. So each declaration has the earliest time at which it can have been acknowledged, and limits count from
- * that. Entry daemons tell each other what they know, which narrows it. What a daemon assumes, because it knows too little, it tells nobody.
+ * that. Daemons tell each other what they know, which narrows it, also of the newest version whose limit is over: it binds a daemon that has
+ * just started as well. What a daemon assumes, because it knows too little, it tells nobody.
  */
 package lagoonrudder.control.direct
 
@@ -34,17 +35,19 @@
 )
 
 /**
- * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one. [storeReturnedAt] is the end
- * of the store's last outage; null if none is known.
+ * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one. The limits bind this daemon
+ * [bindingFrom] some time after its start. [storeReturnedAt] is the end of the store's last outage; null if none is known.
  */
 class DeclaredVersions(
     val versionLimit: Duration,
+    val bindingFrom: Duration = Duration.INFINITE,
     private val storeReturnedAt: () -> Duration? = { null },
 ) {
+    /** While nothing contradicts it, the limit of this version is taken to be over at [assumedLimitAt]. */
     private class Declaration(
         val number: WeightNumber,
         val acknowledged: EventTime,
-        val heardAt: Duration,
+        val assumedLimitAt: Duration,
     )
 
     private val declaredByModel = mutableMapOf<ModelId, List<Declaration>>()
@@ -86,7 +89,10 @@
     ): DeclaredWeights? {
         val known = declaredByModel[offered.model].orEmpty()
         if (known.isNotEmpty() && known.last().number >= offered.number) return null
-        val declared = Declaration(offered.number, EventTime((upToDateAt ?: -Duration.INFINITE).coerceAtMost(now), now), now)
+        val earliest = (upToDateAt ?: -Duration.INFINITE).coerceAtMost(now)
+        // The limits don't bind a daemon that was cut off before they have bound it again for a while, which is longer than this.
+        val assumedLimitAt = (now + UNKNOWN_AGE_ROLLOUT_TIME).coerceAtMost(if (upToDateAt == null) bindingFrom else Duration.INFINITE)
+        val declared = Declaration(offered.number, EventTime(earliest, now), assumedLimitAt)
         declaredByModel[offered.model] = (known + declared).takeLast(MAX_DECLARATIONS)
         return declared.of(offered.model)
     }
@@ -104,8 +110,9 @@
     fun upToDateAge(now: Duration): Duration? = upToDateAt?.let { now - it }
 
     /**
-     * Records what a peer told in answer to a question that was sent at [askedAt]. A newer version than those known here comes with its
-     * item; an older one was replaced in the store before this process could hear of it, and binds nevertheless.
+     * Records what a peer told in answer to a question that was sent at [askedAt], or of its own accord in a message that arrived then. A
+     * newer version than those known here comes with its item; an older one was replaced in the store before this process could hear of it,
+     * and binds nevertheless.
      */
     fun onTold(
         told: List<VersionAcknowledgement>,
@@ -122,16 +129,22 @@
         when {
             any { it.number == told.number } -> map { if (it.number == told.number) it.narrowedBy(told.time) else it }
             told.number < last().number ->
-                (this + Declaration(told.number, told.time, askedAt)).sortedBy { it.number }.takeLast(MAX_DECLARATIONS)
+                (this + Declaration(told.number, told.time, last().assumedLimitAt.coerceAtMost(askedAt + UNKNOWN_AGE_ROLLOUT_TIME)))
+                    .sortedBy { it.number }
+                    .takeLast(MAX_DECLARATIONS)
             else -> this
         }
 
-    private fun Declaration.narrowedBy(time: EventTime) = Declaration(number, acknowledged.narrowedBy(time), heardAt)
+    private fun Declaration.narrowedBy(time: EventTime) = Declaration(number, acknowledged.narrowedBy(time), assumedLimitAt)
 
-    /** Returns what to tell peers of versions; older ones bind whatever their age. */
+    /**
+     * Returns what to tell peers of versions: those whose limits still run, and the newest one whose limit is over, since a peer that has
+     * just started does not know that it binds.
+     */
     fun toTell(now: Duration): List<VersionAcknowledgement> =
         declaredByModel.flatMap { (model, all) ->
-            all.filter { now - countsFrom(it) < versionLimit }.map { VersionAcknowledgement(model, it.number, it.acknowledged) }
+            val newestOver = all.indexOfLast { now - countsFrom(it) >= versionLimit }
+            all.drop(newestOver.coerceAtLeast(0)).map { VersionAcknowledgement(model, it.number, it.acknowledged) }
         }
 
     /** Records a pause that was noticed at [now], of which the clock has not counted up to [uncounted]. */
@@ -142,7 +155,7 @@
         trustedFrom = now
         upToDateAt = upToDateAt?.let { it - uncounted }
         declaredByModel.replaceAll { _, all ->
-            all.map { Declaration(it.number, it.acknowledged.afterUncounted(uncounted), it.heardAt - uncounted) }
+            all.map { Declaration(it.number, it.acknowledged.afterUncounted(uncounted), it.assumedLimitAt - uncounted) }
         }
     }
 
@@ -157,7 +170,7 @@
      */
     private fun countsFrom(declared: Declaration): Duration {
         val (earliest, latest) = declared.acknowledged
-        val assumed = declared.heardAt - (versionLimit - UNKNOWN_AGE_ROLLOUT_TIME)
+        val assumed = declared.assumedLimitAt - versionLimit
         val bounds = listOfNotNull(assumed, storeReturnedAt()).filter { it <= latest }
         return maxOf(earliest, bounds.maxOrNull() ?: earliest)
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -85,10 +85,14 @@
     }
 }
 
-/** [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one. */
+/**
+ * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one; this binds the daemon
+ * [bindingFrom] some time after its start.
+ */
 class StoreViewController(
     private val invariants: Invariants,
     versionLimit: Duration = 8.seconds,
+    bindingFrom: Duration = Duration.INFINITE,
 ) {
     /** A back end whose [registration] was removed by [change], but which is kept [until] then in case it registers again. */
     private class PendingRemoval(
@@ -120,7 +124,7 @@
     /** The first contact after the store had been away, as far as was known then. */
     private var returnedAt: Duration? = null
 
-    val versions = DeclaredVersions(versionLimit) { returnedAt?.takeIf { it <= (storeContact?.since ?: it) } }
+    val versions = DeclaredVersions(versionLimit, bindingFrom) { returnedAt?.takeIf { it <= (storeContact?.since ?: it) } }
 
     /** The store revision up to which this process has seen every change. */
     var at = 0L
--- a/control/src/test/kotlin/lagoonrudder/control/direct/BeginLimitsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/BeginLimitsTest.kt
@@ -22,8 +22,9 @@
 
 private class LimitScene(
     val backEnd: BackEnd,
+    bindingFrom: Duration = Duration.INFINITE,
 ) {
-    val storeView = StoreViewController(strictInvariants(), LIMIT)
+    val storeView = StoreViewController(strictInvariants(), LIMIT, bindingFrom)
     val states = BackEndStateController()
     private val limits = BeginLimits(storeView, states)
     private var revision = 2L
@@ -118,6 +119,13 @@
             byRegistration.limit(START + LIMIT).shouldBeInstanceOf<BeginLimit.Open>()
         }
 
+        // Such a request waited for up to half of the limit before a version that the daemon had heard of meanwhile ended it.
+        test("a request that was sent shortly after the start is decided again when the limits begin to bind the daemon") {
+            val scene = LimitScene(backEnd("a"), bindingFrom = START + 3.seconds)
+            scene.limit(START).shouldBeInstanceOf<BeginLimit.Open>().until shouldBeLessThan START + 3.seconds
+            scene.limit(START + 3.seconds).shouldBeInstanceOf<BeginLimit.Open>().until shouldBe START + 3.seconds + LIMIT / 2
+        }
+
         test("while no newer version is declared the decision is renewed within the limit, and never for a plain service") {
             val scene = LimitScene(backEnd("a"))
             scene.limit(START).shouldBeInstanceOf<BeginLimit.Open>().until shouldBeLessThan START + LIMIT
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DeclaredVersionsTest.kt
@@ -5,7 +5,6 @@
 package lagoonrudder.control.direct
 
 import io.kotest.core.spec.style.FunSpec
-import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
@@ -115,12 +114,30 @@
             versions.acknowledged() shouldBe EventTime(10.seconds, 10.seconds)
         }
 
-        test("peers are told of the versions whose limits still run") {
+        // A daemon that had heard of a version 3.5 s after its start let requests begin on an older one when the limit bound it already.
+        test("a version of unknown age binds a daemon no later than the limit does after its start") {
+            fun started(heardAt: Duration) = DeclaredVersions(VERSION_LIMIT, bindingFrom = 13.seconds).apply { hear(3, heardAt) }
+
+            fun DeclaredVersions.limitAt(number: Long) = declaration(MODEL, WeightNumber(number)).shouldNotBeNull().limitAt
+            started(heardAt = 10.5.seconds).limitAt(3) shouldBe 12.5.seconds
+            started(heardAt = 12.5.seconds).limitAt(3) shouldBe 13.seconds
+            started(heardAt = 14.seconds).limitAt(3) shouldBe 13.seconds
+            val toldLater = started(heardAt = 12.5.seconds)
+            toldLater.onTold(told(-Duration.INFINITE, 12.5.seconds), askedAt = 14.seconds)
+            toldLater.limitAt(2) shouldBe 13.seconds
+            // One that was cut off is bound again some time after that, which is not known here.
+            val cutOff = DeclaredVersions(VERSION_LIMIT, bindingFrom = 13.seconds)
+            cutOff.onUpToDate(15.seconds)
+            cutOff.hear(3, 40.seconds)
+            cutOff.limitAt(3) shouldBe 42.seconds
+        }
+
+        test("peers are told of the versions whose limits still run, and of the newest one that binds") {
             val versions = heard(10.seconds)
             versions.onUpToDate(15.seconds)
             versions.hear(3, 15.seconds)
             versions.toTell(16.seconds).map { it.number } shouldBe listOf(two, WeightNumber(3))
-            versions.toTell(19.seconds).map { it.number } shouldBe listOf(WeightNumber(3))
-            versions.toTell(24.seconds).shouldBeEmpty()
+            versions.toTell(19.seconds).map { it.number } shouldBe listOf(two, WeightNumber(3))
+            versions.toTell(24.seconds).map { it.number } shouldBe listOf(WeightNumber(3))
         }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -58,7 +58,7 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    val storeView = StoreViewController(invariants, settings.bounds.versionLimit)
+    val storeView = StoreViewController(invariants, settings.bounds.versionLimit, bindingFrom = clock.elapsed() + settings.bounds.contact)
     private val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
@@ -24,6 +24,7 @@
 import lagoonrudder.wire.documents.IniSection
 import lagoonrudder.wire.documents.readIni
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** Addresses on which an entry daemon listens for callers, for readiness checks of the load balancer, and for its peers. */
 data class DirectListenSettings(
@@ -39,16 +40,19 @@
 )
 
 /**
- * Limits from the section `bounds`; [versionLimit] is how long requests may begin on an older version after a newer one was declared, and
- * [stopGrace] is the time from the stop signal to the exit of the process.
+ * Limits from the section `bounds`; [versionLimit] is how long requests may begin on an older version after a newer one was declared, which
+ * binds a daemon once it has run for [contact], and [stopGrace] is the time from the stop signal to the exit of the process.
  */
 data class DirectBounds(
     val versionLimit: Duration,
     val placement: PlacementBounds,
     val retryBudget: RetryBudgetBounds,
     val stopGrace: Duration,
+    val contact: Duration = DEFAULT_CONTACT,
 )
 
+private val DEFAULT_CONTACT = 3.seconds
+
 data class DirectSettings(
     val name: DaemonId,
     val role: DaemonRole,
@@ -110,6 +114,7 @@
             placement = PlacementBounds(double("cold-ratio"), double("cold-allowance")),
             retryBudget = RetryBudgetBounds(double("repeat-ratio"), duration("repeat-window"), double("repeat-allowance")),
             stopGrace = duration("stop-grace"),
+            contact = if (optionalText("contact") == null) DEFAULT_CONTACT else duration("contact"),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -198,6 +198,8 @@
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
             core.contactToTell()?.let { now - it.since }.toMilliseconds(),
+            declarations = core.versionsToTell().map { it.toMessage(now) },
+            upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.MalformedMessage
 import lagoonrudder.wire.messages.ManifestMessage
+import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
 import lagoonrudder.wire.messages.load
@@ -75,6 +76,7 @@
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
         message.storeContact(now)?.let { core.storeView.onStoreHeard(it) }
+        core.storeView.versions.onTold(message.declared(now), askedAt = now)
         val slot = message.slot?.toGossipSlot()
         if (slot != null && core.slots.onGossipReceived(slot, now)) {
             core.log.info(
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreDaemon.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreDaemon.kt
@@ -1,5 +1,5 @@
 /**
- * An entry daemon that reads a store and gossips in virtual time, with the product's own controllers.
+ * A daemon that reads a store and gossips in virtual time, with the product's own controllers.
  */
 package lagoonrudder.standins.virtual
 
@@ -11,6 +11,7 @@
 import lagoonrudder.model.Invariants
 import lagoonrudder.model.Revision
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** How the store treats the calls of one daemon. */
 sealed class StoreTreatment {
@@ -28,7 +29,7 @@
     ) : StoreTreatment()
 }
 
-/** An entry daemon with what it knows; [treatment] is that of its calls. A start forgets all that it knew. */
+/** A daemon with what it knows; [treatment] is that of its calls. A start forgets all that it knew. */
 class VirtualStoreDaemon(
     val peer: PeerDaemon,
 ) {
@@ -55,9 +56,13 @@
     var isReachable = true
         internal set
 
-    internal fun forgetAll() {
+    internal fun forgetAll(now: Duration) {
         peers = PeerController(peer, emptyList())
-        storeView = StoreViewController(Invariants {})
+        storeView = StoreViewController(Invariants {}, bindingFrom = now + CONTACT_TIME)
         reader = StoreReaderController(peers, storeView)
     }
+
+    private companion object {
+        val CONTACT_TIME = 3.seconds
+    }
 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -1,6 +1,6 @@
 /**
- * The exchanges between entry daemons in virtual time, with the intervals of the real loops. Only the one that asks learns from the reply
- * since when something has been so.
+ * The exchanges between daemons in virtual time, with the intervals of the real loops. Only the one that asks learns from the reply since
+ * when something has been so.
  */
 package lagoonrudder.standins.virtual
 
@@ -21,6 +21,7 @@
     private val scope: CoroutineScope,
     private val random: Random,
     private val daemons: List<VirtualStoreDaemon>,
+    private val targets: List<VirtualStoreDaemon>,
     private val clockOf: (VirtualStoreDaemon) -> Duration,
     private val recordOf: (StoreItem) -> StoreRecord?,
     private val onItemsApplied: (VirtualStoreDaemon) -> Unit,
@@ -30,6 +31,25 @@
     fun launchAll() {
         daemonsByDomain.values.forEach { members -> scope.launch { gossipWithin(members) } }
         daemons.forEach { scope.launch { gossipWithRandomMembers(it) } }
+        targets.forEach { scope.launch { gossipOfTarget(it) } }
+    }
+
+    /** A target daemon asks one entry daemon at a time, preferably of its domain, and accepts no messages. */
+    private suspend fun gossipOfTarget(target: VirtualStoreDaemon) {
+        while (true) {
+            val entry =
+                daemons.filter { canExchange(target, it) }.let { all ->
+                    all.firstOrNull { it.peer.domain == target.peer.domain }
+                        ?: all.firstOrNull()
+                }
+            if (entry != null) {
+                tellVersionsOfMessage(target, entry)
+                entry.peers.onGossipReceived(target.peer, NO_LOAD, null, clockOf(entry))
+                target.peers.onGossipReceived(entry.peer, NO_LOAD, entry.reader.contactAge(clockOf(entry)), clockOf(target))
+                sendItems(entry, target, entry.storeView.settledRevision)
+            }
+            delay(TARGET_EXCHANGE_INTERVAL)
+        }
     }
 
     private suspend fun gossipWithin(members: List<VirtualStoreDaemon>) {
@@ -58,26 +78,48 @@
         second.storeView.storeContact?.let { first.storeView.onStoreHeard(it.toldBy(second, first)) }
         first.storeView.storeContact?.let { tell(first, it, second) }
         tellVersions(sender = second, receiver = first)
+        tellVersionsOfMessage(sender = first, receiver = second)
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
             val settled = sender.storeView.settledRevision
             if (settled <= receiver.storeView.at) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
-                if (!canExchange(receiver, sender)) return@launch
-                val sent = sender.storeView.itemsSince(receiver.storeView.at)
-                val changes = sent.items.map { DecodedItem(it, recordOf(it)) }
-                if (sent.isComplete) {
-                    receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
-                } else {
-                    receiver.storeView.applySettledChanges(changes, settled, clockOf(receiver))
-                }
-                tellVersions(sender, receiver)
-                onItemsApplied(receiver)
+                if (canExchange(receiver, sender)) sendItems(sender, receiver, settled)
             }
         }
     }
 
+    private fun sendItems(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+        settled: Long,
+    ) {
+        val sent = sender.storeView.itemsSince(receiver.storeView.at)
+        val changes = sent.items.map { DecodedItem(it, recordOf(it)) }
+        if (sent.isComplete) {
+            receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
+        } else {
+            receiver.storeView.applySettledChanges(changes, settled, clockOf(receiver))
+        }
+        tellVersions(sender, receiver)
+        onItemsApplied(receiver)
+    }
+
+    /** Lets [receiver] learn from a message of [sender], which may have been under way for any time. */
+    private fun tellVersionsOfMessage(
+        sender: VirtualStoreDaemon,
+        receiver: VirtualStoreDaemon,
+    ) {
+        val now = clockOf(receiver)
+        val difference = now - clockOf(sender)
+        val told =
+            sender.storeView.versions.toTell(clockOf(sender)).map {
+                it.copy(time = EventTime(-Duration.INFINITE, it.time.latest + difference))
+            }
+        receiver.storeView.versions.onTold(told, askedAt = now)
+    }
+
     /** Lets [receiver] learn from a reply of [sender], after its items. */
     private fun tellVersions(
         sender: VirtualStoreDaemon,
@@ -130,5 +172,6 @@
         val EXCHANGE_TIME = 6.milliseconds
         val NEAR_EXCHANGE_INTERVAL = 100.milliseconds
         val FAR_EXCHANGE_INTERVAL = 450.milliseconds
+        val TARGET_EXCHANGE_INTERVAL = 400.milliseconds
     }
 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -42,11 +42,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** [domains] failure domains with [daemonsPerDomain] entry daemons each. */
+/** [domains] failure domains with [daemonsPerDomain] entry daemons and [targetsPerDomain] target daemons each. */
 class VirtualStoreSite(
     domains: Int,
     daemonsPerDomain: Int,
     seed: Int = 1,
+    targetsPerDomain: Int = 0,
 ) : AutoCloseable {
     private val scheduler = TestCoroutineScheduler()
     private val scope = CoroutineScope(StandardTestDispatcher(scheduler))
@@ -61,6 +62,11 @@
             val address = Address("10.${index / PORTS_PER_HOST}.0.1", 1 + index % PORTS_PER_HOST)
             VirtualStoreDaemon(PeerDaemon(DaemonId("entry-$index"), DaemonRole.ENTRY, DomainId(domain), RegionId(domain), address))
         }
+    val targets =
+        (0 until domains * targetsPerDomain).map { index ->
+            val domain = "domain-${index % domains}"
+            VirtualStoreDaemon(PeerDaemon(DaemonId("target-$index"), DaemonRole.TARGET, DomainId(domain), RegionId(domain), address = null))
+        }
     private val daemonsByDomain = daemons.groupBy { it.peer.domain }
 
     /** The number of calls to the store so far, answered or not. */
@@ -71,9 +77,9 @@
 
     init {
         publish(Revision(1))
-        daemons.forEach { it.reading = launchReading(it) }
+        (daemons + targets).forEach { it.reading = launchReading(it) }
         scope.launch { expireRemovals() }
-        VirtualStoreGossip(scope, random, daemons, ::clockOf, { records[it] }, ::recordInForce).launchAll()
+        VirtualStoreGossip(scope, random, daemons, targets, ::clockOf, { records[it] }, ::recordInForce).launchAll()
     }
 
     /** Lets [duration] pass. */
@@ -90,7 +96,7 @@
 
     /** Starts the process of [daemon] anew. */
     fun start(daemon: VirtualStoreDaemon) {
-        daemon.forgetAll()
+        daemon.forgetAll(clockOf(daemon))
         daemon.reading = launchReading(daemon)
     }
 
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/VersionAgeTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.datatest.withTests
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.matchers.shouldBe
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.standins.virtual.StoreTreatment
@@ -69,6 +70,11 @@
     }),
 }
 
+private fun VirtualStoreSite.restartAll() {
+    daemons.forEach { stop(it) }
+    daemons.forEach { start(it) }
+}
+
 private fun VirtualStoreSite.isBinding(daemon: VirtualStoreDaemon): Boolean {
     val binding = daemon.storeView.versions.bindingAt(MODEL, clockOf(daemon)) ?: return false
     return binding.number >= NEWER
@@ -142,6 +148,51 @@
                     }
                 }
             }
+            // Entry daemons that had lost power let requests begin on a version that two newer ones had replaced.
+            context("entry daemons that all start anew while target daemons keep running know what binds, $domains failure domains") {
+                withTests(nameFn = { "store away for $it" }, listOf(300.milliseconds, 1.seconds, 2_400.milliseconds)) {
+                    VirtualStoreSite(domains, daemonsPerDomain = 3, targetsPerDomain = 2).use { site ->
+                        site.declare(MODEL, OLDER)
+                        site.advance(10.seconds)
+                        site.declare(MODEL, NEWER)
+                        val declaredAt = site.now
+                        site.advance(VERSION_LIMIT - 1.seconds)
+                        site.declare(MODEL, NEWEST)
+                        site.advance(2.seconds)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Refuses }
+                        site.restartAll()
+                        val startedAt = site.now
+                        site.advance(it)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Answers }
+                        // The slowest of them calls the store again after 2 s; target daemons tell theirs within 400 ms more.
+                        site.advance(startedAt + CONTACT_TIME - site.now)
+                        withClue("${site.now - declaredAt} after the declaration, late by") { site.lateness().shouldBeEmpty() }
+                        val newest = site.daemons.mapNotNull { each -> each.storeView.versions.declaration(MODEL, NEWEST) }
+                        withClue("told by target daemons") { newest.all { each -> each.acknowledged.latest < startedAt } shouldBe true }
+                    }
+                }
+            }
+            context("a version that daemons hear of late after their start binds them from then on, $domains failure domains") {
+                withTests(nameFn = { "heard after $it" }, listOf(1_500.milliseconds, 2.seconds, 2_500.milliseconds)) {
+                    VirtualStoreSite(domains, daemonsPerDomain = 3).use { site ->
+                        site.declare(MODEL, OLDER)
+                        site.advance(10.seconds)
+                        site.declare(MODEL, NEWER)
+                        site.advance(VERSION_LIMIT)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Silent }
+                        site.restartAll()
+                        val startedAt = site.now
+                        site.advance(it)
+                        site.daemons.forEach { each -> each.treatment = StoreTreatment.Answers }
+                        site.advance(startedAt + CONTACT_TIME - site.now)
+                        val heard = site.daemons.filter { each -> each.storeView.versions.declaration(MODEL, NEWER) != null }
+                        val late = heard.filter { each -> !site.isBinding(each) }.map { each -> each.peer.daemon.text }
+                        withClue("not bound") { late.shouldBeEmpty() }
+                        site.advance(1.seconds)
+                        withClue("late by") { site.lateness().shouldBeEmpty() }
+                    }
+                }
+            }
             context("a declaration after the store was away leaves its rollout time, $domains failure domains") {
                 withTests(nameFn = { "away for $it" }, listOf(3.seconds, 5.seconds, 10.seconds)) {
                     VirtualStoreSite(domains, daemonsPerDomain = 3).use { site ->
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DeclarationMessages.kt
@@ -48,3 +48,13 @@
         val time = EventTime(sentAt - maxAge, receivedAt - it.minAgeMilliseconds.milliseconds)
         VersionAcknowledgement(ModelId(it.model), WeightNumber(it.number), time)
     }
+
+/**
+ * Returns the declarations in a message that arrived at [receivedAt]. It may have been under way for any time, so it bounds only the latest
+ * time of an acknowledgement. A receiver for which that isn't enough asks, and learns the earliest time from the reply.
+ */
+fun GossipMessage.declared(receivedAt: Duration): List<VersionAcknowledgement> =
+    declarations.map {
+        val time = EventTime(-Duration.INFINITE, receivedAt - it.minAgeMilliseconds.milliseconds)
+        VersionAcknowledgement(ModelId(it.model), WeightNumber(it.number), time)
+    }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -101,6 +101,7 @@
  * after it, [peersRequested] for the live peers. [loads] are the requests in flight of [loadDaemons] daemons, and the store last
  * answered the sender [storeContactMilliseconds] ago; as far as it knows, the store has kept answering for [storeSinceMilliseconds].
  * [evidenceDigest] is that of the sender's evidence about crashes, which is sent itself only if the receiver's digest differs.
+ * [declarations] and [upToDateMilliseconds] are as in a [GossipReply].
  */
 @Serializable
 data class GossipMessage(
@@ -125,8 +126,8 @@
 /**
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
  * heard of [storeHeardMilliseconds] ago; it has kept answering for [storeSinceMilliseconds]. [items] are those that changed, or all that
- * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run, and the store held nothing beyond [at]
- * [upToDateMilliseconds] ago.
+ * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run and of the newest one whose limit is over, and
+ * the store held nothing beyond [at] [upToDateMilliseconds] ago.
  */
 @Serializable
 class GossipReply(
