--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadPolicies.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadPolicies.kt
@@ -1,6 +1,6 @@
 /**
- * Policies for requests that find every back end at capacity: how long one may wait, when one that is refused should return, and
- * which of the last free places an entry daemon takes.
+ * Policies for requests that find every back end at capacity: how long one may wait, when one that is refused should return,
+ * which of the last free places an entry daemon takes, and which requests are admitted at all.
  *
  * Each sealed class holds the baseline beside the policy that replaced it, so that `bin/measure overload` compares them.
  */
@@ -48,11 +48,26 @@
     data object Share : ClaimPolicy()
 }
 
+/** Which requests may look for a place at all. */
+sealed class AdmissionPolicy {
+    /** All of them, and rank counts only in the queue of this daemon; a baseline. */
+    data object Everyone : AdmissionPolicy()
+
+    /**
+     * By urgency over all daemons, from the counts that they report to each other. [usedShare] is the part of the capacity that is given
+     * out; the remainder lets a more urgent request find a slot at any moment.
+     */
+    data class ByUrgency(
+        val usedShare: Double = 0.95,
+    ) : AdmissionPolicy()
+}
+
 /** The policies of an entry daemon under overload. */
 data class OverloadPolicies(
     val wait: WaitPolicy = WaitPolicy.Predicted,
     val returns: ReturnPolicy = ReturnPolicy.Predicted,
     val claims: ClaimPolicy = ClaimPolicy.Share,
+    val admission: AdmissionPolicy = AdmissionPolicy.ByUrgency(),
 )
 
 /**
