Report the demand of each level of urgency in gossip

Daemons knew of each other's requests in flight only, not of what waits or is refused. Reports expire after 1.5 s.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -10,6 +10,8 @@
 
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.admission.LevelDemand
+import lagoonrudder.control.direct.admission.UrgencyLevel
+import lagoonrudder.control.direct.admission.sumOfDemand
 import lagoonrudder.control.dumpSection
 import lagoonrudder.control.entry
 import lagoonrudder.model.Address
@@ -117,18 +119,42 @@
         replaceReport(if (isNear) ReportSource.Daemon(peer.daemon) else ReportSource.Domain(peer.domain), ReceivedReport(load, now))
     }
 
-    /** Returns the load to report to [peer]: [own], or the sum of this failure domain to a daemon of another one. */
+    /** Returns the load to report to [peer]: [own] and [demand], or the sums of this failure domain to a daemon of another one. */
     fun loadFor(
         peer: PeerDaemon?,
         own: Map<TargetId, Int>,
         now: Duration,
+        demand: Map<ServiceId, List<LevelDemand>> = emptyMap(),
     ): LoadReport {
-        if (peer?.domain == self.domain) return LoadReport(own, 1)
+        if (peer?.domain == self.domain) return LoadReport(own, 1, demand)
         expireReports(now)
         val near = reports.filterKeys { it is ReportSource.Daemon }.values.map { it.load }
         val sum = own.toMutableMap()
         for (load in near) for ((target, count) in load.inFlight) sum.merge(target, count, Int::plus)
-        return LoadReport(sum, 1 + near.size)
+        val demands = near.map { it.demand } + demand
+        val services = demands.flatMap { it.keys }.distinct()
+        return LoadReport(sum, 1 + near.size, services.associateWith { service -> sumOfDemand(demands.mapNotNull { it[service] }) })
+    }
+
+    /** Returns the demand for [service] that other entry daemons report, by level. */
+    fun demandElsewhere(
+        service: ServiceId,
+        now: Duration,
+    ): List<LevelDemand> {
+        expireReports(now)
+        return sumOfDemand(reports.values.mapNotNull { it.load.demand[service] })
+    }
+
+    /** Returns the requests for [service] that wait at other entry daemons of this failure domain and are more urgent than [level]. */
+    fun moreUrgentWaitingNearby(
+        service: ServiceId,
+        level: UrgencyLevel,
+        now: Duration,
+    ): Int {
+        expireReports(now)
+        return reports.entries
+            .filter { it.key is ReportSource.Daemon }
+            .sumOf { (_, report) -> report.load.demand[service]?.sumOf { if (it.level < level) it.waiting else 0 } ?: 0 }
     }
 
     /** Returns the known daemon at [address]. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/SlidingCount.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/SlidingCount.kt
@@ -16,6 +16,8 @@
         times.addLast(now)
     }
 
+    val isNotEmpty: Boolean get() = times.isNotEmpty()
+
     /** Takes the last event back. */
     fun removeLast() {
         times.removeLastOrNull()
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/LevelDemand.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/LevelDemand.kt
@@ -20,4 +20,17 @@
     val placed: Int,
     val refused: Int,
     val waiting: Int,
-)
+) {
+    val isEmpty: Boolean get() = arrivals == 0 && placed == 0 && refused == 0 && waiting == 0
+
+    operator fun plus(other: LevelDemand): LevelDemand =
+        LevelDemand(level, arrivals + other.arrivals, placed + other.placed, refused + other.refused, waiting + other.waiting)
+}
+
+/** Returns the sum of the demand that several daemons report for one service, by level from the most urgent on. */
+fun sumOfDemand(reports: List<List<LevelDemand>>): List<LevelDemand> =
+    reports
+        .flatten()
+        .groupBy { it.level }
+        .map { (_, demand) -> demand.reduce(LevelDemand::plus) }
+        .sortedBy { it.level }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -8,6 +8,8 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import lagoonrudder.control.direct.admission.LevelDemand
+import lagoonrudder.control.direct.admission.UrgencyLevel
 import lagoonrudder.control.strictInvariants
 import lagoonrudder.model.Address
 import lagoonrudder.model.DaemonId
@@ -113,6 +115,22 @@
             far.reporterCount(10.2.seconds) shouldBe 4
         }
 
+        test("the demand of a failure domain is reported as a sum, counted once, and expires") {
+            val near = (1..3).map { peer("near-$it") }
+            val own = mapOf(ENGINES to listOf(LevelDemand(UrgencyLevel(1), 4, 3, 2, 1)))
+            val peers = peersOf(near.first(), emptyList())
+            for (other in near.drop(1)) peers.onGossipReceived(other, LoadReport(emptyMap(), 1, own), null, 10.seconds)
+            peers.loadFor(near[1], emptyMap(), 10.1.seconds, own).demand shouldBe own
+            val sum = peers.loadFor(peer("far", FAR), emptyMap(), 10.1.seconds, own)
+            sum.demand shouldBe mapOf(ENGINES to listOf(LevelDemand(UrgencyLevel(1), 12, 9, 6, 3)))
+            val far = PeerController(peer("far", FAR), emptyList())
+            repeat(3) { far.onGossipReceived(near[it], sum, null, 10.1.seconds) }
+            far.demandElsewhere(ENGINES, 10.2.seconds) shouldBe sum.demand[ENGINES]
+            far.demandElsewhere(ENGINES, 11.7.seconds) shouldBe emptyList()
+            peers.moreUrgentWaitingNearby(ENGINES, UrgencyLevel(2), 10.1.seconds) shouldBe 2
+            peers.moreUrgentWaitingNearby(ENGINES, UrgencyLevel(1), 10.1.seconds) shouldBe 0
+        }
+
         test("a daemon that is new to its own failure domain is not counted with the others there") {
             val peers = peersOf(peer("self"), listOf(peer("first")))
             peers.onGossipReceived(peer("second"), LoadReport(mapOf(target to 9), 3), null, 10.1.seconds)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -16,8 +16,10 @@
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.StoreViewChange
+import lagoonrudder.control.direct.admission.LevelDemand
 import lagoonrudder.model.Address
 import lagoonrudder.model.DaemonRole
+import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.rendezvousOrder
 import lagoonrudder.platform.readItem
@@ -27,6 +29,7 @@
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
+import lagoonrudder.wire.messages.toDemandMessages
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
@@ -40,13 +43,14 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target; [onChange] runs on the control thread
+ * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target, [demand] what its callers ask for; [onChange] runs on the control thread
  * after a reply changed the published state.
  */
 class GossipLoop(
     private val core: DirectCore,
     private val client: PeerClient,
     private val loads: () -> Map<TargetId, Int>,
+    private val demand: (Duration) -> Map<ServiceId, List<LevelDemand>> = { emptyMap() },
     private val onChange: () -> Unit,
 ) {
     private val exchanges = mutableMapOf<Address, Job>()
@@ -141,7 +145,7 @@
     fun loadFor(
         peer: PeerDaemon?,
         now: Duration,
-    ): LoadReport = core.peers.loadFor(peer, loads(), now)
+    ): LoadReport = core.peers.loadFor(peer, loads(), now, demand(now))
 
     /** Exchanges with one entry daemon at a time, preferably of this region, and with the next one when that fails. */
     private suspend fun exchangeWithOne() {
@@ -198,6 +202,7 @@
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
             core.contactToTell()?.let { now - it.since }.toMilliseconds(),
+            demand = load.demand.toDemandMessages(),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.storeSince
+import lagoonrudder.wire.messages.toDemandMessages
 import lagoonrudder.wire.messages.toGossipSlot
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
@@ -106,6 +107,7 @@
             storeSinceMilliseconds = contact?.let { now - it.since }.toMilliseconds(),
             upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
             declarations = core.versionsToTell().map { it.toMessage(now) },
+            demand = load.demand.toDemandMessages(),
         )
     }
 
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -16,6 +16,9 @@
 import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.WeightManifest
+import lagoonrudder.control.direct.admission.LevelDemand
+import lagoonrudder.control.direct.admission.UrgencyLevel
+import lagoonrudder.control.direct.admission.UrgencyLevels
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.Digest
@@ -23,6 +26,7 @@
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.RegionId
+import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.addressOrNull
@@ -175,9 +179,27 @@
 
 private fun List<InFlightMessage>.toLoads(): Map<TargetId, Int> = associate { TargetId(it.target) to it.inFlight }
 
-val GossipMessage.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons)
+/** Returns the messages for the demand of at most [MAX_DEMAND_SERVICES] services, those with most arrivals first. */
+fun Map<ServiceId, List<LevelDemand>>.toDemandMessages(): List<DemandMessage> =
+    entries
+        .sortedByDescending { (_, demand) -> demand.sumOf { it.arrivals } }
+        .take(MAX_DEMAND_SERVICES)
+        .flatMap { (service, demand) ->
+            demand.take(UrgencyLevels.MAX_LEVELS).map {
+                DemandMessage(service.text, it.level.index, it.arrivals, it.placed, it.refused, it.waiting)
+            }
+        }
 
-val GossipReply.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons)
+/** Returns the demand by service; levels that no daemon of this version uses are ignored. */
+private fun List<DemandMessage>.toDemand(): Map<ServiceId, List<LevelDemand>> =
+    filter { it.level in 0 until UrgencyLevels.MAX_LEVELS }
+        .groupBy({ ServiceId(it.service) }, { LevelDemand(UrgencyLevel(it.level), it.arrivals, it.placed, it.refused, it.waiting) })
+
+private const val MAX_DEMAND_SERVICES = 8
+
+val GossipMessage.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons, demand.toDemand())
+
+val GossipReply.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons, demand.toDemand())
 
 val GossipMessage.storeContactAge: Duration? get() = ageOrNull(storeContactMilliseconds)
 
