Compare positions in the store, not revisions, and read the era of a response

A store that is restored from a copy gives revisions out again, so a revision alone does not say which of two states is the later one. StorePosition is now what the store view, the reader and gossip compare.

Existing tests use the positions of a store without eras; their meaning is unchanged.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StorePosition.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StorePosition.kt
@@ -30,4 +30,17 @@
     val revision: StoreRevision,
 ) : Comparable<StorePosition> {
     override fun compareTo(other: StorePosition): Int = compareValuesBy(this, other, { it.era }, { it.revision })
+
+    /** Returns the position just before this one in the same era. */
+    fun previous(): StorePosition = copy(revision = StoreRevision(revision.number - 1))
+
+    override fun toString(): String = if (era == StoreEra.UNSTATED) "${revision.number}" else "${era.number}:${revision.number}"
+
+    companion object {
+        /** Before everything that a store holds. */
+        val NONE = unstated(0)
+
+        /** Returns the position of [revision] in a store that states no era. */
+        fun unstated(revision: Long) = StorePosition(StoreEra.UNSTATED, StoreRevision(revision))
+    }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -26,9 +26,9 @@
     /** Reads all items. */
     data object ReadAll : StoreStep()
 
-    /** Waits up to [wait] for changes after the revision [after]. */
+    /** Waits up to [wait] for changes after the position [after]. */
     data class Watch(
-        val after: Long,
+        val after: StorePosition,
         val wait: Duration,
     ) : StoreStep() {
         /**
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -1,7 +1,7 @@
 /**
  * Keeps this process's view of the items that operators and back ends publish in the platform's store.
  *
- * Every item carries the revision of its last change, and an item is never replaced by an older one, whether that comes from
+ * Every item carries the position of its last change, and an item is never replaced by an older one, whether that comes from
  * the store, a stale read or a peer. Removed items leave a tombstone, so that peers learn of the removal. What was removed before this
  * process read all items left none, so a peer that lags behind that read gets all items instead of the changes.
  */
@@ -26,9 +26,12 @@
 /** An item as the store holds it; [value] is null after its removal. */
 class StoreItem(
     val key: String,
-    val revision: Long,
+    val position: StorePosition,
     val value: ByteArray?,
-)
+) {
+    /** An item of a store that states no era. */
+    constructor(key: String, revision: Long, value: ByteArray?) : this(key, StorePosition.unstated(revision), value)
+}
 
 /** Items for a peer: those that changed, or all that there are if [isComplete] is set, so that any other one was removed. */
 class StoreItems(
@@ -104,26 +107,26 @@
     private val registrations = mutableMapOf<TargetId, StoreItem>()
     private var confirmedAt: Duration? = null
 
-    /** The revision of the last read of all items; every removal after it has left a tombstone. */
-    private var completeAt = 0L
+    /** The position of the last read of all items; every removal after it has left a tombstone. */
+    private var completeAt = StorePosition.NONE
 
     /** The store's latest contact with this daemon and with those that told it; null before that and after a long pause. */
     var storeContact: StoreContact? = null
         private set
 
     /**
-     * The revision of the first answer to this daemon in the current contact; null before it. Registrations written after it were renewed
+     * The position of the first answer to this daemon in the current contact; null before it. Registrations written after it were renewed
      * in the contact, so they can't expire before the grace ends.
      */
-    private var contactRevision: Long? = null
+    private var contactPosition: StorePosition? = null
 
     /** The first contact after the store had been away, as far as was known then. */
     private var returnedAt: Duration? = null
 
     val versions = DeclaredVersions(versionLimit) { returnedAt?.takeIf { it <= (storeContact?.since ?: it) } }
 
-    /** The store revision up to which this process has seen every change. */
-    var at = 0L
+    /** The position in the store up to which this process has seen every change. */
+    var at = StorePosition.NONE
         private set
 
     var serving: ServingConfiguration? = null
@@ -144,12 +147,12 @@
     }
 
     /**
-     * Applies changes from the store up to the revision [upTo], which arrived at [now] and hold all that the store had acknowledged until
+     * Applies changes from the store up to the position [upTo], which arrived at [now] and hold all that the store had acknowledged until
      * [asOf].
      */
     fun applyChanges(
         changes: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
         asOf: Duration = now,
     ): StoreViewChange = applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
@@ -157,10 +160,10 @@
     /** Applies changes whose removals wait while the registrations may come back. */
     private fun applyUnsettled(
         changes: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
     ): StoreViewChange {
-        if (contactRevision == null) contactRevision = upTo
+        if (contactPosition == null) contactPosition = upTo
         return applyChanges(changes, upTo, now, holdRemovals = mayReturn(now))
     }
 
@@ -170,13 +173,13 @@
      */
     fun applySettledChanges(
         changes: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
     ): StoreViewChange = applyChanges(changes, upTo, now, holdRemovals = false)
 
     private fun applyChanges(
         changes: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
         holdRemovals: Boolean,
     ): StoreViewChange {
@@ -187,12 +190,12 @@
     }
 
     /**
-     * Applies a full read of the store at the revision [upTo], which arrived at [now] and holds all that the store had acknowledged until
+     * Applies a full read of the store at the position [upTo], which arrived at [now] and holds all that the store had acknowledged until
      * [asOf]; a read older than the current view is ignored.
      */
     fun applySnapshot(
         all: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
         asOf: Duration = now,
     ): StoreViewChange {
@@ -201,55 +204,55 @@
     }
 
     /**
-     * Applies all items of a peer that has settled them up to the revision [upTo]. A peer that started after an outage has never known
+     * Applies all items of a peer that has settled them up to the position [upTo]. A peer that started after an outage has never known
      * the registrations that expired in it, so what is missing is treated as in a read of the store.
      */
     fun applySettledSnapshot(
         all: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
         now: Duration,
     ): StoreViewChange = applyUnsettled(completed(all, upTo), upTo, now)
 
-    /** Returns [all] items at the revision [upTo] and the removals of those that are not among them. */
+    /** Returns [all] items at the position [upTo] and the removals of those that are not among them. */
     private fun completed(
         all: List<DecodedItem>,
-        upTo: Long,
+        upTo: StorePosition,
     ): List<DecodedItem> {
         completeAt = maxOf(completeAt, upTo)
         val present = all.mapTo(mutableSetOf()) { it.item.key }
         val removed =
             items.values
-                .filter { it.item.value != null && it.item.key !in present && it.item.revision <= upTo }
+                .filter { it.item.value != null && it.item.key !in present && it.item.position <= upTo }
                 .map { DecodedItem(StoreItem(it.item.key, upTo, null), null) }
         return all + removed
     }
 
     /**
-     * Returns how long ago the store held nothing beyond [settledRevision]; null if that is unknown. A peer that has seen every change up to
-     * that revision knows as much.
+     * Returns how long ago the store held nothing beyond [settledPosition]; null if that is unknown. A peer that has seen every change up to
+     * that position knows as much.
      */
     fun upToDateAge(now: Duration): Duration? = if (pendingRemovals.isEmpty()) versions.upToDateAge(now) else null
 
     /**
-     * Records that a peer, asked at [askedAt], has said that the store held nothing beyond [revision] at [time]. Comes after the items of
+     * Records that a peer, asked at [askedAt], has said that the store held nothing beyond [position] at [time]. Comes after the items of
      * the same answer.
      */
     fun onUpToDateHeard(
-        revision: Long,
+        position: StorePosition,
         time: Duration,
         askedAt: Duration,
     ) {
-        if (revision <= at) versions.onUpToDate(time, askedAt)
+        if (position <= at) versions.onUpToDate(time, askedAt)
     }
 
-    /** The revision up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
-    val settledRevision: Long get() = pendingRemovals.values.minOfOrNull { it.change.revision - 1 } ?: at
+    /** The position up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
+    val settledPosition: StorePosition get() = pendingRemovals.values.minOfOrNull { it.change.position.previous() } ?: at
 
-    /** Returns what a peer needs that has seen every change up to the revision [after], without pending removals. */
-    fun itemsSince(after: Long): StoreItems {
+    /** Returns what a peer needs that has seen every change up to the position [after], without pending removals. */
+    fun itemsSince(after: StorePosition): StoreItems {
         val pending = pendingRemovals.values.mapTo(mutableSetOf()) { it.change }
         val settled = items.values.map { it.item }.filter { it !in pending }
-        if (after >= completeAt) return StoreItems(settled.filter { it.revision > after }, isComplete = false)
+        if (after >= completeAt) return StoreItems(settled.filter { it.position > after }, isComplete = false)
         return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration }, isComplete = true)
     }
 
@@ -265,7 +268,7 @@
         val joined = before?.joinedWith(contact) ?: contact
         val isAfterOutage = before != null && joined.since > before.until
         if (isAfterOutage) returnedAt = joined.since
-        if (before == null || isAfterOutage) contactRevision = null
+        if (before == null || isAfterOutage) contactPosition = null
         storeContact = joined
     }
 
@@ -320,7 +323,7 @@
 
     private fun storeIfNewer(change: DecodedItem): Boolean {
         val known = items[change.item.key]
-        if (known != null && known.item.revision >= change.item.revision) return false
+        if (known != null && known.item.position >= change.item.position) return false
         items[change.item.key] = change
         return true
     }
@@ -382,7 +385,7 @@
         val id = targetsByKey[change.item.key] ?: return null
         val registration = registrations.getValue(id)
         val graceEnd = storeContact?.let { it.since + REMOVAL_GRACE }
-        val wasRenewed = contactRevision?.let { registration.revision > it } ?: false
+        val wasRenewed = contactPosition?.let { registration.position > it } ?: false
         if (hold && graceEnd != null && !wasRenewed && change.item.value == null) {
             pendingRemovals[id] = PendingRemoval(registration, change.item, graceEnd)
             return null
--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -103,6 +103,35 @@
     now: Duration,
 ) = onGossipReceived(peer, LoadReport(inFlight, 1), storeContactAge = null, now)
 
+/** Applies changes of a store that states no era. */
+internal fun StoreViewController.applyChanges(
+    changes: List<DecodedItem>,
+    upTo: Long,
+    now: Duration,
+    asOf: Duration = now,
+) = applyChanges(changes, StorePosition.unstated(upTo), now, asOf)
+
+internal fun StoreViewController.applySnapshot(
+    all: List<DecodedItem>,
+    upTo: Long,
+    now: Duration,
+    asOf: Duration = now,
+) = applySnapshot(all, StorePosition.unstated(upTo), now, asOf)
+
+internal fun StoreViewController.applySettledChanges(
+    changes: List<DecodedItem>,
+    upTo: Long,
+    now: Duration,
+) = applySettledChanges(changes, StorePosition.unstated(upTo), now)
+
+internal fun StoreViewController.applySettledSnapshot(
+    all: List<DecodedItem>,
+    upTo: Long,
+    now: Duration,
+) = applySettledSnapshot(all, StorePosition.unstated(upTo), now)
+
+internal fun StoreViewController.itemsSince(after: Long) = itemsSince(StorePosition.unstated(after))
+
 /** Records that the store answers again at [at] after a long outage. */
 internal fun StoreViewController.onStoreBack(at: Duration) {
     onStoreHeard(at - 10.seconds)
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreViewControllerTest.kt
@@ -102,7 +102,7 @@
                 storeView.onStoreHeard(seenAt)
                 storeView.applyChanges(listOf(item("servers/a", 2, null)), 2, seenAt)
                 (storeView.backEnd(TargetId("a")) != null) shouldBe case.waits
-                storeView.settledRevision shouldBe if (case.waits) 1 else 2
+                storeView.settledPosition shouldBe StorePosition.unstated(if (case.waits) 1 else 2)
                 storeView.expire(seenAt + 2_500.milliseconds)
                 storeView.backEnd(TargetId("a")).shouldBeNull()
             }
@@ -133,12 +133,12 @@
                 storeView.onStoreHeard(startedAt)
                 storeView.applySnapshot(listOf(registered(backEnd("a"), 1)), 1, startedAt)
                 storeView.applyChanges(listOf(item("servers/a", 2, null)), 2, startedAt + 100.milliseconds)
-                storeView.settledRevision shouldBe 1
+                storeView.settledPosition shouldBe StorePosition.unstated(1)
                 case.heard?.let { storeView.onStoreHeard(it) }
                 storeView.expire(case.goneAt - 1.milliseconds).isEmpty() shouldBe (case.goneAt > startedAt + 1.seconds)
                 storeView.expire(case.goneAt)
                 storeView.backEnd(TargetId("a")).shouldBeNull()
-                storeView.settledRevision shouldBe 2
+                storeView.settledPosition shouldBe StorePosition.unstated(2)
             }
         }
 
@@ -152,7 +152,7 @@
             started.applySnapshot(listOf(registered(backEnd("a"), 1)), 3, start + 5.seconds)
             running.onStoreHeard(checkNotNull(started.storeContact))
             running.applySettledSnapshot(listOf(registered(backEnd("a"), 1)), 3, start + 5.1.seconds).removed.shouldBeEmpty()
-            running.settledRevision shouldBe 2
+            running.settledPosition shouldBe StorePosition.unstated(2)
             running.applyChanges(listOf(registered(backEnd("b"), 4)), 4, start + 7.seconds)
             running.expire(start + 10.seconds).shouldBeEmpty()
             running.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b")
@@ -258,10 +258,10 @@
             storeView.applyChanges(listOf(registered(backEnd("a"), 2), registered(backEnd("b"), 3)), 3, 1.seconds)
             storeView.onStoreBack(5.seconds)
             storeView.applyChanges(listOf(item("servers/a", 4, null), registered(backEnd("b"), 5)), 5, 5.seconds)
-            storeView.settledRevision shouldBe 3
+            storeView.settledPosition shouldBe StorePosition.unstated(3)
             storeView.itemsSince(3).items.map { it.key } shouldContainExactly listOf("servers/b")
             storeView.expire(60.seconds)
-            storeView.settledRevision shouldBe 5
+            storeView.settledPosition shouldBe StorePosition.unstated(5)
             storeView
                 .itemsSince(3)
                 .items
@@ -279,7 +279,7 @@
             val sent = started.itemsSince(lagging.at)
             sent.isComplete shouldBe true
             sent.items.map { it.key } shouldContainExactly listOf("servers/b")
-            val change = lagging.applySettledSnapshot(listOf(registered(backEnd("b"), 2)), started.settledRevision, start)
+            val change = lagging.applySettledSnapshot(listOf(registered(backEnd("b"), 2)), started.settledPosition, start)
             change.removed shouldContainExactly listOf(TargetId("a"))
             change.evacuated shouldBe emptySet()
             lagging.backEnds.map { it.id.text } shouldContainExactly listOf("b")
@@ -293,12 +293,13 @@
             storeView.applyChanges(listOf(item("servers/a", 8, null)), 8, 5.seconds)
             val sent = storeView.itemsSince(2)
             sent.isComplete shouldBe true
-            sent.items.map { it.key to it.revision } shouldContainExactlyInAnyOrder listOf("servers/a" to 4L, "servers/b" to 5L)
+            sent.items.map { it.key to it.position.revision.number } shouldContainExactlyInAnyOrder
+                listOf("servers/a" to 4L, "servers/b" to 5L)
             val peer = StoreViewController(strictInvariants())
             peer.applyChanges(listOf(registered(backEnd("c"), 9)), 9, 5.seconds)
             peer.applySettledSnapshot(
                 listOf(registered(backEnd("a"), 4), registered(backEnd("b"), 5)),
-                storeView.settledRevision,
+                storeView.settledPosition,
                 5.seconds,
             )
             peer.backEnds.map { it.id.text } shouldContainExactlyInAnyOrder listOf("a", "b", "c")
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -21,6 +21,7 @@
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.StagingController
 import lagoonrudder.control.direct.StoreContact
+import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.control.direct.StoreReaderController
 import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.StoreViewController
@@ -78,11 +79,11 @@
         loop: suspend () -> Unit,
     ): Job = scope.launch { keepRunning(name, log, loop) }
 
-    /** Logs a change of the published state, which came from [source] at store revision [at]. */
+    /** Logs a change of the published state, which came from [source] at the store position [at]. */
     fun logChange(
         change: StoreViewChange,
         source: String,
-        at: Long,
+        at: StorePosition,
     ) {
         if (change.isEmpty) return
         change.serving?.let {
@@ -182,7 +183,8 @@
     fun gauges(): Map<String, Number> =
         mapOf(
             "configuration_revision" to (storeView.serving?.revision?.number ?: 0),
-            "store_revision" to storeView.at,
+            "store_revision" to storeView.at.revision.number,
+            "store_era" to storeView.at.era.number,
             "confirmed" to if (storeView.confirmed) 1 else 0,
             "back_ends" to storeView.backEnds.size,
             "back_ends_leaving" to storeView.backEnds.count { it.leaving },
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.position
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.toItem
@@ -188,7 +189,7 @@
         val load = loadFor(core.peers.peerAt(address), now)
         return GossipMessage(
             core.self.toMessage(),
-            core.storeView.at,
+            core.storeView.at.revision.number,
             itemsRequested || !core.storeView.confirmed || core.self.role == DaemonRole.TARGET,
             load.inFlight.toMessages(),
             slot?.toMessage(),
@@ -198,6 +199,7 @@
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
             core.contactToTell()?.let { now - it.since }.toMilliseconds(),
+            era = core.storeView.at.era.number,
         )
     }
 
@@ -216,15 +218,15 @@
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
-                val isBehind = reply.at > core.storeView.at
+                val isBehind = reply.position > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
                 val change = if (isUpdate) applyItems(items, reply, now) else null
                 core.storeView.versions.onTold(reply.declared(sentAt, now), askedAt = sentAt)
-                reply.upToDateAt(sentAt)?.let { core.storeView.onUpToDateHeard(reply.at, it, askedAt = sentAt) }
+                reply.upToDateAt(sentAt)?.let { core.storeView.onUpToDateHeard(reply.position, it, askedAt = sentAt) }
                 if (change != null) onChange()
                 Triple(change, isBehind && !isUpdate, lacksEvidence)
             }
-        if (change != null) core.logChange(change, "peer:$address", reply.at)
+        if (change != null) core.logChange(change, "peer:$address", reply.position)
         if (isBehind && core.self.role == DaemonRole.ENTRY) catchUp(peer)
         return isPeerBehind
     }
@@ -236,9 +238,9 @@
         now: Duration,
     ): StoreViewChange =
         if (reply.itemsComplete) {
-            core.storeView.applySettledSnapshot(items, reply.at, now)
+            core.storeView.applySettledSnapshot(items, reply.position, now)
         } else {
-            core.storeView.applySettledChanges(items, reply.at, now)
+            core.storeView.applySettledChanges(items, reply.position, now)
         }
 
     /** Returns whether the peer lacks evidence that this daemon has. Runs on the control thread. */
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -19,6 +19,7 @@
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
 import lagoonrudder.wire.messages.load
+import lagoonrudder.wire.messages.position
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.storeSince
@@ -67,7 +68,7 @@
     private fun knowsLessThanSender(message: GossipMessage): Boolean {
         val now = core.clock.elapsed()
         val since = message.storeSince(now)
-        return message.at > core.storeView.at || (since != null && core.storeView.isGraceRefutedBy(since, now))
+        return message.position > core.storeView.at || (since != null && core.storeView.isGraceRefutedBy(since, now))
     }
 
     private fun replyTo(message: GossipMessage): GossipReply {
@@ -89,11 +90,13 @@
         message.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), now) }
         val needsEvidence = peer.role == DaemonRole.ENTRY && message.evidenceDigest != core.suspicions.digest
         val load = gossip.loadFor(peer, now)
-        val items = if (message.itemsRequested) core.storeView.itemsSince(message.at) else null
+        val items = if (message.itemsRequested) core.storeView.itemsSince(message.position) else null
         val contact = core.contactToTell()
+        val settled = core.storeView.settledPosition
         return GossipReply(
             self = core.self.toMessage(),
-            at = core.storeView.settledRevision,
+            at = settled.revision.number,
+            era = settled.era.number,
             loads = load.inFlight.toMessages(),
             loadDaemons = load.daemons,
             storeContactMilliseconds = core.storeReader.contactAge(now).toMilliseconds(),
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -70,7 +70,7 @@
 
     private suspend fun watch(step: StoreStep.Watch): Either<Failure, Unit> {
         val askedAt = core.clock.elapsed()
-        return store.watch(step.after, step.wait).map { watched ->
+        return store.watch(step.after.revision, step.wait).map { watched ->
             when (watched) {
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -22,6 +22,7 @@
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.control.direct.admission.OverloadPolicies
@@ -287,7 +288,7 @@
         revision: Long,
     ) {
         val changes = engines.keys.take(engineCount / 2).mapIndexed { index, id -> registered(id, leaving, revision + index) }
-        for (entry in entries) entry.storeView.applyChanges(changes, revision + engineCount, now)
+        for (entry in entries) entry.storeView.applyChanges(changes, StorePosition.unstated(revision + engineCount), now)
     }
 
     private fun entry(index: Int): Entry {
@@ -295,7 +296,7 @@
         val storeView = StoreViewController(Invariants { error("violated: $it") })
         val configuration = DecodedItem(StoreItem("op/config", 1, NO_BYTES), StoreRecord.Configuration(configuration()))
         val backEnds = engines.keys.mapIndexed { number, id -> registered(id, leaving = false, revision = 2L + number) }
-        storeView.applyChanges(backEnds + configuration, 2L + engineCount, Duration.ZERO)
+        storeView.applyChanges(backEnds + configuration, StorePosition.unstated(2L + engineCount), Duration.ZERO)
         val peers = PeerController(peer, emptyList())
         val decisions = Random(random.nextLong())
         val placement =
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -60,7 +60,7 @@
         tellVersions(sender = second, receiver = first)
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
-            val settled = sender.storeView.settledRevision
+            val settled = sender.storeView.settledPosition
             if (settled <= receiver.storeView.at) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
@@ -91,7 +91,7 @@
             }
         receiver.storeView.versions.onTold(told, askedAt)
         val upToDateAge = sender.storeView.upToDateAge(clockOf(sender)) ?: return
-        receiver.storeView.onUpToDateHeard(sender.storeView.settledRevision, askedAt - upToDateAge, askedAt)
+        receiver.storeView.onUpToDateHeard(sender.storeView.settledPosition, askedAt - upToDateAge, askedAt)
     }
 
     private fun canExchange(
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -19,7 +19,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.DecodedItem
 import lagoonrudder.control.direct.PeerDaemon
+import lagoonrudder.control.direct.StoreEra
 import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StorePosition
+import lagoonrudder.control.direct.StoreRevision
 import lagoonrudder.control.direct.StoreStep
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
@@ -53,7 +56,9 @@
     private val random = Random(seed)
     private val items = sortedMapOf<String, DecodedItem>()
     private val records = mutableMapOf<StoreItem, StoreRecord?>()
+    private var era = StoreEra.UNSTATED
     private var revision = 1L
+    private val position: StorePosition get() = StorePosition(era, StoreRevision(revision))
     private var cuts = 0
     val daemons =
         (0 until domains * daemonsPerDomain).map { index ->
@@ -120,7 +125,7 @@
         scope.launch {
             delay(duration)
             // The answer to a watch waits at the connection, so it is read before the process notices its pause.
-            if (isWatching) applyWatched(daemon, StoreStep.Watch(daemon.storeView.at, Duration.ZERO), askedAt, revision)
+            if (isWatching) applyWatched(daemon, StoreStep.Watch(daemon.storeView.at, Duration.ZERO), askedAt, position)
             daemon.storeView.onPaused(duration, uncounted, clockOf(daemon))
             daemon.reader.onPollRequested()
             daemon.reading = launchReading(daemon)
@@ -166,7 +171,7 @@
         record: StoreRecord?,
     ) {
         revision++
-        val item = StoreItem(key, revision, if (record == null) null else ByteArray(0))
+        val item = StoreItem(key, position, if (record == null) null else ByteArray(0))
         records[item] = record
         items[key] = DecodedItem(item, record)
     }
@@ -195,7 +200,7 @@
                 is StoreStep.Rest -> delay(step.duration)
                 StoreStep.ReadAll -> {
                     val askedAt = clockOf(daemon)
-                    call(daemon, 0, Duration.ZERO) { at ->
+                    call(daemon, StoreRevision(0), Duration.ZERO) { at ->
                         daemon.reader.onItemsRead(clockOf(daemon))
                         val present = items.values.filter { it.item.value != null }
                         daemon.storeView.applySnapshot(present, at, clockOf(daemon), asOf = askedAt)
@@ -203,7 +208,7 @@
                 }
                 is StoreStep.Watch -> {
                     val askedAt = clockOf(daemon)
-                    call(daemon, step.after, step.wait) { at -> applyWatched(daemon, step, askedAt, at) }
+                    call(daemon, step.after.revision, step.wait) { at -> applyWatched(daemon, step, askedAt, at) }
                 }
             }
         }
@@ -213,19 +218,19 @@
         daemon: VirtualStoreDaemon,
         step: StoreStep.Watch,
         askedAt: Duration,
-        at: Long,
+        at: StorePosition,
     ) {
         val now = clockOf(daemon)
-        val changes = items.values.filter { it.item.revision > step.after }
+        val changes = items.values.filter { it.item.position.revision > step.after.revision }
         daemon.reader.onWatched(changes.size, now)
         daemon.storeView.applyChanges(changes, at, now, asOf = step.asOf(askedAt, now, changes.size))
     }
 
     private suspend fun call(
         daemon: VirtualStoreDaemon,
-        after: Long,
+        after: StoreRevision,
         wait: Duration,
-        onAnswer: (Long) -> Unit,
+        onAnswer: (StorePosition) -> Unit,
     ) {
         calls++
         val failure = failureOf(daemon, after, wait)
@@ -233,14 +238,14 @@
             daemon.reader.onFailure(failure, clockOf(daemon))
             return
         }
-        onAnswer(revision)
+        onAnswer(position)
         recordInForce(daemon)
     }
 
     /** Waits for the answer of the store and returns why there is none. */
     private suspend fun failureOf(
         daemon: VirtualStoreDaemon,
-        after: Long,
+        after: StoreRevision,
         wait: Duration,
     ): Failure? {
         val limit = wait + READ_TIMEOUT
@@ -257,12 +262,12 @@
 
     private suspend fun awaitAnswer(
         daemon: VirtualStoreDaemon,
-        after: Long,
+        after: StoreRevision,
         wait: Duration,
     ): StoreResult {
         val until = now + wait
         val cutsBefore = cuts
-        while (revision <= after && now < until && daemon.treatment != StoreTreatment.Refuses) {
+        while (revision <= after.number && now < until && daemon.treatment != StoreTreatment.Refuses) {
             delay(WATCH_CHECK_INTERVAL)
             if (cuts > cutsBefore) return StoreResult.CUT
         }
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -32,6 +32,7 @@
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.control.direct.suspicion.SuspicionController
@@ -450,7 +451,7 @@
             }
         storeView.applyChanges(
             items + DecodedItem(StoreItem("op/config", 1, ByteArray(0)), StoreRecord.Configuration(configuration)),
-            9,
+            StorePosition.unstated(9),
             Duration.ZERO,
         )
     }
@@ -525,11 +526,11 @@
         val record = recordAt(at)
         val change = listOf(DecodedItem(StoreItem(key, at, if (record == null) null else ByteArray(0)), record))
         if (fromPeer) {
-            storeView.applySettledChanges(change, at, clock.elapsed())
+            storeView.applySettledChanges(change, StorePosition.unstated(at), clock.elapsed())
         } else {
             // An answer of the store without the change, so that its age is known.
-            storeView.applyChanges(emptyList(), at - 1, clock.elapsed())
-            storeView.applyChanges(change, at, clock.elapsed())
+            storeView.applyChanges(emptyList(), StorePosition.unstated(at - 1), clock.elapsed())
+            storeView.applyChanges(change, StorePosition.unstated(at), clock.elapsed())
         }
         control.onStoreViewChanged()
     }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -14,7 +14,10 @@
 import lagoonrudder.control.direct.PeerDaemon
 import lagoonrudder.control.direct.SlotWord
 import lagoonrudder.control.direct.StoreContact
+import lagoonrudder.control.direct.StoreEra
 import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StorePosition
+import lagoonrudder.control.direct.StoreRevision
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
@@ -225,9 +228,13 @@
     return addressOrNull(backEnd)?.let { SlotWord(it, born, held, closed, sequence) }
 }
 
-fun StoreItem.toMessage() = ItemMessage(key, revision, value == null, value ?: ByteArray(0))
+val GossipMessage.position: StorePosition get() = StorePosition(StoreEra(era), StoreRevision(at))
 
-fun ItemMessage.toItem() = StoreItem(key, revision, value.takeUnless { removed })
+val GossipReply.position: StorePosition get() = StorePosition(StoreEra(era), StoreRevision(at))
+
+fun StoreItem.toMessage() = ItemMessage(key, position.revision.number, value == null, value ?: ByteArray(0), era = position.era.number)
+
+fun ItemMessage.toItem() = StoreItem(key, StorePosition(StoreEra(era), StoreRevision(revision)), value.takeUnless { removed })
 
 fun WeightManifest.toMessage() = ManifestMessage(model.text, number.number, digests.map { it.hexadecimal })
 
