Keep what was known when the store was restored from a copy

After a restore the store lacks what was written last and brings back what was removed. A response of a later era now begins a new history: a full read replaces the view. RestoredItems decides for each item of the copy: an older configuration and a missing evacuation are overruled for 3 s, an older registration for three heartbeats, a registration of a run that was known to be over until it is written again, and an older or missing declaration for good. Responses of an earlier era change nothing.

--- /dev/null
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -0,0 +1,179 @@
+/**
+ * Decides which items of a restored store apply at once, and keeps what stays in effect although the copy contradicts it.
+ *
+ * A copy lacks what was written after it was taken and brings back what was removed since. The operator and the back ends write again what
+ * they had written, so until they had the time to, what this process knew is more likely to be right than the copy. What the copy holds of
+ * a run of a back end that was known to be over never applies; such an item is discarded until it is written again.
+ */
+package lagoonrudder.control.direct
+
+import lagoonrudder.model.StoreRecord
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What becomes of an item of the copy, which may be a removal, beside what was known. */
+internal sealed class RestoredItemDecision {
+    data object Apply : RestoredItemDecision()
+
+    /** What was known stays in effect [until] then, unless it is written again before. */
+    data class Keep(
+        val until: Duration,
+    ) : RestoredItemDecision()
+
+    /** The item applies only once it is written again. */
+    data object Discard : RestoredItemDecision()
+}
+
+/** What is known of the registration of a back end: its [latest] one, and whether the back end [isInEffect]. */
+internal class KnownRegistration(
+    val latest: StoreRecord.Registered,
+    val isInEffect: Boolean,
+)
+
+/** Whether this registration was written after [other]: by a later run of the back end, or later in the same run. */
+internal fun StoreRecord.Registered.isLaterThan(other: StoreRecord.Registered): Boolean =
+    when (val born = backEnd.born.compareTo(other.backEnd.born)) {
+        0 -> (sequence ?: 0) > (other.sequence ?: Long.MAX_VALUE)
+        else -> born > 0
+    }
+
+/** [known] is the item in effect, and [registration] what is known of the back end if [offered] is a registration. */
+internal fun decideRestored(
+    known: DecodedItem?,
+    registration: KnownRegistration?,
+    offered: DecodedItem,
+    now: Duration,
+): RestoredItemDecision =
+    when (val record = offered.published) {
+        is StoreRecord.Configuration -> {
+            val set = (known?.published as? StoreRecord.Configuration)?.set
+            if (set != null &&
+                record.set.revision < set.revision
+            ) {
+                RestoredItemDecision.Keep(now + REWRITE_TIME)
+            } else {
+                RestoredItemDecision.Apply
+            }
+        }
+        is StoreRecord.Registered -> decideRegistration(known, registration, record, now)
+        is StoreRecord.VersionDeclaration -> {
+            val number = (known?.published as? StoreRecord.VersionDeclaration)?.number
+            if (number != null && record.number < number) RestoredItemDecision.Keep(Duration.INFINITE) else RestoredItemDecision.Apply
+        }
+        is StoreRecord.DomainEvacuation, is StoreRecord.Unreadable -> RestoredItemDecision.Apply
+        null -> if (offered.item.value == null) decideMissing(known, now) else RestoredItemDecision.Apply
+    }
+
+/** A back end that is missing is removed as after an outage, and without a configuration the last one stays active. */
+private fun decideMissing(
+    known: DecodedItem?,
+    now: Duration,
+): RestoredItemDecision =
+    when (known?.published) {
+        is StoreRecord.DomainEvacuation -> RestoredItemDecision.Keep(now + REWRITE_TIME)
+        is StoreRecord.VersionDeclaration -> RestoredItemDecision.Keep(Duration.INFINITE)
+        is StoreRecord.Configuration, is StoreRecord.Registered, is StoreRecord.Unreadable, null -> RestoredItemDecision.Apply
+    }
+
+private fun decideRegistration(
+    known: DecodedItem?,
+    registration: KnownRegistration?,
+    offered: StoreRecord.Registered,
+    now: Duration,
+): RestoredItemDecision =
+    when {
+        // A removal whose registration was never heard of: nothing shows that the copy holds a later one.
+        registration == null -> if (known != null && known.item.value == null) RestoredItemDecision.Discard else RestoredItemDecision.Apply
+        offered.isLaterThan(registration.latest) -> RestoredItemDecision.Apply
+        !registration.isInEffect -> RestoredItemDecision.Discard
+        offered.backEnd == registration.latest.backEnd -> RestoredItemDecision.Apply
+        else -> RestoredItemDecision.Keep(now + RENEWAL_TIME)
+    }
+
+/** The items that stay in effect after a restore, and those that were discarded. */
+internal class RestoredItems {
+    private class KeptItem(
+        val known: DecodedItem,
+        val until: Duration,
+        val isToldByPeer: Boolean,
+    )
+
+    private val keptByKey = mutableMapOf<String, KeptItem>()
+    private val discardedByKey = mutableMapOf<String, StoreItem>()
+
+    val keptKeys: Set<String> get() = keptByKey.keys
+
+    val kept: List<DecodedItem> get() = keptByKey.values.map { it.known }
+
+    /**
+     * What peers that start now can't know: the items that this process keeps, and the removals of discarded ones. What a peer told is
+     * passed on only if it is kept for good, as its time would begin anew with each daemon.
+     */
+    val toTell: List<StoreItem>
+        get() =
+            keptByKey.values
+                .filter { !it.isToldByPeer || it.until.isInfinite() }
+                .map { it.known.item } + discardedByKey.values
+
+    fun keptOf(key: String): DecodedItem? = keptByKey[key]?.known
+
+    fun keep(
+        known: DecodedItem,
+        until: Duration,
+        isToldByPeer: Boolean = false,
+    ) {
+        keptByKey[known.item.key] = KeptItem(known, until, isToldByPeer)
+    }
+
+    /** Records that the item in place of [removal], at the same position, was discarded. */
+    fun onDiscarded(removal: StoreItem) {
+        discardedByKey[removal.key] = removal
+    }
+
+    /** Ends what is kept or discarded of [key], since the store's item applies. */
+    fun release(key: String) {
+        keptByKey -= key
+        discardedByKey -= key
+    }
+
+    /** Records a further restore at [now], after which the operator writes again once more. */
+    fun onRestored(now: Duration) {
+        keptByKey.replaceAll { _, item -> KeptItem(item.known, maxOf(item.until, now + REWRITE_TIME), item.isToldByPeer) }
+    }
+
+    /**
+     * Records a [change] of the restored store. Returns whether it applies: a configuration that is older than the one kept does so only
+     * once the time to write it again is over, and an older declaration never.
+     */
+    fun onChange(change: DecodedItem): Boolean {
+        discardedByKey -= change.item.key
+        val isOlder = keptByKey[change.item.key]?.let { isOlder(change.published, it.known.published) } ?: false
+        if (!isOlder) keptByKey -= change.item.key
+        return !isOlder
+    }
+
+    private fun isOlder(
+        offered: StoreRecord?,
+        kept: StoreRecord?,
+    ): Boolean =
+        when (kept) {
+            is StoreRecord.Configuration -> offered is StoreRecord.Configuration && offered.set.revision < kept.set.revision
+            is StoreRecord.VersionDeclaration -> offered !is StoreRecord.VersionDeclaration || offered.number < kept.number
+            is StoreRecord.DomainEvacuation, is StoreRecord.Registered, is StoreRecord.Unreadable, null -> false
+        }
+
+    /** Returns the keys whose time is over at [now], and releases them. */
+    fun expire(now: Duration): List<String> =
+        keptByKey
+            .filterValues { it.until <= now }
+            .keys
+            .toList()
+            .onEach { keptByKey -= it }
+}
+
+/** How long the operator has to write again what a copy lacks. */
+internal val REWRITE_TIME = 3.seconds
+
+/** Three heartbeats: a back end that has not renewed its registration by then is no longer alive. */
+private val RENEWAL_TIME = 3_600.milliseconds
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -31,6 +31,9 @@
         val after: StorePosition,
         val wait: Duration,
     ) : StoreStep() {
+        /** Whether a response at the position [at] continues this watch: one from another era says nothing of what followed [after]. */
+        fun isContinuedBy(at: StorePosition): Boolean = at.era == after.era
+
         /**
          * Returns the time until which an answer with [changes], which arrived at [now], holds all that the store had acknowledged, if it
          * was asked for at [askedAt]. The store answers without a change only at the end of the wait.
@@ -83,7 +86,7 @@
         if (now < nextCallAt) return StoreStep.Rest(nextCallAt - now)
         val wait = if (pollRequested || isLost) Duration.ZERO else WATCH_TIMEOUT
         pollRequested = false
-        return if (needsFullRead) StoreStep.ReadAll else StoreStep.Watch(storeView.at, wait)
+        return if (needsFullRead || storeView.needsFullRead) StoreStep.ReadAll else StoreStep.Watch(storeView.at, wait)
     }
 
     /** The next call returns immediately, for example after a pause of the process. */
@@ -106,6 +109,20 @@
         return onAnswer(now)
     }
 
+    /**
+     * Records the response to a watch from another era than the one that was asked for: the store was restored, and all items are read next.
+     * Returns how long the store was lost.
+     */
+    fun onOtherEra(
+        era: StoreEra,
+        now: Duration,
+    ): Duration? {
+        needsFullRead = true
+        // A store that states an earlier era has nothing to tell, and must not be asked without a rest.
+        if (era < storeView.at.era) nextCallAt = now + CHANGE_BATCH_INTERVAL
+        return onAnswer(now)
+    }
+
     /** Records that the store has discarded the history that a watch asked for. Returns how long the store was lost. */
     fun onHistoryLost(now: Duration): Duration? {
         needsFullRead = true
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -54,6 +54,7 @@
     val declared: List<DeclaredWeights>,
     val evacuated: Set<DomainId>?,
     val unusable: List<String>,
+    val era: EraChange? = null,
 ) {
     val isEmpty: Boolean
         get() =
@@ -63,9 +64,22 @@
                 removed.isEmpty() &&
                 declared.isEmpty() &&
                 evacuated == null &&
-                unusable.isEmpty()
+                unusable.isEmpty() &&
+                era == null
+
+    companion object {
+        val NONE = StoreViewChange(null, emptyList(), emptyList(), emptyList(), emptyList(), null, emptyList())
+    }
 }
 
+/** A change from the position [before] to a later era; what was known of the [kept] keys stays in effect for a while. */
+data class EraChange(
+    val before: StorePosition,
+    val after: StorePosition,
+    val kept: List<String>,
+    val discarded: List<String>,
+)
+
 /**
  * A registration expires after three heartbeats of silence, 3.6 s. So none can expire in a shorter outage than this, whenever its last
  * heartbeat was. A watch that gets no response is followed by another call within less.
@@ -105,8 +119,19 @@
     private val backEndsById = mutableMapOf<TargetId, BackEnd>()
     private val targetsByKey = mutableMapOf<String, TargetId>()
     private val registrations = mutableMapOf<TargetId, StoreItem>()
+    private val restored = RestoredItems()
+    private val latestRegistrations = mutableMapOf<String, StoreRecord.Registered>()
     private var confirmedAt: Duration? = null
 
+    /** When this process first saw the current era; null for a store that states none. */
+    private var eraSeenAt: Duration? = null
+
+    /** The same if it knew items of an earlier era. */
+    private var restoredAt: Duration? = null
+
+    /** The era in which this process last read all items from the store itself. */
+    private var readEra: StoreEra? = null
+
     /** The position of the last read of all items; every removal after it has left a tombstone. */
     private var completeAt = StorePosition.NONE
 
@@ -129,8 +154,9 @@
     var at = StorePosition.NONE
         private set
 
-    var serving: ServingConfiguration? = null
-        private set
+    private var servingItem: DecodedItem? = null
+
+    val serving: ServingConfiguration? get() = (servingItem?.published as? StoreRecord.Configuration)?.set
 
     var evacuated: Set<DomainId> = emptySet()
         private set
@@ -148,14 +174,17 @@
 
     /**
      * Applies changes from the store up to the position [upTo], which arrived at [now] and hold all that the store had acknowledged until
-     * [asOf].
+     * [asOf]. Changes of another era are ignored; a later one is entered by a read of all items.
      */
     fun applyChanges(
         changes: List<DecodedItem>,
         upTo: StorePosition,
         now: Duration,
         asOf: Duration = now,
-    ): StoreViewChange = applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
+    ): StoreViewChange {
+        if (upTo.era != at.era) return StoreViewChange.NONE
+        return applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
+    }
 
     /** Applies changes whose removals wait while the registrations may come back. */
     private fun applyUnsettled(
@@ -175,7 +204,7 @@
         changes: List<DecodedItem>,
         upTo: StorePosition,
         now: Duration,
-    ): StoreViewChange = applyChanges(changes, upTo, now, holdRemovals = false)
+    ): StoreViewChange = if (upTo.era == at.era) applyChanges(changes, upTo, now, holdRemovals = false) else StoreViewChange.NONE
 
     private fun applyChanges(
         changes: List<DecodedItem>,
@@ -183,7 +212,8 @@
         now: Duration,
         holdRemovals: Boolean,
     ): StoreViewChange {
-        val applied = changes.filter { storeIfNewer(it) }
+        val (current, earlier) = changes.partition { it.item.position.era == upTo.era }
+        val applied = current.filter { storeIfNewer(it) && restored.onChange(it) } + keepTold(earlier, now)
         at = maxOf(at, upTo)
         confirmedAt = now
         return publish(applied, now, holdRemovals)
@@ -199,6 +229,9 @@
         now: Duration,
         asOf: Duration = now,
     ): StoreViewChange {
+        if (upTo.era < at.era) return StoreViewChange.NONE
+        readEra = upTo.era
+        if (upTo.era > at.era) return beginEra(all, upTo, now).also { versions.onUpToDate(asOf) }
         if (upTo < at) return applyChanges(emptyList(), at, now, asOf)
         return applyChanges(completed(all, upTo), upTo, now, asOf)
     }
@@ -211,7 +244,115 @@
         all: List<DecodedItem>,
         upTo: StorePosition,
         now: Duration,
-    ): StoreViewChange = applyUnsettled(completed(all, upTo), upTo, now)
+    ): StoreViewChange =
+        when {
+            upTo.era < at.era -> StoreViewChange.NONE
+            upTo.era > at.era -> beginEra(all, upTo, now)
+            else -> applyUnsettled(completed(all, upTo), upTo, now)
+        }
+
+    /**
+     * Replaces the view by [all] items of a later era at the position [upTo]. A peer's items may include some of an earlier era that stay in
+     * effect there.
+     */
+    private fun beginEra(
+        all: List<DecodedItem>,
+        upTo: StorePosition,
+        now: Duration,
+    ): StoreViewChange {
+        val before = at
+        // The active configuration outlives its item, also one that was removed or could not be read later.
+        val active = listOfNotNull(servingItem).associateBy { it.item.key }
+        val known = items.mapValues { (key, item) -> restored.keptOf(key) ?: active[key] ?: item }
+        eraSeenAt = now
+        if (known.isNotEmpty()) restoredAt = now
+        contactPosition = upTo
+        restored.onRestored(now)
+        val (current, earlier) = completed(all, upTo).partition { it.item.position.era == upTo.era }
+        val discarded = mutableListOf<String>()
+        val applied =
+            current.filter { change ->
+                val key = change.item.key
+                val isNewer = storeIfNewer(change)
+                val decision = decideRestored(known[key], knownRegistration(change), change, now)
+                if (isNewer) restored.release(key)
+                when (decision) {
+                    RestoredItemDecision.Apply -> Unit
+                    is RestoredItemDecision.Keep -> restored.keep(known.getValue(key), decision.until)
+                    RestoredItemDecision.Discard -> discard(change).also { discarded += key }
+                }
+                isNewer && decision == RestoredItemDecision.Apply
+            }
+        movePendingRemovals(upTo)
+        at = upTo
+        confirmedAt = now
+        val change = publish(applied + keepTold(earlier, now), now, holdRemovals = true)
+        return change.copy(era = EraChange(before, upTo, restored.keptKeys.toList(), discarded))
+    }
+
+    /** Returns what is known of the back end whose registration [offered] holds; one whose removal is pending is no longer in effect. */
+    private fun knownRegistration(offered: DecodedItem): KnownRegistration? {
+        val latest = latestRegistrations[offered.item.key] ?: return null
+        val id = latest.backEnd.id
+        return KnownRegistration(latest, isInEffect = id in backEndsById && id !in pendingRemovals)
+    }
+
+    /** Replaces [item] of the copy by a removal at its position, which any later write replaces. */
+    private fun discard(item: DecodedItem) {
+        val removal = StoreItem(item.item.key, item.item.position, null)
+        items[removal.key] = DecodedItem(removal, null)
+        restored.onDiscarded(removal)
+    }
+
+    /** Moves the pending removals of an earlier era to [upTo], so that peers are told of the new era. */
+    private fun movePendingRemovals(upTo: StorePosition) {
+        pendingRemovals.replaceAll { _, pending ->
+            val known = items.getValue(pending.change.key).item
+            val change = if (known.position.era == upTo.era) known else StoreItem(pending.change.key, upTo, null)
+            items[change.key] = DecodedItem(change, null)
+            PendingRemoval(pending.registration, change, pending.until)
+        }
+    }
+
+    /**
+     * Takes over items of an earlier era that a peer keeps in effect or whose removals are pending there. Returns those that apply. A daemon
+     * that started after the restore can't know them otherwise.
+     */
+    private fun keepTold(
+        told: List<DecodedItem>,
+        now: Duration,
+    ): List<DecodedItem> =
+        told.filter { each ->
+            val key = each.item.key
+            val current = items[key]
+            val registered = each.published as? StoreRecord.Registered
+            when {
+                !isSettling(now) || restored.keptOf(key) != null -> false
+                current == null && registered != null -> storeIfNewer(each)
+                current != null && current.item.position.era < at.era -> false
+                else -> {
+                    val absent = DecodedItem(StoreItem(key, at, null), null)
+                    val decision = decideRestored(each, registered?.let { KnownRegistration(it, true) }, current ?: absent, now)
+                    if (decision is RestoredItemDecision.Keep) restored.keep(each, decision.until, isToldByPeer = true)
+                    decision is RestoredItemDecision.Keep
+                }
+            }
+        }
+
+    /**
+     * Whether a daemon that watches the store must read all items first: it has heard of this era only from peers, whose pending removals of
+     * items that the copy lacks are no changes which a watch would show.
+     */
+    val needsFullRead: Boolean get() = at.era > StoreEra.UNSTATED && readEra != at.era
+
+    /** Whether peers may know what a restored store lacks, since this process has seen its era only since lately. */
+    fun isSettling(now: Duration): Boolean = eraSeenAt?.let { now < it + REWRITE_TIME } ?: false
+
+    /** Applies the store's items in place of those that were kept after a restore and whose time is over. */
+    fun releaseKept(now: Duration): StoreViewChange {
+        val keys = restored.expire(now)
+        return if (keys.isEmpty()) StoreViewChange.NONE else publish(keys.mapNotNull { items[it] }, now, holdRemovals = false)
+    }
 
     /** Returns [all] items at the position [upTo] and the removals of those that are not among them. */
     private fun completed(
@@ -219,7 +360,12 @@
         upTo: StorePosition,
     ): List<DecodedItem> {
         completeAt = maxOf(completeAt, upTo)
-        val present = all.mapTo(mutableSetOf()) { it.item.key }
+        // A peer includes registrations of an earlier era while their removals are pending there.
+        val present =
+            all
+                .filter {
+                    it.item.position.era == upTo.era || it.published is StoreRecord.Registered
+                }.mapTo(mutableSetOf()) { it.item.key }
         val removed =
             items.values
                 .filter { it.item.value != null && it.item.key !in present && it.item.position <= upTo }
@@ -242,7 +388,7 @@
         time: Duration,
         askedAt: Duration,
     ) {
-        if (position <= at) versions.onUpToDate(time, askedAt)
+        if (position.era == at.era && position <= at) versions.onUpToDate(time, askedAt)
     }
 
     /** The position up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
@@ -252,8 +398,9 @@
     fun itemsSince(after: StorePosition): StoreItems {
         val pending = pendingRemovals.values.mapTo(mutableSetOf()) { it.change }
         val settled = items.values.map { it.item }.filter { it !in pending }
-        if (after >= completeAt) return StoreItems(settled.filter { it.position > after }, isComplete = false)
-        return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration }, isComplete = true)
+        val told = restored.toTell.filter { it !in pending }
+        if (after >= completeAt) return StoreItems(settled.filter { it.position > after } + told, isComplete = false)
+        return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration } + told, isComplete = true)
     }
 
     /** Records that the store answered this daemon or another one [at] that time. */
@@ -272,14 +419,19 @@
         storeContact = joined
     }
 
-    /** Whether registrations that expired before the store's contact began may still come back. */
-    private fun mayReturn(now: Duration): Boolean = storeContact?.let { now < it.since + REMOVAL_GRACE } ?: false
+    /** The time until which registrations that expired before the store's contact began, or that a copy lacks, may still come back. */
+    private val graceEnd: Duration? get() = listOfNotNull(storeContact?.since, restoredAt).maxOrNull()?.let { it + REMOVAL_GRACE }
+
+    private fun mayReturn(now: Duration): Boolean = graceEnd?.let { now < it } ?: false
 
     /** Whether a peer that knows of a contact [since] then can show that removals need not wait, although this daemon lets them. */
     fun isGraceRefutedBy(
         since: Duration,
         now: Duration,
-    ): Boolean = mayReturn(now) && since + REMOVAL_GRACE <= now
+    ): Boolean {
+        val contact = storeContact ?: return false
+        return now < contact.since + REMOVAL_GRACE && since + REMOVAL_GRACE <= now
+    }
 
     /** Removes the back ends whose grace period ended without a new registration or proved needless, and returns them. */
     fun expire(now: Duration): List<TargetId> {
@@ -316,6 +468,7 @@
             entry("revision", serving?.revision?.number)
             entry("confirmed", confirmed)
             entry("store-contact", storeContact)
+            entry("kept-after-restore", restored.keptKeys)
             entry("evacuated", evacuated.map { it.text })
             entry("declared", versions.newest.map { (model, number) -> "${model.text}:${number.number}" })
             entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
@@ -323,11 +476,20 @@
 
     private fun storeIfNewer(change: DecodedItem): Boolean {
         val known = items[change.item.key]
-        if (known != null && known.item.position >= change.item.position) return false
+        if (known != null && known.item.position >= change.item.position && !isDiscarded(known.item, change.item)) return false
         items[change.item.key] = change
         return true
     }
 
+    /** Whether a peer has discarded [known]: its removal has the position of the item itself, which no store gives out twice. */
+    private fun isDiscarded(
+        known: StoreItem,
+        removal: StoreItem,
+    ): Boolean {
+        val isStated = removal.position.era > StoreEra.UNSTATED
+        return isStated && removal.position == known.position && removal.value == null && known.value != null
+    }
+
     private fun publish(
         applied: List<DecodedItem>,
         now: Duration,
@@ -340,36 +502,46 @@
         var next: ServingConfiguration? = null
         for (change in applied) {
             when (val published = change.published) {
-                is StoreRecord.Configuration -> next = newerOf(published.set, next)
-                is StoreRecord.Registered -> (if (register(change.item, published.backEnd)) added else changed) += published.backEnd
+                is StoreRecord.Configuration -> {
+                    val before = serving
+                    if (replacesServing(change, published.set)) {
+                        servingItem = change
+                        if (published.set != before) next = published.set
+                    }
+                }
+                is StoreRecord.Registered -> (if (register(change.item, published)) added else changed) += published.backEnd
                 is StoreRecord.VersionDeclaration -> versions.onHeard(published, now)?.let { declared += it }
                 is StoreRecord.Unreadable -> unusable += "${change.item.key}: ${published.detail}"
                 is StoreRecord.DomainEvacuation, null -> Unit
             }
         }
-        next?.let { serving = it }
         // A registration may be removed and renewed within one response; only its newest change counts.
         if (applied.isNotEmpty()) backEndsByService = null
         val removed = applied.filter { items[it.item.key] === it }.mapNotNull { removal(it, holdRemovals) }
         return StoreViewChange(next, added, changed, removed, declared, changedEvacuation(), unusable)
     }
 
-    private fun newerOf(
+    /** Within an era a configuration is replaced only by a newer one; a later era is no longer bound by what was lost. */
+    private fun replacesServing(
+        change: DecodedItem,
         offered: ServingConfiguration,
-        before: ServingConfiguration?,
-    ): ServingConfiguration? {
-        val current = before ?: serving
+    ): Boolean {
+        val current = serving
         val isNewer = current == null || offered.revision > current.revision
+        val currentEra = servingItem?.item?.position?.era ?: StoreEra.UNSTATED
+        if (change.item.position.era != currentEra) return isNewer || change.item.position.era > currentEra
         invariants.check(isNewer, Invariant.CONFIGURATION_NEVER_REVERTS, Step.ACCEPT_CONFIGURATION) {
             "offered=${offered.revision.number} current=${current?.revision?.number}"
         }
-        return if (isNewer) offered else before
+        return isNewer
     }
 
     private fun register(
         item: StoreItem,
-        backEnd: BackEnd,
+        published: StoreRecord.Registered,
     ): Boolean {
+        val backEnd = published.backEnd
+        latestRegistrations.merge(item.key, published) { known, offered -> if (known.isLaterThan(offered)) known else offered }
         pendingRemovals -= backEnd.id
         targetsByKey[item.key] = backEnd.id
         registrations[backEnd.id] = item
@@ -384,10 +556,11 @@
         if (change.published is StoreRecord.Registered) return null
         val id = targetsByKey[change.item.key] ?: return null
         val registration = registrations.getValue(id)
-        val graceEnd = storeContact?.let { it.since + REMOVAL_GRACE }
+        val until = graceEnd
         val wasRenewed = contactPosition?.let { registration.position > it } ?: false
-        if (hold && graceEnd != null && !wasRenewed && change.item.value == null) {
-            pendingRemovals[id] = PendingRemoval(registration, change.item, graceEnd)
+        val wasDiscarded = change.item.position == registration.position
+        if (hold && until != null && !wasRenewed && !wasDiscarded && change.item.value == null) {
+            pendingRemovals[id] = PendingRemoval(registration, change.item, until)
             return null
         }
         forget(id, change.item.key)
@@ -405,7 +578,8 @@
     }
 
     private fun changedEvacuation(): Set<DomainId>? {
-        val next = items.values.mapNotNullTo(mutableSetOf()) { (it.published as? StoreRecord.DomainEvacuation)?.domain }
+        val inEffect = items.values.filter { it.item.key !in restored.keptKeys } + restored.kept
+        val next = inEffect.mapNotNullTo(mutableSetOf()) { (it.published as? StoreRecord.DomainEvacuation)?.domain }
         if (next == evacuated) return null
         evacuated = next
         return next
--- /dev/null
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
@@ -0,0 +1,286 @@
+/**
+ * Guards against a store that was restored from a copy: what it brings back must not be used again, what it lacks must not be lost before
+ * it is written again, and revisions that are given out twice must not hide the later state.
+ */
+package lagoonrudder.control.direct
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import lagoonrudder.control.strictInvariants
+import lagoonrudder.model.BackEnd
+import lagoonrudder.model.StoreRecord
+import lagoonrudder.model.TargetId
+import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+private val A = TargetId("a")
+
+private fun position(
+    era: Long,
+    revision: Long,
+) = StorePosition(StoreEra(era), StoreRevision(revision))
+
+private fun itemAt(
+    position: StorePosition,
+    key: String,
+    published: StoreRecord?,
+) = DecodedItem(StoreItem(key, position, if (published == null) null else ByteArray(0)), published)
+
+private fun configuration(
+    position: StorePosition,
+    version: Long,
+) = itemAt(position, "op/config", StoreRecord.Configuration(servingSet(version)))
+
+private fun registration(
+    position: StorePosition,
+    backEnd: BackEnd = backEnd("a"),
+    sequence: Long? = null,
+) = itemAt(position, "servers/${backEnd.id.text}", StoreRecord.Registered(backEnd, sequence))
+
+private fun evacuation(position: StorePosition) = itemAt(position, "op/evacuate/near", StoreRecord.DomainEvacuation(NEAR))
+
+/** The position of the store before it was restored, and of the copy. */
+private val LOST = position(1, 500)
+private val COPY = position(2, 100)
+private val RESTORED_AT = 60.seconds
+
+/** A daemon that has read [items] in the first era and has been in contact with the store since. */
+private fun running(vararg items: DecodedItem) =
+    StoreViewController(strictInvariants()).apply {
+        onStoreHeard(StoreContact(10.seconds, RESTORED_AT))
+        applySnapshot(items.toList(), LOST, 50.seconds)
+    }
+
+private fun StoreViewController.restore(
+    vararg items: DecodedItem,
+    at: StorePosition = COPY,
+    now: Duration = RESTORED_AT,
+) = applySnapshot(items.toList(), at, now)
+
+/** Lets [receiver] learn all that it asks this daemon for at [now]. */
+private fun StoreViewController.tell(
+    receiver: StoreViewController,
+    records: List<DecodedItem>,
+    now: Duration,
+) {
+    val sent = itemsSince(receiver.at)
+    val items = sent.items.map { item -> DecodedItem(item, records.firstOrNull { it.item === item }?.published) }
+    if (sent.isComplete) {
+        receiver.applySettledSnapshot(items, settledPosition, now)
+    } else {
+        receiver.applySettledChanges(items, settledPosition, now)
+    }
+}
+
+class RestoredStoreTest :
+    FunSpec({
+        test("a position of a later era is later whatever its revision") {
+            (position(2, 1) > position(1, 900)) shouldBe true
+            (position(2, 3) > position(2, 2)) shouldBe true
+        }
+
+        test("an older configuration of the copy applies only after the operator had time to write again") {
+            val view = running(configuration(LOST, 9))
+            view.restore(configuration(COPY, 7)).serving shouldBe null
+            view.releaseKept(RESTORED_AT + 2.9.seconds).isEmpty shouldBe true
+            view.serving?.revision?.number shouldBe 9
+            view
+                .releaseKept(RESTORED_AT + 3.seconds)
+                .serving
+                ?.revision
+                ?.number shouldBe 7
+            view.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), RESTORED_AT + 4.seconds)
+            view.serving?.revision?.number shouldBe 8
+        }
+
+        test("a configuration that is written again stays, and one between the two does not apply in the time to write again") {
+            val view = running(configuration(LOST, 9))
+            view.restore(configuration(COPY, 7))
+            view.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), RESTORED_AT + 1.seconds)
+            view.serving?.revision?.number shouldBe 9
+            view.applyChanges(listOf(configuration(position(2, 102), 9)), position(2, 102), RESTORED_AT + 2.seconds)
+            view.releaseKept(RESTORED_AT + 4.seconds).isEmpty shouldBe true
+            view.serving?.revision?.number shouldBe 9
+        }
+
+        test("the last configuration that could be read stays active as well") {
+            val view = running(configuration(LOST, 9))
+            val unreadable = itemAt(position(1, 501), "op/config", StoreRecord.Unreadable("field routes"))
+            view.applyChanges(listOf(unreadable), position(1, 501), 55.seconds)
+            view.restore(configuration(COPY, 7))
+            view.serving?.revision?.number shouldBe 9
+        }
+
+        test("two restores in a row give the operator the time to write again each") {
+            val view = running(configuration(LOST, 9), evacuation(LOST))
+            view.restore(configuration(COPY, 7))
+            view.restore(configuration(position(3, 90), 6), at = position(3, 90), now = RESTORED_AT + 2.seconds)
+            view.releaseKept(RESTORED_AT + 4.9.seconds).isEmpty shouldBe true
+            view.serving?.revision?.number shouldBe 9
+            view.evacuated shouldBe setOf(NEAR)
+            view.releaseKept(RESTORED_AT + 5.seconds)
+            view.serving?.revision?.number shouldBe 6
+            view.evacuated.shouldBeEmpty()
+        }
+
+        test("a registration that the copy lacks is kept until it is back, and dropped when it stays away") {
+            val view = running(registration(LOST), registration(LOST, backEnd("b")))
+            view.restore().removed.shouldBeEmpty()
+            view.applyChanges(listOf(registration(position(2, 101))), position(2, 101), RESTORED_AT + 1.seconds)
+            view.expire(RESTORED_AT + 2.2.seconds).shouldBeEmpty()
+            view.expire(RESTORED_AT + 2.3.seconds) shouldContainExactly listOf(TargetId("b"))
+            view.backEnds.map { it.id } shouldContainExactly listOf(A)
+        }
+
+        test("a back end that was known to be gone is not used again until it registers anew") {
+            for (anew in listOf(registration(position(2, 101), sequence = 21), registration(position(2, 101), backEnd("a", born = 2)))) {
+                val view = running(registration(position(1, 490), sequence = 20))
+                view.applyChanges(listOf(itemAt(position(1, 501), "servers/a", null)), position(1, 501), 55.seconds)
+                view.restore(registration(position(2, 40), sequence = 12))
+                view.releaseKept(RESTORED_AT + 10.seconds)
+                view.backEnd(A) shouldBe null
+                view.applyChanges(listOf(anew), position(2, 101), RESTORED_AT + 10.seconds).added.size shouldBe 1
+            }
+        }
+
+        test("a back end that registered anew before the first read of the restored store is used at once") {
+            val view = running(registration(position(1, 490), sequence = 20))
+            view.applyChanges(listOf(itemAt(position(1, 501), "servers/a", null)), position(1, 501), 55.seconds)
+            view.restore(registration(COPY, backEnd("a", born = 2), sequence = 0)).added.map { it.born } shouldContainExactly listOf(2L)
+        }
+
+        test("a back end that was known to be leaving stays so until it registers anew or three heartbeats have passed") {
+            fun restored() =
+                running(registration(LOST, backEnd("a", leaving = true), sequence = 20)).apply {
+                    restore(registration(position(2, 40), sequence = 12))
+                }
+            val silent = restored()
+            silent.releaseKept(RESTORED_AT + 3.5.seconds)
+            silent.backEnd(A)?.leaving shouldBe true
+            silent.releaseKept(RESTORED_AT + 3.6.seconds)
+            silent.backEnd(A)?.leaving shouldBe false
+            val renewed = restored()
+            renewed.applyChanges(listOf(registration(position(2, 101), sequence = 21)), position(2, 101), RESTORED_AT + 1.seconds)
+            renewed.backEnd(A)?.leaving shouldBe false
+        }
+
+        test("an evacuation that the copy lacks stays for the time to write again, and one that it brings back takes effect at once") {
+            val view = running(evacuation(LOST))
+            view.restore().evacuated shouldBe null
+            view.releaseKept(RESTORED_AT + 2.9.seconds)
+            view.evacuated shouldBe setOf(NEAR)
+            view.releaseKept(RESTORED_AT + 3.seconds).evacuated shouldBe emptySet()
+            running().restore(evacuation(COPY)).evacuated shouldBe setOf(NEAR)
+        }
+
+        test("an evacuation that ends in the new era ends at once") {
+            val view = running(evacuation(LOST))
+            view.restore(evacuation(position(2, 90)))
+            val ended = listOf(itemAt(position(2, 101), "op/evacuate/near", null))
+            view.applyChanges(ended, position(2, 101), RESTORED_AT + 1.seconds).evacuated shouldBe emptySet()
+        }
+
+        test("a declared version that the copy lacks or has in an older form stays declared") {
+            fun declared(
+                position: StorePosition,
+                number: Long,
+            ) = itemAt(position, "op/version/model", StoreRecord.VersionDeclaration(MODEL, WeightNumber(number)))
+            for (copy in listOf(emptyList(), listOf(declared(COPY, 2)))) {
+                val view = running(declared(LOST, 3))
+                view.applySnapshot(copy, COPY, RESTORED_AT)
+                view.versions.newest[MODEL] shouldBe WeightNumber(3)
+            }
+        }
+
+        test("what a store or peer of the earlier era says changes nothing, and doesn't confirm the view") {
+            val view = running(configuration(LOST, 9))
+            view.restore(configuration(COPY, 9))
+            view.onPaused(100.milliseconds, uncounted = Duration.ZERO, RESTORED_AT)
+            val late = position(1, 900)
+            view.applyChanges(listOf(configuration(late, 11)), late, RESTORED_AT)
+            view.applySettledChanges(listOf(registration(late)), late, RESTORED_AT)
+            view.applySnapshot(emptyList(), late, RESTORED_AT)
+            view.applySettledSnapshot(listOf(configuration(late, 11)), late, RESTORED_AT)
+            view.serving?.revision?.number shouldBe 9
+            view.backEnds.shouldBeEmpty()
+            view.at shouldBe COPY
+            view.confirmed shouldBe false
+        }
+
+        test("changes of a later era are not applied to the earlier history") {
+            val view = running(configuration(LOST, 9))
+            view.applyChanges(listOf(configuration(position(2, 600), 11)), position(2, 600), RESTORED_AT).isEmpty shouldBe true
+            view.at shouldBe LOST
+        }
+
+        test("a follower that hears of the era from a peer gets all items, and keeps what it knew itself") {
+            val gone = itemAt(position(1, 501), "servers/b", null)
+            val items = arrayOf(configuration(LOST, 9), registration(position(1, 480)), registration(LOST, backEnd("b"), sequence = 3))
+            val reader = running(*items)
+            val follower = running(*items)
+            listOf(reader, follower).forEach { it.applyChanges(listOf(gone), position(1, 501), 55.seconds) }
+            val copy = listOf(configuration(position(2, 90), 7), registration(position(2, 95), backEnd("b"), sequence = 1))
+            reader.applySnapshot(copy, COPY, RESTORED_AT)
+            reader.itemsSince(follower.at).isComplete shouldBe true
+            reader.tell(follower, copy + items, RESTORED_AT + 100.milliseconds)
+            follower.at.era shouldBe StoreEra(2)
+            follower.serving?.revision?.number shouldBe 9
+            follower.backEnds.map { it.id } shouldContainExactly listOf(A)
+            follower.itemsSince(LOST).isComplete shouldBe true
+            reader.expire(RESTORED_AT + 2.3.seconds)
+            reader.tell(follower, copy + items, RESTORED_AT + 2.4.seconds)
+            follower.expire(RESTORED_AT + 2.4.seconds)
+            follower.backEnds.shouldBeEmpty()
+            follower.releaseKept(RESTORED_AT + 3.1.seconds)
+            follower.serving?.revision?.number shouldBe 7
+            follower.at shouldBe COPY
+        }
+
+        test("a daemon that starts after the restore learns from a peer what the copy lacks") {
+            val items =
+                arrayOf(
+                    configuration(LOST, 9),
+                    evacuation(LOST),
+                    registration(LOST, sequence = 9),
+                    registration(LOST, backEnd("b", leaving = true), sequence = 9),
+                )
+            val running = running(*items)
+            running.applyChanges(listOf(itemAt(position(1, 501), "servers/a", null)), position(1, 501), 55.seconds)
+            val copy =
+                listOf(
+                    configuration(position(2, 90), 7),
+                    registration(position(2, 95), sequence = 5),
+                    registration(position(2, 96), backEnd("b"), sequence = 5),
+                )
+            val started = StoreViewController(strictInvariants())
+            for (view in listOf(running, started)) {
+                view.onStoreHeard(RESTORED_AT)
+                view.applySnapshot(copy, COPY, RESTORED_AT)
+            }
+            started.backEnd(A) shouldBe copy[1].published.let { (it as StoreRecord.Registered).backEnd }
+            started.isSettling(RESTORED_AT) shouldBe true
+            running.tell(started, copy + items, RESTORED_AT + 100.milliseconds)
+            withClue("gone") { started.backEnd(A) shouldBe null }
+            withClue("leaving") { started.backEnd(TargetId("b"))?.leaving shouldBe true }
+            started.serving?.revision?.number shouldBe 9
+            started.evacuated shouldBe setOf(NEAR)
+            withClue("not passed on") { started.itemsSince(COPY).items.shouldBeEmpty() }
+            started.releaseKept(RESTORED_AT + 4.seconds)
+            started.serving?.revision?.number shouldBe 7
+            started.evacuated.shouldBeEmpty()
+        }
+
+        test("without an era a revision that goes back changes nothing, as before") {
+            val view = StoreViewController(strictInvariants())
+            view.applySnapshot(listOf(item("op/config", 9, StoreRecord.Configuration(servingSet(9)))), 500, 50.seconds)
+            view.applySnapshot(listOf(item("op/config", 7, StoreRecord.Configuration(servingSet(7)))), 100, RESTORED_AT).isEmpty shouldBe
+                true
+            view.at shouldBe StorePosition.unstated(500)
+            view.isSettling(RESTORED_AT) shouldBe false
+        }
+    })
--- a/control/src/test/kotlin/lagoonrudder/control/direct/StoreReaderControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/StoreReaderControllerTest.kt
@@ -42,6 +42,34 @@
             reader.onWatched(changes = 0, 3.1.seconds) shouldBe 1.seconds
         }
 
+        // A watch at a revision of the lost history is answered without the changes that were written at the same revisions again.
+        test("after a response from another era all items are read, at once unless the era is an earlier one") {
+            val storeView = StoreViewController(strictInvariants())
+            val reader = StoreReaderController(PeerController(peer("self"), emptyList()), storeView)
+            val restored = StorePosition(StoreEra(2), StoreRevision(5))
+            storeView.applySnapshot(emptyList(), restored, 1.seconds)
+            reader.onItemsRead(1.seconds)
+            val watch = reader.next(1.seconds).shouldBeInstanceOf<StoreStep.Watch>()
+            watch.isContinuedBy(restored.copy(revision = StoreRevision(9))) shouldBe true
+            watch.isContinuedBy(StorePosition(StoreEra(3), StoreRevision(5))) shouldBe false
+            reader.onOtherEra(StoreEra(3), 2.seconds)
+            reader.next(2.seconds) shouldBe StoreStep.ReadAll
+            reader.onOtherEra(StoreEra(1), 3.seconds)
+            reader.next(3.seconds).shouldBeInstanceOf<StoreStep.Rest>()
+            reader.next(3.3.seconds) shouldBe StoreStep.ReadAll
+        }
+
+        // A watch shows no removal of what the copy lacks, so a back end that was pending at a peer stayed for good.
+        test("a daemon that heard of an era from a peer reads all items before it watches") {
+            val storeView = StoreViewController(strictInvariants())
+            val reader = StoreReaderController(PeerController(peer("self"), emptyList()), storeView)
+            reader.onItemsRead(1.seconds)
+            storeView.applySettledSnapshot(emptyList(), StorePosition(StoreEra(2), StoreRevision(5)), 1.seconds)
+            reader.next(1.seconds) shouldBe StoreStep.ReadAll
+            storeView.applySnapshot(emptyList(), StorePosition(StoreEra(2), StoreRevision(6)), 1.seconds)
+            reader.next(1.seconds).shouldBeInstanceOf<StoreStep.Watch>()
+        }
+
         test("a refusal loses the store at once") {
             val reader = reader()
             reader.onItemsRead(1.seconds)
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -185,8 +185,10 @@
         val number: WeightNumber,
     ) : StoreRecord()
 
+    /** [sequence] counts how often a run of the back end has renewed its registration; null if it doesn't say. */
     data class Registered(
         val backEnd: BackEnd,
+        val sequence: Long? = null,
     ) : StoreRecord()
 
     /** An item that could not be decoded. [detail] names the error. */
