Carry the era of the store through gossip and the loops of the daemons

A watch that is answered from another era is not applied, and all items are read. The ticks apply the store's items when the time to write again is over.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -86,6 +86,16 @@
         at: StorePosition,
     ) {
         if (change.isEmpty) return
+        change.era?.let {
+            log.warning(
+                "store-era",
+                "before" to it.before,
+                "after" to it.after,
+                "kept" to it.kept,
+                "discarded" to it.discarded,
+                "source" to source,
+            )
+        }
         change.serving?.let {
             log.info(
                 "configuration-in-force",
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.direct.PlacementController
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
+import lagoonrudder.control.direct.StoreViewChange
 import lagoonrudder.control.direct.Topology
 import lagoonrudder.http.HttpServer
 import lagoonrudder.http.ServerReport
@@ -128,7 +129,8 @@
     private suspend fun runTicks() {
         while (currentCoroutineContext().isActive) {
             delay(TICK_INTERVAL)
-            val (pause, expired) = core.thread.decide { core.noticePause(TICK_INTERVAL) to onTick() }
+            val (pause, expired, released) = core.thread.decide { Triple(core.noticePause(TICK_INTERVAL), onTick(), releaseKept()) }
+            if (!released.isEmpty) core.logChange(released, "restored", core.thread.decide { core.storeView.at })
             expired.forEach { core.log.info("back-end-gone", "target" to it.text, "source" to "lapsed") }
             if (pause != null) {
                 core.http.closeIdle(settings.store)
@@ -137,6 +139,9 @@
         }
     }
 
+    private fun releaseKept(): StoreViewChange =
+        core.storeView.releaseKept(core.clock.elapsed()).also { if (!it.isEmpty) onStoreViewChanged() }
+
     private fun onTick(): List<TargetId> {
         val now = core.clock.elapsed()
         core.suspicions.onTick(now)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -44,7 +44,10 @@
     private suspend fun watchPauses() {
         while (currentCoroutineContext().isActive) {
             delay(PAUSE_CHECK_INTERVAL)
-            core.thread.decide { core.noticePause(PAUSE_CHECK_INTERVAL) }
+            core.thread.decide {
+                core.noticePause(PAUSE_CHECK_INTERVAL)
+                core.storeView.releaseKept(core.clock.elapsed())
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -190,7 +190,7 @@
         return GossipMessage(
             core.self.toMessage(),
             core.storeView.at.revision.number,
-            itemsRequested || !core.storeView.confirmed || core.self.role == DaemonRole.TARGET,
+            itemsRequested || !core.storeView.confirmed || core.storeView.isSettling(now) || core.self.role == DaemonRole.TARGET,
             load.inFlight.toMessages(),
             slot?.toMessage(),
             peersRequested,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -74,11 +74,18 @@
             when (watched) {
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items
+                    val at = watched.response.at
+                    if (!step.isContinuedBy(
+                            at,
+                        )
+                    ) {
+                        return@map logRegained(core.thread.decide { reader.onOtherEra(at.era, core.clock.elapsed()) })
+                    }
                     applyAnswer(
                         { reader.onWatched(items.size, core.clock.elapsed()) },
                         {
                             val now = core.clock.elapsed()
-                            core.storeView.applyChanges(items, watched.response.at, now, asOf = step.asOf(askedAt, now, items.size))
+                            core.storeView.applyChanges(items, at, now, asOf = step.asOf(askedAt, now, items.size))
                         },
                     )
                 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeStore.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeStore.kt
@@ -13,19 +13,30 @@
 import lagoonrudder.http.HttpExchange
 import lagoonrudder.http.HttpHandler
 import lagoonrudder.http.NO_BYTES
+import lagoonrudder.model.HeaderField
 import java.util.Base64
 import kotlin.time.Duration.Companion.milliseconds
 
 /** All functions must be called on the thread of the event loop. */
 class FakeStore : HttpHandler {
-    private class Item(
+    internal class Item(
         val revision: Long,
         val value: ByteArray?,
     )
 
+    /** What the store held at one time, to restore it from. */
+    class Copy internal constructor(
+        internal val items: Map<String, Item>,
+        internal val revision: Long,
+    )
+
     private val items = sortedMapOf<String, Item>()
     private var revision = 1L
     private var compactedRevision = 0L
+
+    /** Stated in all responses once the store was restored. */
+    private var era: Long? = null
+    private val eraFields get() = listOfNotNull(era?.let { HeaderField("Store-Era", it.toString()) })
     private var changed = CompletableDeferred<Unit>()
 
     /** Whether all calls are rejected with status 503. */
@@ -48,12 +59,22 @@
         notifyWatchers()
     }
 
+    fun copy() = Copy(items.toMap(), revision)
+
+    /** Restores the store from [copy], which begins its next era. Watches that wait get nothing until their time is over. */
+    fun restore(copy: Copy) {
+        era = (era ?: 0) + 1
+        items.clear()
+        items.putAll(copy.items)
+        revision = copy.revision
+    }
+
     override suspend fun handle(exchange: HttpExchange) {
         calls++
         val query = queryParameters(exchange.request.target)
         when {
-            unavailable -> exchange.respond(503, emptyList(), NO_BYTES)
-            "kv-range" in exchange.request.target -> exchange.respondJson(range(query))
+            unavailable -> exchange.respond(503, eraFields, NO_BYTES)
+            "kv-range" in exchange.request.target -> exchange.respondJson(range(query), eraFields)
             else -> watch(exchange, query)
         }
     }
@@ -87,14 +108,16 @@
         query: Map<String, String>,
     ) {
         val after = query.getValue("after").toLong()
+        if (after > revision) return exchange.respond(410, eraFields, NO_BYTES)
         withTimeoutOrNull(query.getValue("waitMs").toLong().milliseconds) { while (!unavailable && after >= revision) changed.await() }
-        if (after < compactedRevision) return exchange.respond(410, emptyList(), NO_BYTES)
+        if (after < compactedRevision) return exchange.respond(410, eraFields, NO_BYTES)
         val events = items.filter { it.value.revision > after }.entries.sortedBy { it.value.revision }
         exchange.respondJson(
             buildJsonObject {
                 putJsonArray("events") { events.forEach { (key, item) -> add(itemJson(key, item)) } }
                 put("at", revision)
             },
+            eraFields,
         )
     }
 
@@ -112,7 +135,10 @@
     }
 }
 
-internal suspend fun HttpExchange.respondJson(body: JsonObject) = respond(200, emptyList(), body.toString().encodeToByteArray())
+internal suspend fun HttpExchange.respondJson(
+    body: JsonObject,
+    fields: List<HeaderField> = emptyList(),
+) = respond(200, fields, body.toString().encodeToByteArray())
 
 internal fun queryParameters(target: String): Map<String, String> =
     target
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -61,7 +61,7 @@
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
             val settled = sender.storeView.settledPosition
-            if (settled <= receiver.storeView.at) continue
+            if (settled <= receiver.storeView.at && !receiver.storeView.isSettling(clockOf(receiver))) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
                 if (!canExchange(receiver, sender)) return@launch
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -45,6 +45,12 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+/** What a store held at one time, to restore it from. */
+class StoreCopy internal constructor(
+    internal val items: List<DecodedItem>,
+    internal val revision: Long,
+)
+
 /** [domains] failure domains with [daemonsPerDomain] entry daemons each. */
 class VirtualStoreSite(
     domains: Int,
@@ -153,7 +159,27 @@
     }
 
     /** Writes the registration of [backEnd] to the store. */
-    fun register(backEnd: BackEnd) = write(keyOf(backEnd), StoreRecord.Registered(backEnd))
+    fun register(
+        backEnd: BackEnd,
+        sequence: Long? = null,
+    ) = write(keyOf(backEnd), StoreRecord.Registered(backEnd, sequence))
+
+    /** Writes to the store that the failure domain [domain] is evacuated. */
+    fun evacuate(domain: DomainId) = write("op/evacuate/${domain.text}", StoreRecord.DomainEvacuation(domain))
+
+    fun copy() = StoreCopy(items.values.toList(), revision)
+
+    /** Restores the store from [copy], which begins its next era: what was written since is lost, and revisions are given out again. */
+    fun restore(copy: StoreCopy) {
+        era = StoreEra(era.number + 1)
+        revision = copy.revision
+        items.clear()
+        for (copied in copy.items) {
+            val item = StoreItem(copied.item.key, StorePosition(era, copied.item.position.revision), copied.item.value)
+            records[item] = copied.published
+            items[item.key] = DecodedItem(item, copied.published)
+        }
+    }
 
     /** Removes the registration of [backEnd] from the store. */
     fun remove(backEnd: BackEnd) = write(keyOf(backEnd), null)
@@ -221,6 +247,10 @@
         at: StorePosition,
     ) {
         val now = clockOf(daemon)
+        if (!step.isContinuedBy(at)) {
+            daemon.reader.onOtherEra(at.era, now)
+            return
+        }
         val changes = items.values.filter { it.item.position.revision > step.after.revision }
         daemon.reader.onWatched(changes.size, now)
         daemon.storeView.applyChanges(changes, at, now, asOf = step.asOf(askedAt, now, changes.size))
@@ -285,7 +315,10 @@
 
     private suspend fun expireRemovals() {
         while (true) {
-            daemons.filter { it.isRunning }.forEach { it.storeView.expire(clockOf(it)) }
+            for (daemon in daemons.filter { it.isRunning }) {
+                daemon.storeView.expire(clockOf(daemon))
+                daemon.storeView.releaseKept(clockOf(daemon))
+            }
             delay(TICK_INTERVAL)
         }
     }
