Send large items of the store compressed, and target daemons only what they use

In the log, connections between regions take over 500 ms and stores and sources of weights count as lost: each daemon that lags fetches the whole configuration, 1,656 routes or about 350 kB, for each of a storm of revisions. A target instance gets the same over a link of 5 Mbit/s that its back end serves requests on: half a second for each revision.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -207,6 +207,7 @@
             upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
             demand = load.demand.toDemandMessages(),
             era = core.storeView.at.era.number,
+            deflatedAccepted = true,
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -38,6 +38,8 @@
     private val gossip: GossipLoop,
     private val onSlotChanged: () -> Unit,
 ) : HttpHandler {
+    private val encoder = ItemEncoder()
+
     override suspend fun handle(exchange: HttpExchange) {
         val segments =
             exchange.request.target
@@ -104,7 +106,7 @@
             loadDaemons = load.daemons,
             storeContactMilliseconds = core.storeReader.contactAge(now).toMilliseconds(),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
-            items = items?.items.orEmpty().map { it.toMessage() },
+            items = items?.items.orEmpty().map { encoder.encode(it, peer.role, message.deflatedAccepted) },
             itemsComplete = items?.isComplete ?: false,
             evidenceDigest = core.suspicions.digest,
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -69,6 +69,7 @@
     @ProtoNumber(7) val sequence: Long = 0,
 )
 
+/** An item of the platform's store; [value] is compressed if [deflated] is set. */
 @Serializable
 class ItemMessage(
     @ProtoNumber(1) val key: String,
@@ -76,6 +77,7 @@
     @ProtoNumber(3) val removed: Boolean,
     @ProtoNumber(4) val value: ByteArray,
     @ProtoNumber(5) val era: Long = 0,
+    @ProtoNumber(6) val deflated: Boolean = false,
 )
 
 /** The chunks of one version that [daemon] holds: the lowest bit of the first byte of [chunks] stands for chunk 0. */
@@ -128,6 +130,7 @@
     @ProtoNumber(14) val upToDateMilliseconds: Long = UNKNOWN_AGE,
     @ProtoNumber(15) val demand: List<DemandMessage> = emptyList(),
     @ProtoNumber(16) val era: Long = 0,
+    @ProtoNumber(17) val deflatedAccepted: Boolean = false,
 )
 
 /**
@@ -257,7 +260,15 @@
 
 fun StoreItem.toMessage() = ItemMessage(key, position.revision.number, value == null, value ?: ByteArray(0), era = position.era.number)
 
-fun ItemMessage.toItem() = StoreItem(key, StorePosition(StoreEra(era), StoreRevision(revision)), value.takeUnless { removed })
+/** Returns this item with a compressed value, or as it is if that is small. */
+fun ItemMessage.deflated(): ItemMessage =
+    if (deflated || value.size < MIN_DEFLATED_BYTES) this else ItemMessage(key, revision, removed, deflate(value), era, deflated = true)
+
+fun ItemMessage.toItem() =
+    StoreItem(key, StorePosition(StoreEra(era), StoreRevision(revision)), (if (deflated) inflate(value) else value).takeUnless { removed })
+
+/** Below this size compression saves less than a packet. */
+private const val MIN_DEFLATED_BYTES = 2_048
 
 fun WeightManifest.toMessage() = ManifestMessage(model.text, number.number, digests.map { it.hexadecimal })
 
