Ask another peer after 250 ms, and read the store after a lag of a second

A daemon that had just started stayed at store revision 29 for 5 s beside a quick series of 15 revisions that its peers knew. Causes, by reading and by plays in virtual time: it asked every peer for all items in every exchange until it was confirmed, so the replies shared its link; a reply with items had 800 ms in total, too little for 200 kB on a busy link; only one request for items was under way at a time, so a peer that hung held up the others and was often asked next again; and it relied on a better ranked reader however far it lagged itself.

- CatchUpController decides which peer is asked: one, and another one once nothing has arrived for 250 ms.
Ordinary exchanges of entry daemons carry no items.
- A reply with items may take 8 s in all and 0.8 s without progress.
- A daemon that has not seen a revision for a second after it heard of it reads the store.
Log line state-lags, gauges store_lag_ms and catch_up_further_requests, dump section catch-up.
- A daemon that has started is ready, and serves, once it is up to date as of its start, or by a peer's state while the store is away from everybody.

CatchUpControllerTest and PeerClientTest pass. With one request at a time, 800 ms for every reply, no read after a lag and any state confirming, the series stays at revision 29 (expected 44), "all items arrive over a link ..." gets none, and three more of their tests fail. VersionAgeTest, StoreReadersTest, StoreOutagesTest, StartedDaemonsTest, DirectSiteTest, ShapeTest, PlannedStopTest and PauseBesideConfigurationTest pass (161 tests).

--- a/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -106,6 +106,9 @@
         upToDateAt = maxOf(upToDateAt ?: time, time)
     }
 
+    /** Whether everything that the store had acknowledged at [time] has been heard here. */
+    fun isUpToDateSince(time: Duration): Boolean = upToDateAt.let { it != null && it >= time }
+
     /** Returns how long ago everything that the store had acknowledged had been heard here; null if that is unknown. */
     fun upToDateAge(now: Duration): Duration? = upToDateAt?.let { now - it }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -46,6 +46,7 @@
 class StoreReaderController(
     private val peers: PeerController,
     private val storeView: StoreViewController,
+    private val catchUp: CatchUpController = CatchUpController(storeView),
 ) {
     private var needsFullRead = true
     private var pollRequested = false
@@ -59,9 +60,10 @@
     /** Returns the time since the store last answered this process; null while it does not read the store or has lost it. */
     fun contactAge(now: Duration): Duration? = contactAt?.let { now - it }
 
-    /** Returns whether to read the store now; a daemon that is not confirmed reads it in any case. */
+    /** Returns whether to read the store now; a daemon that is not confirmed or lags behind its peers reads it in any case. */
     fun mustRead(now: Duration): Boolean =
         !storeView.confirmed ||
+            catchUp.isLagging(now) ||
             when (peers.self.role) {
                 DaemonRole.ENTRY -> !reliesOnReader(now)
                 DaemonRole.TARGET -> !peers.hasHeardWithin(PEER_CONTACT_LIMIT, now)
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -87,12 +87,13 @@
 
 /**
  * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one; this binds the daemon
- * [bindingFrom] some time after its start.
+ * [bindingFrom] some time after its start. A state that is older than the daemon's start, [startedAt], is confirmed only if the store is away.
  */
 class StoreViewController(
     private val invariants: Invariants,
     versionLimit: Duration = 8.seconds,
     bindingFrom: Duration = Duration.INFINITE,
+    private val startedAt: Duration = -Duration.INFINITE,
 ) {
     /** A back end whose [registration] was removed by [change], but which is kept [until] then in case it registers again. */
     private class PendingRemoval(
@@ -108,6 +109,10 @@
     private val registrations = mutableMapOf<TargetId, StoreItem>()
     private var confirmedAt: Duration? = null
 
+    /** Whether a state was seen that is not older than the start of the daemon, or as new as there can be while the store is away. */
+    var isCurrentSinceStart = startedAt == -Duration.INFINITE
+        private set
+
     /** The revision of the last read of all items; every removal after it has left a tombstone. */
     private var completeAt = 0L
 
@@ -156,7 +161,17 @@
         upTo: Long,
         now: Duration,
         asOf: Duration = now,
-    ): StoreViewChange = applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
+    ): StoreViewChange =
+        applyUnsettled(changes, upTo, now).also {
+            versions.onUpToDate(asOf)
+            checkAgeOfState(now)
+        }
+
+    /** A peer's state may be older than this daemon if the peer lags behind itself. */
+    private fun checkAgeOfState(now: Duration) {
+        val isStoreAway = storeContact.let { it != null && now - it.until >= STORE_AWAY_AFTER }
+        if (versions.isUpToDateSince(startedAt) || (isStoreAway && confirmedAt != null)) isCurrentSinceStart = true
+    }
 
     /** Applies changes whose removals wait while the registrations may come back. */
     private fun applyUnsettled(
@@ -187,6 +202,7 @@
         val applied = changes.filter { storeIfNewer(it) }
         at = maxOf(at, upTo)
         confirmedAt = now
+        checkAgeOfState(now)
         return publish(applied, now, holdRemovals)
     }
 
@@ -244,6 +260,7 @@
         askedAt: Duration,
     ) {
         if (revision <= at) versions.onUpToDate(time, askedAt)
+        checkAgeOfState(askedAt)
     }
 
     /** The revision up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
@@ -309,7 +326,7 @@
     }
 
     /** Whether the store or a peer has confirmed the active configuration since the start and since the last pause. */
-    val confirmed: Boolean get() = confirmedAt != null && serving != null
+    val confirmed: Boolean get() = confirmedAt != null && serving != null && isCurrentSinceStart
 
     fun dump(): DumpSection =
         dumpSection("publication") {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -13,6 +13,7 @@
 import lagoonrudder.control.DumpSection
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
+import lagoonrudder.control.direct.CatchUpController
 import lagoonrudder.control.direct.ChunkWriteController
 import lagoonrudder.control.direct.DeclaredWeights
 import lagoonrudder.control.direct.LoadOrderController
@@ -58,11 +59,13 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    val storeView = StoreViewController(invariants, settings.bounds.versionLimit, bindingFrom = clock.elapsed() + settings.bounds.contact)
+    private val startedAt = clock.elapsed()
+    val storeView = StoreViewController(invariants, settings.bounds.versionLimit, startedAt + settings.bounds.contact, startedAt)
+    val catchUp = CatchUpController(storeView)
     private val pauseDetector = PauseDetector(clock)
     val self = PeerDaemon(settings.name, settings.role, settings.domain, settings.region, settings.listen?.peers)
     val peers = PeerController(self, settings.seeds)
-    val storeReader = StoreReaderController(peers, storeView)
+    val storeReader = StoreReaderController(peers, storeView, catchUp)
     val suspicions = SuspicionController(peers) { logSuspicion(it) }
     val notices = BackEndNoticeController { run, notice -> logNotice(run, notice) }
     val slots = BackEndStateController()
@@ -177,12 +180,15 @@
     fun versionsToTell(): List<VersionAcknowledgement> = if (hasUnnoticedPause) emptyList() else storeView.versions.toTell(clock.elapsed())
 
     /** Returns the dump sections that both roles have. Runs on the control thread. */
-    fun dump(): List<DumpSection> = listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()))
+    fun dump(): List<DumpSection> =
+        listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()), catchUp.dump(clock.elapsed()))
 
     fun gauges(): Map<String, Number> =
         mapOf(
             "configuration_revision" to (storeView.serving?.revision?.number ?: 0),
             "store_revision" to storeView.at,
+            "catch_up_further_requests" to catchUp.furtherRequests,
+            "store_lag_ms" to catchUp.lag(clock.elapsed()).inWholeMilliseconds,
             "confirmed" to if (storeView.confirmed) 1 else 0,
             "back_ends" to storeView.backEnds.size,
             "back_ends_leaving" to storeView.backEnds.count { it.leaving },
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -6,11 +6,13 @@
 
 import arrow.core.Either
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import lagoonrudder.control.direct.DecodedItem
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.PeerDaemon
@@ -50,7 +52,6 @@
     private val onChange: () -> Unit,
 ) {
     private val exchanges = mutableMapOf<Address, Job>()
-    private var catchingUp = false
 
     /** State of the back end in this daemon's slot, or null at an entry daemon. */
     @Volatile
@@ -123,16 +124,27 @@
             .ifEmpty { listOf(core.peers.nearAddresses(now)).filter { it.isNotEmpty() } }
     }
 
-    /** Requests the items that [peer] has and this daemon has not, unless a request for items is under way. */
+    /** Requests the items that [peer] has and this daemon has not, unless another peer is just sending them. */
     suspend fun catchUp(peer: PeerDaemon) {
         val address = peer.address ?: return
-        if (catchingUp) return
-        catchingUp = true
+        if (!core.thread.decide { core.catchUp.begin(address, core.clock.elapsed()) }) return
         core.scope.launch {
             try {
                 exchange(address, peersRequested = false, itemsRequested = true)
             } finally {
-                catchingUp = false
+                withContext(NonCancellable) { core.thread.decide { core.catchUp.onEnded(address) } }
+            }
+        }
+    }
+
+    /** Returns what to call for each part of a response of the peer at [address], which come in quick succession. */
+    private fun progressOf(address: Address): () -> Unit {
+        var reportedAt = -Duration.INFINITE
+        return {
+            val now = core.clock.elapsed()
+            if (now - reportedAt >= PROGRESS_INTERVAL) {
+                reportedAt = now
+                core.scope.launch { core.thread.decide { core.catchUp.onProgress(address, now) } }
             }
         }
     }
@@ -168,7 +180,7 @@
     ): Boolean {
         val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested, evidenceIncluded) }
         val sentAt = core.clock.elapsed()
-        return when (val reply = client.gossip(address, message)) {
+        return when (val reply = client.gossip(address, message, if (itemsRequested) progressOf(address) else ({}))) {
             is Either.Left -> false
             is Either.Right -> {
                 val isPeerBehind = applyReply(reply.value, address, sentAt)
@@ -189,7 +201,7 @@
         return GossipMessage(
             core.self.toMessage(),
             core.storeView.at,
-            itemsRequested || !core.storeView.confirmed || core.self.role == DaemonRole.TARGET,
+            itemsRequested || core.self.role == DaemonRole.TARGET,
             load.inFlight.toMessages(),
             slot?.toMessage(),
             peersRequested,
@@ -219,6 +231,7 @@
                 reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
+                if (core.catchUp.onHeard(reply.at, now)) logLag(reply.at, now)
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
                 val change = if (isUpdate) applyItems(items, reply, now) else null
                 core.storeView.versions.onTold(reply.declared(sentAt, now), askedAt = sentAt)
@@ -231,6 +244,17 @@
         return isPeerBehind
     }
 
+    private fun logLag(
+        heard: Long,
+        now: Duration,
+    ) = core.log.warning(
+        "state-lags",
+        "at" to core.storeView.at,
+        "heard" to heard,
+        "for" to core.catchUp.lag(now),
+        "further-requests" to core.catchUp.furtherRequests,
+    )
+
     /** Runs on the control thread. */
     private fun applyItems(
         items: List<DecodedItem>,
@@ -263,6 +287,7 @@
         /** Longer than within a domain: each exchange updates both sides, and links between regions have little bandwidth. */
         val CROSS_DOMAIN_EXCHANGE_INTERVAL = 450.milliseconds
         val TARGET_EXCHANGE_INTERVAL = 400.milliseconds
+        val PROGRESS_INTERVAL = 50.milliseconds
         val RETRY_DELAY = 300.milliseconds
         val MAX_RETRY_DELAY = 2.seconds
         val MEMBERSHIP_CHECK_INTERVAL = 500.milliseconds
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -10,7 +10,7 @@
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.http.HttpClient
 import lagoonrudder.http.HttpRequest
-import lagoonrudder.http.HttpResponse
+import lagoonrudder.http.ResponseLimits
 import lagoonrudder.model.Address
 import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
@@ -26,7 +26,7 @@
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
 import lagoonrudder.wire.messages.toManifest
-import kotlin.time.Duration
+import java.io.ByteArrayOutputStream
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -40,13 +40,17 @@
 class PeerClient(
     private val http: HttpClient,
 ) {
+    /** Calls [onProgress] for each part of the reply. One with items may take longer, as long as it goes on. */
     suspend fun gossip(
         address: Address,
         message: GossipMessage,
+        onProgress: () -> Unit = {},
     ): Either<Failure, GossipReply> {
         val request = HttpRequest("POST", PeerPaths.GOSSIP, emptyList(), encodeMessage(GossipMessage.serializer(), message))
-        return call(address, request, GOSSIP_TIMEOUT, MAX_GOSSIP_BYTES).flatMap { response ->
-            decode(address) { decodeMessage(GossipReply.serializer(), response.body) }
+        val total = if (message.itemsRequested) MAX_ITEMS_TIME else GOSSIP_TIMEOUT
+        val limits = ResponseLimits(first = GOSSIP_TIMEOUT, next = GOSSIP_TIMEOUT, total, MAX_GOSSIP_BYTES)
+        return call(address, request, limits, onProgress).flatMap { body ->
+            decode(address) { decodeMessage(GossipReply.serializer(), body) }
         }
     }
 
@@ -59,8 +63,8 @@
     ): Either<Failure, WeightManifest> {
         val suffix = doubted?.let { "/${it.hexadecimal}" }.orEmpty()
         val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}$suffix", emptyList())
-        return call(address, request, CHUNK_TIMEOUT, MAX_MANIFEST_BYTES).flatMap { response ->
-            decode(address) { decodeMessage(ManifestMessage.serializer(), response.body).toManifest() }
+        return call(address, request, CHUNK_LIMITS.copy(maxBytes = MAX_MANIFEST_BYTES)).flatMap { body ->
+            decode(address) { decodeMessage(ManifestMessage.serializer(), body).toManifest() }
         }
     }
 
@@ -73,20 +77,29 @@
         call(
             address,
             HttpRequest("GET", "${PeerPaths.CHUNK}/${model.text}/${number.number}/$index", emptyList()),
-            CHUNK_TIMEOUT,
-            MAX_CHUNK_BYTES,
-        ).map { it.body }
+            CHUNK_LIMITS,
+        )
 
     private suspend fun call(
         address: Address,
         request: HttpRequest,
-        timeout: Duration,
-        maxBytes: Int,
-    ): Either<Failure, HttpResponse> {
+        limits: ResponseLimits,
+        onProgress: () -> Unit = {},
+    ): Either<Failure, ByteArray> {
         val peer = Peer(PeerRole.ENTRY, address.toString())
+        val body = ByteArrayOutputStream(0)
+        val received =
+            http.receive(address, request, peer, limits) { _, bytes ->
+                body.write(bytes)
+                onProgress()
+            }
         val result =
-            http.exchange(address, request, peer, timeout, maxBytes).flatMap {
-                if (it.head.status == OK) it.right() else Failure.Declined(Step.SEND, peer, "status ${it.head.status}, expected 200").left()
+            received.flatMap {
+                if (it.status == OK) {
+                    body.toByteArray().right()
+                } else {
+                    Failure.Declined(Step.SEND, peer, "status ${it.status}, expected 200").left()
+                }
             }
         if (result is Either.Left && result.value is Failure.TimedOut) http.closeIdle(address)
         return result
@@ -106,12 +119,16 @@
         const val OK = 200
 
         /** A reply may hold all items of the store. */
-        const val MAX_GOSSIP_BYTES = 4_194_304
-        const val MAX_MANIFEST_BYTES = 262_144
-        const val MAX_CHUNK_BYTES = 1_048_576
+        const val MAX_GOSSIP_BYTES = 4_194_304L
+        const val MAX_MANIFEST_BYTES = 262_144L
+        const val MAX_CHUNK_BYTES = 1_048_576L
         val GOSSIP_TIMEOUT = 800.milliseconds
 
+        /** 200 kB take 1.5 s on a link between regions that is busy. A reply that takes this long can't be of use any more. */
+        val MAX_ITEMS_TIME = 8.seconds
+
         /** The peer may first have to fetch the chunk from the origin. */
         val CHUNK_TIMEOUT = 3.seconds
+        val CHUNK_LIMITS = ResponseLimits(CHUNK_TIMEOUT, CHUNK_TIMEOUT, CHUNK_TIMEOUT, MAX_CHUNK_BYTES)
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -29,6 +29,7 @@
 import lagoonrudder.wire.messages.toMilliseconds
 import lagoonrudder.wire.messages.toPeer
 import lagoonrudder.wire.messages.toReport
+import lagoonrudder.wire.messages.upToDateAge
 
 class PeerEndpoint(
     private val core: DirectCore,
@@ -64,11 +65,12 @@
         exchange.respond(OK, emptyList(), encodeMessage(GossipReply.serializer(), reply))
     }
 
-    /** Whether the sender knows of later changes, or of a longer contact with the store. Runs on the control thread. */
+    /** Whether the sender knows of later changes, of a longer contact with the store, or how new its state is. Runs on the control thread. */
     private fun knowsLessThanSender(message: GossipMessage): Boolean {
         val now = core.clock.elapsed()
         val since = message.storeSince(now)
-        return message.at > core.storeView.at || (since != null && core.storeView.isGraceRefutedBy(since, now))
+        val canConfirm = !core.storeView.confirmed && message.upToDateAge != null
+        return message.at > core.storeView.at || canConfirm || (since != null && core.storeView.isGraceRefutedBy(since, now))
     }
 
     private fun replyTo(message: GossipMessage): GossipReply {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreDaemon.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreDaemon.kt
@@ -58,7 +58,7 @@
 
     internal fun forgetAll(now: Duration) {
         peers = PeerController(peer, emptyList())
-        storeView = StoreViewController(Invariants {}, bindingFrom = now + CONTACT_TIME)
+        storeView = StoreViewController(Invariants {}, bindingFrom = now + CONTACT_TIME, startedAt = now)
         reader = StoreReaderController(peers, storeView)
     }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -131,7 +131,8 @@
         val (confirmation, serving) = control.thread.decide { control.confirmation() to control.storeView.serving }
         if (confirmation.isCompleted) return serving
         withTimeoutOrNull(CONFIRMATION_TIMEOUT) { confirmation.await() }
-        return control.thread.decide { control.storeView.serving }
+        // After a pause, what was known before is better than nothing; after a start, nothing was.
+        return control.thread.decide { control.storeView.serving.takeIf { control.storeView.isCurrentSinceStart } }
     }
 
     private fun identify(
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -209,6 +209,9 @@
     return StoreContact(minOf(since ?: last, last), last)
 }
 
+/** How long before a message was written its sender was up to date. The message may be old, so only a reply confirms that to a receiver. */
+val GossipMessage.upToDateAge: Duration? get() = ageOrNull(upToDateMilliseconds)
+
 /** Returns the last time at which the store is known to have held nothing beyond the revision of this reply to a message sent at [sentAt]. */
 fun GossipReply.upToDateAt(sentAt: Duration): Duration? = ageOrNull(upToDateMilliseconds)?.let { sentAt - it - 1.milliseconds }
 
