--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreReaderController.kt
@@ -49,6 +49,7 @@
 class StoreReaderController(
     private val peers: PeerController,
     private val storeView: StoreViewController,
+    private val catchUp: CatchUpController = CatchUpController(storeView),
 ) {
     private var needsFullRead = true
     private var pollRequested = false
@@ -62,14 +63,23 @@
     /** Returns the time since the store last answered this process; null while it does not read the store or has lost it. */
     fun contactAge(now: Duration): Duration? = contactAt?.let { now - it }
 
-    /** Returns whether to read the store now; a daemon that is not confirmed reads it in any case. */
+    /** Returns whether to read the store now; a daemon that is not confirmed or lags behind its peers reads it in any case. */
     fun mustRead(now: Duration): Boolean =
         !storeView.confirmed ||
+            catchUp.isLagging(now, betterRanked(now)) ||
             when (peers.self.role) {
                 DaemonRole.ENTRY -> !reliesOnReader(now)
                 DaemonRole.TARGET -> !peers.hasHeardWithin(PEER_CONTACT_LIMIT, now)
             }
 
+    /** Returns whether a daemon that lags behind asks [peer] for what it lacks now, which may be in another failure domain. */
+    fun mayCatchUpFrom(
+        peer: PeerDaemon,
+        now: Duration,
+    ): Boolean = peer.domain == peers.self.domain || catchUp.mayAskFar(betterRanked(now), now)
+
+    private fun betterRanked(now: Duration): Int = peers.betterRankedMembers(RANK_KEY, now).size
+
     /** Whether a better ranked daemon has heard from the store so lately that this one need not read it. */
     private fun reliesOnReader(now: Duration): Boolean {
         val better = peers.betterRankedMembers(RANK_KEY, now)
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -104,12 +104,13 @@
 
 /**
  * [versionLimit] is how long requests may begin on an older version after the acknowledgement of a newer one; this binds the daemon
- * [bindingFrom] some time after its start.
+ * [bindingFrom] some time after its start. A state that is older than the daemon's start, [startedAt], is confirmed only if the store is away.
  */
 class StoreViewController(
     private val invariants: Invariants,
     versionLimit: Duration = 8.seconds,
     bindingFrom: Duration = Duration.INFINITE,
+    private val startedAt: Duration = -Duration.INFINITE,
 ) {
     /** A back end whose [registration] was removed by [change], but which is kept [until] then in case it registers again. */
     private class PendingRemoval(
@@ -127,6 +128,10 @@
     private val latestRegistrations = mutableMapOf<String, StoreRecord.Registered>()
     private var confirmedAt: Duration? = null
 
+    /** Whether a state was seen that is not older than the start of the daemon, or as new as there can be while the store is away. */
+    var isCurrentSinceStart = startedAt == -Duration.INFINITE
+        private set
+
     /** When this process first saw the current era; null for a store that states none. */
     private var eraSeenAt: Duration? = null
 
@@ -187,7 +192,16 @@
         asOf: Duration = now,
     ): StoreViewChange {
         if (upTo.era != at.era) return StoreViewChange.NONE
-        return applyUnsettled(changes, upTo, now).also { versions.onUpToDate(asOf) }
+        val change = applyUnsettled(changes, upTo, now)
+        versions.onUpToDate(asOf)
+        checkAgeOfState(now)
+        return change
+    }
+
+    /** A peer's state may be older than this daemon if the peer lags behind itself. */
+    private fun checkAgeOfState(now: Duration) {
+        val isStoreAway = storeContact.let { it != null && now - it.until >= STORE_AWAY_AFTER }
+        if (versions.isUpToDateSince(startedAt) || (isStoreAway && confirmedAt != null)) isCurrentSinceStart = true
     }
 
     /** Applies changes whose removals wait while the registrations may come back. */
@@ -220,6 +234,7 @@
         val applied = current.filter { storeIfNewer(it) && restored.onChange(it) } + keepTold(earlier, now)
         at = maxOf(at, upTo)
         confirmedAt = now
+        checkAgeOfState(now)
         return publish(applied, now, holdRemovals)
     }
 
@@ -393,6 +408,7 @@
         askedAt: Duration,
     ) {
         if (position.era == at.era && position <= at) versions.onUpToDate(time, askedAt)
+        checkAgeOfState(askedAt)
     }
 
     /** The position up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
@@ -464,7 +480,7 @@
     }
 
     /** Whether the store or a peer has confirmed the active configuration since the start and since the last pause. */
-    val confirmed: Boolean get() = confirmedAt != null && serving != null
+    val confirmed: Boolean get() = confirmedAt != null && serving != null && isCurrentSinceStart
 
     fun dump(): DumpSection =
         dumpSection("publication") {
