Ask the daemons that hold a chunk before its primary source and the origin

Cause: a restarted entry daemon knew nothing of what others held and fetched from the origin again what entry and target daemons had, and any entry daemon whose primary source did not answer asked the origin itself.

Change: ChunkHoldings keeps which daemon holds which chunks, from the new holdings of gossip messages and replies, and decides what each peer is told. Entry daemons ask holders first, then the primary source, which alone asks the origin; another one does so after 10 s. A daemon that has just started uses neither for a declared version in its first second. Target daemons ask entry daemons that hold the chunk first. A holder that lacks a chunk or sends bad bytes is forgotten for it, and a busy target daemon is asked again later. The upstream fallback counts time instead of attempts, because attempts without a source fail at once.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -1,12 +1,16 @@
 /**
  * Decides which weights a back end loads, from which source each chunk is fetched, and when the back end switches.
  *
- * Entry daemons have high-bandwidth links and fetch each chunk from the origin about once for all; a target daemon asks the
- * entry daemon that is the primary source of the chunk in its region, then other entry daemons, and the origin last.
+ * Each chunk leaves the origin about once: the entry daemon that is its primary source in the origin's region fetches it there, unless
+ * some daemon holds it. A target daemon asks entry daemons of its region that hold the chunk, then the one that is its primary source in
+ * the region, then other entry daemons, and the origin last.
  */
 package lagoonrudder.control.direct
 
+import lagoonrudder.control.direct.weights.ChunkHoldings
 import lagoonrudder.model.Address
+import lagoonrudder.model.DaemonId
+import lagoonrudder.model.DaemonRole
 import lagoonrudder.model.Digest
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.HeldWeights
@@ -18,6 +22,7 @@
 import lagoonrudder.model.digestOf
 import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 
 /** The state that a back end reports. [born] is its start time; [orders] counts the orders that it has accepted since then. */
 data class BackEndReport(
@@ -63,16 +68,34 @@
         val address: Address,
     ) : WeightSource()
 
+    /** A daemon that reported to hold the chunk, or part of the version of the manifest. */
+    data class Holder(
+        val daemon: DaemonId,
+        val address: Address,
+        val kind: HolderKind,
+    ) : WeightSource()
+
     data class Origin(
         val address: Address,
     ) : WeightSource()
 }
 
+/** Where a holder of a chunk is, in the order in which an entry daemon prefers holders. */
+enum class HolderKind(
+    val isTarget: Boolean,
+) {
+    ENTRY_OF_DOMAIN(isTarget = false),
+    ENTRY_ELSEWHERE(isTarget = false),
+    TARGET_OF_DOMAIN(isTarget = true),
+    TARGET_ELSEWHERE(isTarget = true),
+}
+
 class StagingController(
     private val peers: PeerController,
     private val storeView: StoreViewController,
     private val schedule: SwitchSchedule,
     private val regions: Map<DomainId, RegionId>,
+    private val holdings: ChunkHoldings = ChunkHoldings(peers, storeView),
 ) {
     /** Returns the weights that the back end of [service] with [report] must load; null if it holds the required ones. */
     fun weightsToLoad(
@@ -119,7 +142,7 @@
 
     /**
      * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
-     * success. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends. There
+     * success: entry daemons of its region that hold it, then those that fetch it, the chunk's primary source first. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends. There
      * is none while a process that has just started has not discovered an entry daemon.
      */
     fun sources(
@@ -132,26 +155,62 @@
         val (nearby, remote) = peers.liveEntries(now).filter { it.address != null }.partition { it.region == peers.self.region }
         val entries = ranked(nearby, model, number, index).take(LOCAL_SOURCES) + ranked(remote, model, number, index).take(REMOTE_SOURCES)
         if (entries.isEmpty()) return listOfNotNull(origin().takeUnless { peers.isDiscovering(now) }).map { WeightSource.Origin(it) }
-        return afterAttempts(entries.mapNotNull { it.address }.map { WeightSource.Entry(it) }, attempts)
+        val holders = holders(model, number, index, now) { it.role == DaemonRole.ENTRY && it.region == peers.self.region }
+        val others = afterAttempts(entries.mapNotNull { it.address }.map { WeightSource.Entry(it) }, attempts)
+        return if (attempts < ATTEMPTS_AT_A_SOURCE) holders + others else others + holders
     }
 
     /**
-     * Returns the sources of chunk [index] for an entry daemon: the chunk's primary source in the origin's region, then the origin.
-     * There is none while a process that has just started has not discovered another one, which may be the primary source.
+     * Returns the sources of chunk [index] for an entry daemon: the daemons that hold it, then its primary source in the origin's region,
+     * which alone asks the origin. Another one asks the origin after it has [waited] long for the primary source. There is no further
+     * source while a process that has just started has not discovered another one, or collects holdings.
      */
     fun upstreamSources(
         model: ModelId,
         number: WeightNumber?,
         index: Int,
         now: Duration,
-        attempts: Int = 0,
+        waited: Duration = Duration.ZERO,
     ): List<WeightSource> {
-        if (peers.isDiscovering(now)) return emptyList()
+        val holders = holders(model, number, index, now) { true }
+        if (peers.isDiscovering(now) || holdings.isCollecting(model, now)) return holders
         val entries = peers.liveEntries(now)
         val inOriginRegion = entries.filter { it.region == originRegion() }.ifEmpty { entries }
         val primary = ranked(inOriginRegion, model, number, index).firstOrNull()
         val fromPrimary = primary?.takeIf { it.daemon != peers.self.daemon }?.address?.let { WeightSource.Entry(it) }
-        return afterAttempts(listOfNotNull(fromPrimary, origin()?.let { WeightSource.Origin(it) }), attempts)
+        val fromOrigin = origin()?.let { WeightSource.Origin(it) }
+        val hasWaited = waited >= PRIMARY_SOURCE_TIMEOUT
+        // A manifest is small, so a second copy of it costs less than the wait.
+        val isManifest = index < 0
+        return when {
+            hasWaited -> listOfNotNull(fromOrigin, fromPrimary) + holders
+            fromPrimary == null -> holders + listOfNotNull(fromOrigin)
+            isManifest -> holders + listOfNotNull(fromPrimary, fromOrigin)
+            else -> holders + fromPrimary
+        }
+    }
+
+    /** Returns the holders of chunk [index] that meet [condition], a few of each kind, and different ones for each chunk. */
+    private fun holders(
+        model: ModelId,
+        number: WeightNumber?,
+        index: Int,
+        now: Duration,
+        condition: (PeerDaemon) -> Boolean,
+    ): List<WeightSource.Holder> =
+        ranked(holdings.holders(model, number, index, now).filter(condition), model, number, index)
+            .mapNotNull { holder -> holder.address?.let { WeightSource.Holder(holder.daemon, it, kindOf(holder)) } }
+            .groupBy { it.kind }
+            .toSortedMap()
+            .values
+            .flatMap { it.take(HOLDERS_OF_A_KIND) }
+
+    private fun kindOf(holder: PeerDaemon): HolderKind {
+        val isOfDomain = holder.domain == peers.self.domain
+        return when (holder.role) {
+            DaemonRole.ENTRY -> if (isOfDomain) HolderKind.ENTRY_OF_DOMAIN else HolderKind.ENTRY_ELSEWHERE
+            DaemonRole.TARGET -> if (isOfDomain) HolderKind.TARGET_OF_DOMAIN else HolderKind.TARGET_ELSEWHERE
+        }
     }
 
     /** Moves on to the next source when one has answered several times that it has not got the data yet, for example while cut off. */
@@ -202,6 +261,10 @@
     private companion object {
         /** A copy of the weights takes a few seconds from the origin, and each attempt is held for most of a second. */
         const val ATTEMPTS_AT_A_SOURCE = 5
+
+        /** Longer than the usual outage of the origin, after which all that wait for the primary source would ask the origin at once. */
+        val PRIMARY_SOURCE_TIMEOUT = 10.seconds
+        const val HOLDERS_OF_A_KIND = 2
         const val LOCAL_SOURCES = 2
         const val REMOTE_SOURCES = 1
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -31,6 +31,7 @@
 import lagoonrudder.model.Peer
 import lagoonrudder.model.Step
 import lagoonrudder.model.WeightNumber
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 class ChunkCache(
@@ -110,6 +111,8 @@
         val version = manifest.model to manifest.number
         if (!prefetched.add(version)) return
         core.scope.launch {
+            // Before it knows the others, a daemon that has just started would be the primary source of too many chunks.
+            while (core.thread.decide { core.holdings.isCollecting(manifest.model, core.clock.elapsed()) }) delay(RETRY_DELAY)
             val ownChunks =
                 core.thread.decide {
                     manifest.digests.indices.filter {
@@ -144,15 +147,19 @@
         number: WeightNumber,
         index: Int,
     ): ByteArray {
-        var attempts = 0
+        val startedAt = core.clock.elapsed()
         while (true) {
             val fetched =
                 fetchPermits.withPermit {
                     manifest(model, number).flatMap { manifest ->
-                        fetcher.chunk(upstreamSources(model, number, index, attempts++), manifest, index).onLeft { readAgain(manifest) }
+                        val sources = upstreamSources(model, number, index, waited = core.clock.elapsed() - startedAt)
+                        fetcher.chunk(sources, manifest, index).onLeft { readAgain(manifest) }
                     }
                 }
-            if (fetched is Either.Right) return fetched.value
+            if (fetched is Either.Right) {
+                core.thread.decide { core.holdings.onOwnChunk(model, number, index) }
+                return fetched.value
+            }
             delay(core.thread.decide { core.manifests.chunkPause(model, number, index) })
         }
     }
@@ -161,11 +168,11 @@
         model: ModelId,
         number: WeightNumber?,
         index: Int,
-        attempts: Int = 0,
-    ): List<WeightSource> = core.thread.decide { core.staging.upstreamSources(model, number, index, core.clock.elapsed(), attempts) }
+        waited: Duration = Duration.ZERO,
+    ): List<WeightSource> = core.thread.decide { core.staging.upstreamSources(model, number, index, core.clock.elapsed(), waited) }
 
     /** Evicts all but the two newest versions of a model. */
-    private fun evictOldVersions(
+    private suspend fun evictOldVersions(
         model: ModelId,
         newest: WeightNumber,
     ) {
@@ -173,6 +180,8 @@
             (chunks.keys.filter { it.model == model }.map { it.number } + newest).distinct().sortedDescending().take(RETAINED_VERSIONS)
         val evicted = chunks.keys.filter { it.model == model && it.number !in retained }
         evicted.forEach { chunks.remove(it)?.cancel() }
+        if (evicted.isEmpty()) return
+        core.thread.decide { evicted.map { it.number }.distinct().forEach { core.holdings.onOwnEvicted(model, it) } }
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -29,6 +29,7 @@
 import lagoonrudder.control.direct.WeightSourceController
 import lagoonrudder.control.direct.suspicion.SuspicionChange
 import lagoonrudder.control.direct.suspicion.SuspicionController
+import lagoonrudder.control.direct.weights.ChunkHoldings
 import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
@@ -70,7 +71,8 @@
     val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
-    val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions)
+    val holdings = ChunkHoldings(peers, storeView, settings.listen?.peers ?: settings.chunks)
+    val staging = StagingController(peers, storeView, SwitchSchedule(storeView), settings.regions, holdings)
 
     /** Starts [loop], which is started again after an error. */
     fun launchLoop(
@@ -187,6 +189,7 @@
             "back_ends" to storeView.backEnds.size,
             "back_ends_leaving" to storeView.backEnds.count { it.leaving },
             "peers_alive" to peers.liveEntries(clock.elapsed()).size,
+            "chunk_holdings" to holdings.size(clock.elapsed()),
         )
 
     override fun close() {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectSettings.kt
@@ -49,6 +49,7 @@
     val stopGrace: Duration,
 )
 
+/** [chunks] is where a target daemon serves chunks of weights to its peers; null if it serves none. */
 data class DirectSettings(
     val name: DaemonId,
     val role: DaemonRole,
@@ -61,6 +62,7 @@
     val store: Address,
     val slot: DirectSlotSettings?,
     val bounds: DirectBounds,
+    val chunks: Address? = null,
 )
 
 /** Parses settings from [text]; [file] is the name for error messages. */
@@ -90,12 +92,16 @@
             store = with(section(sections, file, "store")) { address("address") },
             slot = sections["slot"]?.let { slot(it) },
             bounds = bounds(section(sections, file, "bounds")),
+            chunks = if (role == DaemonRole.TARGET) sections["listen"]?.let { chunks(it) } else null,
         )
     }
 
 private fun Raise<Failure.Malformed>.listen(section: IniSection): DirectListenSettings =
     with(section) { DirectListenSettings(callers = address("callers"), ready = address("ready"), peers = address("peers")) }
 
+private fun Raise<Failure.Malformed>.chunks(section: IniSection): Address? =
+    with(section) { optionalText("chunks")?.let { address("chunks") } }
+
 private fun Raise<Failure.Malformed>.slot(section: IniSection): DirectSlotSettings? =
     with(section) {
         val backEnd = optionalText("back-end") ?: return null
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -27,6 +27,7 @@
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
+import lagoonrudder.wire.messages.toHolding
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
@@ -169,7 +170,10 @@
         val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested, evidenceIncluded) }
         val sentAt = core.clock.elapsed()
         return when (val reply = client.gossip(address, message)) {
-            is Either.Left -> false
+            is Either.Left -> {
+                core.thread.decide { core.peers.peerAt(address)?.let { core.holdings.onForgotten(it.daemon) } }
+                false
+            }
             is Either.Right -> {
                 val isPeerBehind = applyReply(reply.value, address, sentAt)
                 if (isPeerBehind && !evidenceIncluded) exchange(address, peersRequested = false, evidenceIncluded = true)
@@ -185,7 +189,8 @@
         evidenceIncluded: Boolean,
     ): GossipMessage {
         val now = core.clock.elapsed()
-        val load = loadFor(core.peers.peerAt(address), now)
+        val peer = core.peers.peerAt(address)
+        val load = loadFor(peer, now)
         return GossipMessage(
             core.self.toMessage(),
             core.storeView.at,
@@ -198,6 +203,7 @@
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
             core.contactToTell()?.let { now - it.since }.toMilliseconds(),
+            core.holdings.toTell(peer, now).map { it.toMessage() },
         )
     }
 
@@ -215,6 +221,8 @@
                 val lacksEvidence = applyEvidence(reply, now)
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
+                core.holdings.onHeard(peer, reply.holdings.mapNotNull { it.toHolding() }, now)
+                if (reply.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.at > core.storeView.at
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
@@ -252,6 +260,9 @@
     }
 
     private companion object {
+        /** The revision of a daemon that has just started. */
+        const val NO_REVISION = 0L
+
         /**
          * Entry daemons of one failure domain send most of their requests to the same back ends, about twelve a second each, so
          * each needs the others' loads promptly.
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -30,7 +30,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Paths on which an entry daemon serves its peers. */
+/** Paths on which daemons serve their peers. */
 object PeerPaths {
     const val GOSSIP = "/peer/word"
     const val MANIFEST = "/peer/manifest"
@@ -50,16 +50,20 @@
         }
     }
 
-    /** Asks for a manifest. A copy with the fingerprint [doubted] is read again by the peer before it repeats it. */
+    /**
+     * Asks for a manifest. A copy with the fingerprint [doubted] is read again by the peer before it repeats it. [isReported] says that the
+     * peer reported to hold the data, so that a response that it has none is a [Failure.Damaged], here as for a chunk.
+     */
     suspend fun manifest(
         address: Address,
         model: ModelId,
         number: WeightNumber?,
         doubted: Digest? = null,
+        isReported: Boolean = false,
     ): Either<Failure, WeightManifest> {
         val suffix = doubted?.let { "/${it.hexadecimal}" }.orEmpty()
         val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}$suffix", emptyList())
-        return call(address, request, CHUNK_TIMEOUT, MAX_MANIFEST_BYTES).flatMap { response ->
+        return call(address, request, CHUNK_TIMEOUT, MAX_MANIFEST_BYTES, isReported).flatMap { response ->
             decode(address) { decodeMessage(ManifestMessage.serializer(), response.body).toManifest() }
         }
     }
@@ -69,12 +73,14 @@
         model: ModelId,
         number: WeightNumber,
         index: Int,
+        isReported: Boolean = false,
     ): Either<Failure, ByteArray> =
         call(
             address,
             HttpRequest("GET", "${PeerPaths.CHUNK}/${model.text}/${number.number}/$index", emptyList()),
             CHUNK_TIMEOUT,
             MAX_CHUNK_BYTES,
+            isReported,
         ).map { it.body }
 
     private suspend fun call(
@@ -82,11 +88,18 @@
         request: HttpRequest,
         timeout: Duration,
         maxBytes: Int,
+        isReported: Boolean = false,
     ): Either<Failure, HttpResponse> {
         val peer = Peer(PeerRole.ENTRY, address.toString())
         val result =
             http.exchange(address, request, peer, timeout, maxBytes).flatMap {
-                if (it.head.status == OK) it.right() else Failure.Declined(Step.SEND, peer, "status ${it.head.status}, expected 200").left()
+                val status = it.head.status
+                when {
+                    status == OK -> it.right()
+                    status == NOT_FOUND && isReported ->
+                        Failure.Damaged(Step.DRAW_CHUNK, peer, "status 404 for what it reported to hold").left()
+                    else -> Failure.Declined(Step.SEND, peer, "status $status, expected 200").left()
+                }
             }
         if (result is Either.Left && result.value is Failure.TimedOut) http.closeIdle(address)
         return result
@@ -104,6 +117,7 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
 
         /** A reply may hold all items of the store. */
         const val MAX_GOSSIP_BYTES = 4_194_304
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -23,6 +23,7 @@
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.storeSince
 import lagoonrudder.wire.messages.toGossipSlot
+import lagoonrudder.wire.messages.toHolding
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toMilliseconds
@@ -74,6 +75,8 @@
         val now = core.clock.elapsed()
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
+        core.holdings.onHeard(peer, message.holdings.mapNotNull { it.toHolding() }, now)
+        if (message.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
         message.storeContact(now)?.let { core.storeView.onStoreHeard(it) }
         val slot = message.slot?.toGossipSlot()
         if (slot != null && core.slots.onGossipReceived(slot, now)) {
@@ -106,6 +109,7 @@
             storeSinceMilliseconds = contact?.let { now - it.since }.toMilliseconds(),
             upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
             declarations = core.versionsToTell().map { it.toMessage(now) },
+            holdings = core.holdings.toTell(peer, now).map { it.toMessage() },
         )
     }
 
@@ -143,6 +147,8 @@
     ) = exchange.respond(UNAVAILABLE, emptyList(), failure.describe().encodeToByteArray())
 
     private companion object {
+        /** The revision of a daemon that has just started, and has lost what it was told. */
+        const val NO_REVISION = 0L
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -3,7 +3,8 @@
  * again that chunks contradict.
  *
  * The next source is asked if one does not answer. A source that answers that it has no data yet is asked again later instead,
- * since it fetches them itself, and a second copy would only take bandwidth from the first.
+ * since it fetches them itself, and a second copy would only take bandwidth from the first. A holder that does not deliver a chunk is
+ * forgotten for it; a target daemon that holds it but is busy is asked again later.
  */
 package lagoonrudder.daemon.direct
 
@@ -30,6 +31,8 @@
     private val core: DirectCore,
     private val peers: PeerClient,
 ) {
+    private val sourceLog = ChunkSourceLog(core.log)
+
     suspend fun manifest(
         sources: List<WeightSource>,
         model: ModelId,
@@ -96,6 +99,7 @@
         val fetched =
             when (source) {
                 is WeightSource.Entry -> peers.manifest(source.address, model, number, doubted)
+                is WeightSource.Holder -> peers.manifest(source.address, model, number, doubted, isReported = true)
                 is WeightSource.Origin -> OriginClient(core.http, source.address).manifest(model, number)
             }
         return fetched.flatMap { manifest ->
@@ -114,18 +118,26 @@
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
+                    is WeightSource.Holder ->
+                        peers.chunk(source.address, manifest.model, manifest.number, index, isReported = true)
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
-            fetched.flatMap { bytes ->
-                val digest = digestOf(bytes)
-                core.thread.decide { core.manifests.onChunk(manifest, index, digest) }
-                if (digest == manifest.digests[index]) {
-                    bytes.right()
-                } else {
-                    damaged(source, "chunk $index of ${manifest.number.number} does not match its digest")
+            val verified =
+                fetched.flatMap { bytes ->
+                    val digest = digestOf(bytes)
+                    core.thread.decide { core.manifests.onChunk(manifest, index, digest) }
+                    if (digest == manifest.digests[index]) {
+                        bytes.right()
+                    } else {
+                        damaged(source, "chunk $index of ${manifest.number.number} does not match its digest")
+                    }
                 }
+            if (verified.isRight()) sourceLog.onFetched(manifest, source)
+            if (source is WeightSource.Holder && verified.leftOrNull() is Failure.Damaged) {
+                core.thread.decide { core.holdings.onRefuted(source.daemon, manifest.model, manifest.number, index) }
             }
+            verified
         }
 
     /** Whether [source] has verified what did not match here, so that other sources would send the same. */
@@ -135,6 +147,7 @@
     ): Boolean =
         when (source) {
             is WeightSource.Entry -> failure is Failure.Damaged
+            is WeightSource.Holder -> false
             is WeightSource.Origin -> false
         }
 
@@ -145,14 +158,21 @@
         fetch: suspend (WeightSource) -> Either<Failure, T>,
     ): Either<Failure, T> {
         var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what answers")
+        var isHolderBusy = false
         for (source in sources) {
+            // A chunk that a target daemon holds is had from it soon, without using the link of the origin.
+            if (isHolderBusy && source !is WeightSource.Holder) break
             if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
             val fetched = fetchRecorded(source, fetch)
             when (fetched) {
                 is Either.Right -> return fetched
                 is Either.Left -> failure = fetched.value
             }
-            if (failure is Failure.Declined || isFinal(source, failure)) return fetched
+            when (source) {
+                is WeightSource.Holder -> isHolderBusy = isHolderBusy || (failure is Failure.Declined && source.kind.isTarget)
+                is WeightSource.Entry, is WeightSource.Origin ->
+                    if (failure is Failure.Declined || isFinal(source, failure)) return fetched
+            }
         }
         return failure.left()
     }
@@ -204,6 +224,7 @@
     private fun peerOf(source: WeightSource): Peer =
         when (source) {
             is WeightSource.Entry -> Peer(PeerRole.ENTRY, source.address.toString())
+            is WeightSource.Holder -> Peer(if (source.kind.isTarget) PeerRole.TARGET else PeerRole.ENTRY, source.address.toString())
             is WeightSource.Origin -> Peer(PeerRole.ORIGIN, source.address.toString())
         }
 }
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
@@ -35,6 +35,13 @@
             settings.listen.shouldBeNull()
         }
 
+        test("a target daemon serves chunks only at an address that is set") {
+            val settings = readDirectSettings(TARGET + "\n[listen]\nchunks = 127.0.0.1:17619\n", "file.ini")
+            settings.getOrElse { kotlin.error(it.describe()) }.chunks shouldBe Address("127.0.0.1", 17619)
+            readDirectSettings(TARGET, "file.ini").getOrElse { kotlin.error(it.describe()) }.chunks.shouldBeNull()
+            errorOf(TARGET + "\n[listen]\nchunks = here\n") shouldContain "section [listen] key chunks"
+        }
+
         test("a slot without a back end is parsed as no slot") {
             val empty = TARGET.replace("back-end = 127.0.0.1:17618", "back-end = ")
             readDirectSettings(empty, "file.ini").getOrElse { kotlin.error(it.describe()) }.slot.shouldBeNull()
