Serve verified staged chunks from target daemons to peers

Cause: after all entry daemons had lost their caches, chunks that target machines had staged could only come from the origin.

Change: a target daemon with [listen] chunks serves the manifest and the chunks that are intact in its staging area, two at a time, each compared with its digest when it is read, and reports them. Without the setting it serves and reports nothing.

Result: on the loopback site (DirectSiteTest) two entry daemons that restart while 4 of 6 chunks are staged, one of them corrupted at one back end, take them from target daemons: 12 chunks leave the origin for two versions.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
+import lagoonrudder.http.HttpServer
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration.Companion.milliseconds
@@ -23,6 +24,7 @@
     override suspend fun start() {
         val slot = core.settings.slot
         startOperatorServer(this)
+        startChunkServer()
         core.launchLoop("gossip") { peers.run() }
         core.launchLoop("store") { store.run() }
         core.launchLoop("pauses") { watchPauses() }
@@ -30,6 +32,12 @@
         core.log.info("started", "role" to "target", "service" to slot?.service?.text, "back-end" to slot?.backEnd)
     }
 
+    private fun startChunkServer() {
+        val address = core.settings.chunks ?: return
+        val endpoint = StagedChunkEndpoint(staging?.area ?: return)
+        HttpServer.start(core.loop, core.scope, address, { CHUNK_LIMITS }, handler = endpoint)
+    }
+
     override suspend fun stop() {
         core.log.info("stopped")
     }
@@ -54,5 +62,8 @@
 
     private companion object {
         val PAUSE_CHECK_INTERVAL = 500.milliseconds
+
+        /** Requests for chunks have no body. */
+        val CHUNK_LIMITS = HttpServer.PEER_LIMITS.copy(bodyBytes = 1_024)
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -12,12 +12,26 @@
 import lagoonrudder.model.ClockReading
 import lagoonrudder.model.Digest
 import lagoonrudder.model.Failure
+import lagoonrudder.model.ModelId
+import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.model.read
 import lagoonrudder.platform.SlotClient
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
+/** The result of reading a chunk for a peer. */
+sealed class StagedChunk {
+    class Intact(
+        val bytes: ByteArray,
+    ) : StagedChunk()
+
+    data object Missing : StagedChunk()
+
+    /** The back end does not respond. */
+    data object Unreadable : StagedChunk()
+}
+
 class StagingArea(
     private val core: DirectCore,
     private val backEnd: SlotClient,
@@ -40,11 +54,12 @@
     private val isRecentlyVerified: Boolean get() = timeSinceVerification?.let { it < VERIFICATION_VALIDITY } ?: false
 
     /** Forgets what is there, for example because the back end restarted. */
-    fun clear() {
+    suspend fun clear() {
         manifest = null
         intact.clear()
         attempts.clear()
         verifiedAt = null
+        reportHoldings()
     }
 
     /** Returns the digests of the chunks that are there up to the first missing one, for which it has null; null if one can't be read. */
@@ -92,7 +107,10 @@
                     result.value !is Failure.Unreachable && hasArrived(manifest, index)
                 }
             }
-        if (isStored) intact += index
+        if (isStored) {
+            intact += index
+            reportHoldings()
+        }
         return isStored
     }
 
@@ -106,6 +124,35 @@
         return read(manifest, index).getOrElse { null } == digest
     }
 
+    /** Reads a chunk that is there, for a peer. One that no longer matches its digest is missing from then on. */
+    suspend fun readIntact(
+        model: ModelId,
+        number: WeightNumber,
+        index: Int,
+    ): StagedChunk {
+        val staged = manifest
+        if (staged == null || staged.model != model || staged.number != number || index !in intact) return StagedChunk.Missing
+        val bytes = backEnd.staged(model, index).getOrElse { return StagedChunk.Unreadable }
+        val digest = bytes?.let { digestOf(it) }
+        if (digest != null) core.thread.decide { core.chunkWrites.onRead(index, digest) }
+        if (digest != null && digest == staged.digests[index]) return StagedChunk.Intact(bytes)
+        if (manifest == staged) {
+            intact -= index
+            verifiedAt = null
+            reportHoldings()
+        }
+        return StagedChunk.Missing
+    }
+
+    /** Lets peers know what is intact. */
+    private suspend fun reportHoldings() {
+        val staged = manifest
+        val chunks = intact.toSet()
+        core.thread.decide {
+            if (staged == null) core.holdings.onOwnCleared() else core.holdings.onOwnChunks(staged.model, staged.number, chunks)
+        }
+    }
+
     /** Reads the digest of a chunk back, null if it is missing. */
     private suspend fun read(
         manifest: WeightManifest,
@@ -140,6 +187,7 @@
             val isIntact = read(manifest, index).getOrElse { null } == manifest.digests[index]
             if (isIntact) intact += index else intact -= index
         }
+        reportHoldings()
         val isComplete = intact.size == manifest.digests.size
         verifiedAt = startedAt.takeIf { isComplete }
         val damaged = before - intact
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -33,7 +33,7 @@
     private val fetcher: WeightFetcher,
 ) {
     private val backEnd = SlotClient(core.http, slot.backEnd)
-    private val area = StagingArea(core, backEnd)
+    internal val area = StagingArea(core, backEnd)
     private val monitor = SlotMonitor(core, slot, backEnd, area, peers)
     private val earlierOrders = EarlierOrderCheck(core, area, fetcher)
     private val switchLog = SwitchLog(core)
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -97,6 +97,17 @@
         }
     }
 
+    /** Ends entry daemon [index] without notice and starts another one, with an empty cache, in its place. */
+    suspend fun restartEntry(index: Int) {
+        val before = cores.first { it.settings.name == DaemonId("entry-$index") }
+        cores -= before
+        before.close()
+        val listen = entryListens[index]
+        // The event loop that was closed may release its ports a little later.
+        eventually { listOf(listen.callers, listen.ready, listen.peers, before.settings.operators).all { isFree(it.port) } }
+        start(before.settings)
+    }
+
     fun stopTarget(index: Int) {
         targetCores.remove(index)?.let {
             it.close()
@@ -192,11 +203,12 @@
     private fun freeAddress(): Address {
         while (true) {
             val port = nextPort.getAndIncrement()
-            val isFree = runCatching { ServerSocket(port).close() }.isSuccess
-            if (isFree) return Address("127.0.0.1", port)
+            if (isFree(port)) return Address("127.0.0.1", port)
         }
     }
 
+    private fun isFree(port: Int): Boolean = runCatching { ServerSocket(port).close() }.isSuccess
+
     fun startTarget(index: Int) {
         targetCores[index] = start(settings("target-$index", DaemonRole.TARGET, null, DirectSlotSettings(SERVICE, workerAddresses[index])))
     }
@@ -225,6 +237,7 @@
         store = storeAddress,
         slot = slot,
         bounds = DirectBounds(8.seconds, PlacementBounds(1.5, 5.0), RetryBudgetBounds(0.2, 10.seconds, 100.0), STOP_GRACE),
+        chunks = if (role == DaemonRole.TARGET) freeAddress() else null,
     )
 
     private companion object {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -110,7 +110,12 @@
     val executed = mutableListOf<HttpRequest>()
 
     /** Whether all chunks of [version] are staged. */
-    fun hasStaged(version: Long): Boolean = (0 until CHUNK_COUNT).all { staged[it]?.contentEquals(chunkOf(version, it)) == true }
+    fun hasStaged(version: Long): Boolean = stagedCount(version) == CHUNK_COUNT
+
+    fun stagedCount(version: Long): Int = stagedChunks(version).size
+
+    /** Returns the chunks of [version] that are staged. */
+    fun stagedChunks(version: Long): List<Int> = (0 until CHUNK_COUNT).filter { staged[it]?.contentEquals(chunkOf(version, it)) == true }
 
     /** Starts anew: nothing is loaded, and the staged chunks are still there. */
     fun restart() {
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/DirectSiteTest.kt
@@ -75,6 +75,24 @@
             }
         }
 
+        // Guards against restarted entry daemons that fetch from the origin what target daemons have staged.
+        test("entry daemons that lost their caches take staged chunks from target daemons, and fetch the others once") {
+            withSite(entries = 2, workers = 2) {
+                origin.failsAfter = CHUNK_COUNT + 4
+                declare(2)
+                eventually { workers.all { it.stagedCount(2) == 4 } }
+                // The other target daemon has a sound copy, and this one must not send its own.
+                workers.first().corruptStagedChunk(workers.first().stagedChunks(2).first())
+                repeat(2) { restartEntry(it) }
+                eventually { (0..1).all { isReady(it) } }
+                delay(1.5.seconds)
+                origin.failsAfter = null
+                eventually { workers.all { it.loadedVersion == 2L } }
+                workers.none { it.loadedInvalidChunks } shouldBe true
+                origin.chunksServed shouldBe 2 * CHUNK_COUNT
+            }
+        }
+
         test("a manifest of another version than the one that was asked for is fetched again") {
             withSite(entries = 1, workers = 1) {
                 origin.staleManifests = 1
