--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -34,6 +34,7 @@
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.toDemandMessages
+import lagoonrudder.wire.messages.toHolding
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toLivePeer
 import lagoonrudder.wire.messages.toMessage
@@ -195,7 +196,10 @@
         val message = core.thread.decide { gossipMessage(address, peersRequested, itemsRequested, evidenceIncluded) }
         val sentAt = core.clock.elapsed()
         return when (val reply = client.gossip(address, message, if (itemsRequested) progressOf(address) else ({}))) {
-            is Either.Left -> false
+            is Either.Left -> {
+                core.thread.decide { core.peers.peerAt(address)?.let { core.holdings.onForgotten(it.daemon) } }
+                false
+            }
             is Either.Right -> {
                 val isPeerBehind = applyReply(reply.value, address, sentAt)
                 if (isPeerBehind && !evidenceIncluded) exchange(address, peersRequested = false, evidenceIncluded = true)
@@ -211,7 +215,8 @@
         evidenceIncluded: Boolean,
     ): GossipMessage {
         val now = core.clock.elapsed()
-        val load = loadFor(core.peers.peerAt(address), now)
+        val peer = core.peers.peerAt(address)
+        val load = loadFor(peer, now)
         return GossipMessage(
             core.self.toMessage(),
             core.storeView.at.revision.number,
@@ -224,6 +229,7 @@
             core.suspicions.digest,
             if (evidenceIncluded) core.suspicions.report(now).toMessage() else null,
             core.contactToTell()?.let { now - it.since }.toMilliseconds(),
+            holdings = core.holdings.toTell(peer, now).map { it.toMessage() },
             declarations = core.versionsToTell().map { it.toMessage(now) },
             upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
             demand = load.demand.toDemandMessages(),
@@ -246,6 +252,8 @@
                 val lacksEvidence = applyEvidence(reply, now)
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
+                core.holdings.onHeard(peer, reply.holdings.mapNotNull { it.toHolding() }, now)
+                if (reply.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.position > core.storeView.at
                 if (core.catchUp.onHeard(reply.position, now)) logLag(reply.position, now)
@@ -295,6 +303,9 @@
     }
 
     private companion object {
+        /** The revision of a daemon that has just started. */
+        const val NO_REVISION = 0L
+
         /**
          * Entry daemons of one failure domain send most of their requests to the same back ends, about twelve a second each, so
          * each needs the others' loads promptly.
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -30,7 +30,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Paths on which an entry daemon serves its peers. */
+/** Paths on which daemons serve their peers. */
 object PeerPaths {
     const val GOSSIP = "/peer/word"
     const val MANIFEST = "/peer/manifest"
@@ -49,21 +49,25 @@
         val request = HttpRequest("POST", PeerPaths.GOSSIP, emptyList(), encodeMessage(GossipMessage.serializer(), message))
         val total = if (message.itemsRequested) MAX_ITEMS_TIME else GOSSIP_TIMEOUT
         val limits = ResponseLimits(first = GOSSIP_TIMEOUT, next = GOSSIP_TIMEOUT, total, MAX_GOSSIP_BYTES)
-        return call(address, request, limits, onProgress).flatMap { body ->
+        return call(address, request, limits, onProgress = onProgress).flatMap { body ->
             decode(address) { decodeMessage(GossipReply.serializer(), body) }
         }
     }
 
-    /** Asks for a manifest. A copy with the fingerprint [doubted] is read again by the peer before it repeats it. */
+    /**
+     * Asks for a manifest. A copy with the fingerprint [doubted] is read again by the peer before it repeats it. [isReported] says that the
+     * peer reported to hold the data, so that a response that it has none is a [Failure.Damaged], here as for a chunk.
+     */
     suspend fun manifest(
         address: Address,
         model: ModelId,
         number: WeightNumber?,
         doubted: Digest? = null,
+        isReported: Boolean = false,
     ): Either<Failure, WeightManifest> {
         val suffix = doubted?.let { "/${it.hexadecimal}" }.orEmpty()
         val request = HttpRequest("GET", "${PeerPaths.MANIFEST}/${model.text}/${number?.number ?: 0}$suffix", emptyList())
-        return call(address, request, CHUNK_LIMITS.copy(maxBytes = MAX_MANIFEST_BYTES)).flatMap { body ->
+        return call(address, request, CHUNK_LIMITS.copy(maxBytes = MAX_MANIFEST_BYTES), isReported).flatMap { body ->
             decode(address) { decodeMessage(ManifestMessage.serializer(), body).toManifest() }
         }
     }
@@ -73,17 +77,20 @@
         model: ModelId,
         number: WeightNumber,
         index: Int,
+        isReported: Boolean = false,
     ): Either<Failure, ByteArray> =
         call(
             address,
             HttpRequest("GET", "${PeerPaths.CHUNK}/${model.text}/${number.number}/$index", emptyList()),
             CHUNK_LIMITS,
+            isReported,
         )
 
     private suspend fun call(
         address: Address,
         request: HttpRequest,
         limits: ResponseLimits,
+        isReported: Boolean = false,
         onProgress: () -> Unit = {},
     ): Either<Failure, ByteArray> {
         val peer = Peer(PeerRole.ENTRY, address.toString())
@@ -95,10 +102,11 @@
             }
         val result =
             received.flatMap {
-                if (it.status == OK) {
-                    body.toByteArray().right()
-                } else {
-                    Failure.Declined(Step.SEND, peer, "status ${it.status}, expected 200").left()
+                when {
+                    it.status == OK -> body.toByteArray().right()
+                    it.status == NOT_FOUND && isReported ->
+                        Failure.Damaged(Step.DRAW_CHUNK, peer, "status 404 for what it reported to hold").left()
+                    else -> Failure.Declined(Step.SEND, peer, "status ${it.status}, expected 200").left()
                 }
             }
         if (result is Either.Left && result.value is Failure.TimedOut) http.closeIdle(address)
@@ -117,6 +125,7 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
 
         /** A reply may hold all items of the store. */
         const val MAX_GOSSIP_BYTES = 4_194_304L
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -26,6 +26,7 @@
 import lagoonrudder.wire.messages.storeSince
 import lagoonrudder.wire.messages.toDemandMessages
 import lagoonrudder.wire.messages.toGossipSlot
+import lagoonrudder.wire.messages.toHolding
 import lagoonrudder.wire.messages.toMessage
 import lagoonrudder.wire.messages.toMessages
 import lagoonrudder.wire.messages.toMilliseconds
@@ -82,6 +83,8 @@
         val now = core.clock.elapsed()
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
+        core.holdings.onHeard(peer, message.holdings.mapNotNull { it.toHolding() }, now)
+        if (message.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
         message.storeContact(now)?.let { core.storeView.onStoreHeard(it) }
         core.storeView.versions.onTold(message.declared(now), askedAt = now)
         val slot = message.slot?.toGossipSlot()
@@ -118,6 +121,7 @@
             upToDateMilliseconds = core.upToDateAgeToTell().toMilliseconds(),
             declarations = core.versionsToTell().map { it.toMessage(now) },
             demand = load.demand.toDemandMessages(),
+            holdings = core.holdings.toTell(peer, now).map { it.toMessage() },
         )
     }
 
@@ -155,6 +159,8 @@
     ) = exchange.respond(UNAVAILABLE, emptyList(), failure.describe().encodeToByteArray())
 
     private companion object {
+        /** The revision of a daemon that has just started, and has lost what it was told. */
+        const val NO_REVISION = 0L
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
