Stage only versions worth fetching, and the next one during a load

Cause: a target daemon completed any version of which half was staged, however little time was left to it, and began the next one only after the back end had drained and loaded. Change: StagingLoop asks VersionChoice, which replaces the rule of the half staged version, and logs version-choice when the decision changes. After an accepted order the chunks of a newer version are staged while the back end drains or loads; after an order without a response nothing is. A peer that responds with 404 neither holds nor fetches a chunk: the next peer is asked, never the origin.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -6,6 +6,8 @@
  */
 package lagoonrudder.control.direct
 
+import lagoonrudder.control.direct.weights.VersionChoice
+import lagoonrudder.control.direct.weights.VersionSupply
 import lagoonrudder.model.Address
 import lagoonrudder.model.Digest
 import lagoonrudder.model.DomainId
@@ -14,6 +16,7 @@
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingService
+import lagoonrudder.model.WeightLayout
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.model.rendezvousOrder
@@ -93,8 +96,7 @@
         model: ModelId,
         number: WeightNumber?,
     ): String? {
-        val layouts = storeView.serving?.services?.mapNotNull { it.weights } ?: emptyList()
-        val chunkCount = layouts.firstOrNull { model in it.models }?.chunkCount
+        val chunkCount = layout(model)?.chunkCount
         return when {
             manifest.model != model || (number != null && manifest.number != number) ->
                 "manifest of ${manifest.model.text} ${manifest.number.number}, expected ${model.text} ${number?.number}"
@@ -103,19 +105,32 @@
         }
     }
 
-    /**
-     * Returns whether to continue staging [number], of which [staged] of [total] chunks are present, after a newer version was
-     * declared: a version that is half staged is completed, in case the newer one can't be fetched before the older one is due.
-     */
+    /** Returns the bytes of one copy of [model], 1 while its layout is not known. */
+    fun copySize(model: ModelId): Long = layout(model)?.let { it.chunkCount.toLong() * it.chunkBytes }?.coerceAtLeast(1) ?: 1
+
+    /** Returns the bytes of one chunk of [model], 1 while its layout is not known. */
+    fun chunkSize(model: ModelId): Long = layout(model)?.chunkBytes?.toLong()?.coerceAtLeast(1) ?: 1
+
+    /** Returns about how many bytes of one copy of [model] an entry daemon fetches as the primary source of its region. */
+    fun ownShare(
+        model: ModelId,
+        now: Duration,
+    ): Long = (copySize(model) / peers.liveEntries(now).count { it.region == peers.self.region }.coerceAtLeast(1)).coerceAtLeast(1)
+
+    /** Returns which of the declared versions of [model] a daemon with [supply] fetches. */
+    fun chooseVersion(
+        model: ModelId,
+        supply: VersionSupply,
+        now: Duration,
+    ): VersionChoice = VersionChoice.of(model, storeView.versions, supply, now)
+
+    /** Returns whether to continue staging [number]: an older version is completed only if requests will begin on it. */
     fun shouldFinishStaging(
         model: ModelId,
         number: WeightNumber,
-        staged: Int,
-        total: Int,
-    ): Boolean {
-        val newest = storeView.versions.newest[model] ?: return true
-        return number >= newest || staged * 2 >= total
-    }
+        supply: VersionSupply,
+        now: Duration,
+    ): Boolean = chooseVersion(model, supply, now).isWorthFetching(number)
 
     /**
      * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
@@ -186,6 +201,12 @@
             .firstOrNull { it.service == service && it.address == address }
             ?.let { schedule.scheduledSwitch(it, report.held, number) }
 
+    private fun layout(model: ModelId): WeightLayout? =
+        storeView.serving
+            ?.services
+            ?.mapNotNull { it.weights }
+            ?.firstOrNull { model in it.models }
+
     private fun originService(): ServingService? = storeView.serving?.services?.firstOrNull { it.origin != null }
 
     private fun origin(): Address? = originService()?.origin
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -29,6 +29,7 @@
 import lagoonrudder.control.direct.WeightSourceController
 import lagoonrudder.control.direct.suspicion.SuspicionChange
 import lagoonrudder.control.direct.suspicion.SuspicionController
+import lagoonrudder.control.direct.weights.TransferRateObserver
 import lagoonrudder.daemon.observe.DaemonMetrics
 import lagoonrudder.daemon.observe.EventLog
 import lagoonrudder.http.HttpClient
@@ -37,6 +38,7 @@
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -67,6 +69,8 @@
     val notices = BackEndNoticeController { run, notice -> logNotice(run, notice) }
     val slots = BackEndStateController()
     val weightSources = WeightSourceController()
+    val transferRates = TransferRateObserver()
+    val versionChoiceChanges = AtomicLong()
     val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
@@ -186,6 +190,7 @@
             "confirmed" to if (storeView.confirmed) 1 else 0,
             "back_ends" to storeView.backEnds.size,
             "back_ends_leaving" to storeView.backEnds.count { it.leaving },
+            "version_choice_changes" to versionChoiceChanges.get(),
             "peers_alive" to peers.liveEntries(clock.elapsed()).size,
         )
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -86,7 +86,11 @@
         val peer = Peer(PeerRole.ENTRY, address.toString())
         val result =
             http.exchange(address, request, peer, timeout, maxBytes).flatMap {
-                if (it.head.status == OK) it.right() else Failure.Declined(Step.SEND, peer, "status ${it.head.status}, expected 200").left()
+                when (it.head.status) {
+                    OK -> it.right()
+                    NOT_FOUND -> Failure.NotHeld(Step.SEND, peer, "status 404, expected 200").left()
+                    else -> Failure.Declined(Step.SEND, peer, "status ${it.head.status}, expected 200").left()
+                }
             }
         if (result is Either.Left && result.value is Failure.TimedOut) http.closeIdle(address)
         return result
@@ -104,6 +108,7 @@
 
     private companion object {
         const val OK = 200
+        const val NOT_FOUND = 404
 
         /** A reply may hold all items of the store. */
         const val MAX_GOSSIP_BYTES = 4_194_304
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -16,7 +16,10 @@
     private val peers: GossipLoop,
 ) {
     private var reachable = false
-    private var lastReport: BackEndReport? = null
+
+    /** The last report that the back end sent. */
+    var lastReport: BackEndReport? = null
+        private set
 
     /** Reads the back end's report and announces a changed state; returns null while the back end does not respond. */
     suspend fun report(): BackEndReport? {
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -25,6 +25,7 @@
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.platform.OriginClient
+import kotlin.time.Duration
 
 class WeightFetcher(
     private val core: DirectCore,
@@ -111,12 +112,14 @@
         index: Int,
     ): Either<Failure, ByteArray> =
         fetchFromFirst(sources, "chunk $index of ${manifest.number.number}", ::isVerifiedBySource) { source ->
+            val startedAt = core.clock.elapsed()
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
+            core.thread.decide { observeRate(fetched, startedAt) }
             fetched.flatMap { bytes ->
                 val digest = digestOf(bytes)
                 core.thread.decide { core.manifests.onChunk(manifest, index, digest) }
@@ -128,6 +131,18 @@
             }
         }
 
+    /** Runs on the control thread. */
+    private fun observeRate(
+        fetched: Either<Failure, ByteArray>,
+        startedAt: Duration,
+    ) {
+        val now = core.clock.elapsed()
+        when (fetched) {
+            is Either.Right -> core.transferRates.onTransferred(fetched.value.size, startedAt, now)
+            is Either.Left -> if (fetched.value !is Failure.NotHeld) core.transferRates.onFailed(now)
+        }
+    }
+
     /** Whether [source] has verified what did not match here, so that other sources would send the same. */
     private fun isVerifiedBySource(
         source: WeightSource,
@@ -146,6 +161,8 @@
     ): Either<Failure, T> {
         var failure: Failure = Failure.Unreachable(Step.DRAW_CHUNK, Peer.SELF, "no source for $what answers")
         for (source in sources) {
+            // A version that peers do not fetch any more must not be fetched from the origin by each of them.
+            if (failure is Failure.NotHeld && source is WeightSource.Origin) continue
             if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
             val fetched = fetchRecorded(source, fetch)
             when (fetched) {
@@ -177,7 +194,7 @@
         val failure = (fetched as? Either.Left)?.value
         when {
             fetched == null -> core.thread.decide { core.weightSources.onCancelled(source) }
-            failure == null || failure is Failure.Declined || failure is Failure.Damaged -> {
+            failure == null || failure is Failure.Declined || failure is Failure.NotHeld || failure is Failure.Damaged -> {
                 if (failure is Failure.Damaged) core.log.failure("draw-damaged", failure)
                 val recovery = core.thread.decide { core.weightSources.onAnswer(source, core.clock.elapsed()) }
                 if (recovery != null) {
--- a/model/src/main/kotlin/lagoonrudder/model/Failure.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Failure.kt
@@ -107,6 +107,13 @@
         override val detail: String,
     ) : Failure()
 
+    /** The peer does not have what was asked for, and does not fetch it either. */
+    data class NotHeld(
+        override val step: Step,
+        override val peer: Peer,
+        override val detail: String,
+    ) : Failure()
+
     /** Formats the failure as one line for logs and error responses. */
     fun describe(): String = "step=${step.name.lowercase()} peer=$peer detail=\"$detail\""
 }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -94,6 +94,9 @@
     var arrivals = 0
         private set
 
+    /** How long this back end loads the chunks of an order that it accepted. */
+    var loadTime = LOAD_TIME
+
     /** How long the next orders lie here before this back end decides on them, whether or not their sender still waits. */
     val orderDelays = ArrayDeque<Duration>()
 
@@ -229,7 +232,7 @@
         if (!hasStaged(ordered)) loadedInvalidChunks = true
         scope.launch {
             slots?.close()
-            delay(LOAD_TIME)
+            delay(loadTime)
             loadedVersion = ordered
             loading = false
             slots?.open()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
@@ -73,6 +73,7 @@
             is Failure.Interrupted,
             is Failure.TimedOut,
             is Failure.Damaged,
+            is Failure.NotHeld,
             -> DirectAttemptResult.NotRun(reached = false, failure.describe())
         }
 
