Fetch at entry daemons only versions that are worth fetching

Cause: entry daemons went on fetching an older version when the origin was back, and a restarted one prefetched it for a peer that asked. Fetches of a version that gives way are cancelled; its chunks are sent if they are held, otherwise the response is 404.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -119,7 +119,12 @@
         limits = core.storeView.serving?.limits ?: DEFAULT_LIMITS
         control.onStoreViewChanged()
         val newest = core.storeView.versions.newest
-        (newest.entries - prefetchedVersions.entries).forEach { (model, number) -> core.scope.launch { chunks.prefetch(model, number) } }
+        (newest.entries - prefetchedVersions.entries).forEach { (model, number) ->
+            core.scope.launch {
+                chunks.cancelUnwanted(model)
+                chunks.prefetch(model, number)
+            }
+        }
         prefetchedVersions = newest
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -133,7 +133,12 @@
         }
         when (val chunk = chunks.chunk(ModelId(segments[2]), WeightNumber(number), index)) {
             is Either.Right -> exchange.respond(OK, emptyList(), chunk.value)
-            is Either.Left -> respondUnavailable(exchange, chunk.value)
+            is Either.Left ->
+                if (chunk.value is Failure.NotHeld) {
+                    exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
+                } else {
+                    respondUnavailable(exchange, chunk.value)
+                }
         }
     }
 
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/CompetingVersionsTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/CompetingVersionsTest.kt
@@ -1,11 +1,13 @@
 package lagoonrudder.standins.direct
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.ints.shouldBeInRange
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Guards against links that are idle during a load. */
+/** Guards against links that carry a version that has given way to a newer one, and against links that are idle during a load. */
 class CompetingVersionsTest :
     FunSpec({
         // A back end began to stage version 3 only once it had loaded version 2, 3.5 s after that order.
@@ -23,4 +25,20 @@
                 worker.loadedInvalidChunks shouldBe false
             }
         }
+
+        // Entry daemons went on with the chunks of version 2 when the origin was back.
+        test("an origin that is back after the declaration of a newer version is asked for chunks of that one only") {
+            withSite(entries = 2, workers = 2) {
+                origin.failsAfter = CHUNK_COUNT + 2
+                declare(2)
+                delay(500.milliseconds)
+                declare(3)
+                delay(1_500.milliseconds)
+                val before = origin.chunksServed
+                origin.failsAfter = null
+                eventually(15.seconds) { workers.all { it.loadedVersion == 3L } }
+                workers.none { it.loadedInvalidChunks } shouldBe true
+                (origin.chunksServed - before) shouldBeInRange CHUNK_COUNT..CHUNK_COUNT + 1
+            }
+        }
     })
