--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -106,6 +106,7 @@
                     it.status == OK -> body.toByteArray().right()
                     it.status == NOT_FOUND && isReported ->
                         Failure.Damaged(Step.DRAW_CHUNK, peer, "status 404 for what it reported to hold").left()
+                    it.status == NOT_FOUND -> Failure.NotHeld(Step.SEND, peer, "status 404, expected 200").left()
                     else -> Failure.Declined(Step.SEND, peer, "status ${it.status}, expected 200").left()
                 }
             }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -74,7 +74,6 @@
     private fun knowsLessThanSender(message: GossipMessage): Boolean {
         val now = core.clock.elapsed()
         val since = message.storeSince(now)
-        core.catchUp.onHeard(message.position, now)
         val canConfirm = !core.storeView.confirmed && message.upToDateAge != null
         return message.position > core.storeView.at || canConfirm || (since != null && core.storeView.isGraceRefutedBy(since, now))
     }
@@ -149,7 +148,12 @@
         }
         when (val chunk = chunks.chunk(ModelId(segments[2]), WeightNumber(number), index)) {
             is Either.Right -> exchange.respond(OK, emptyList(), chunk.value)
-            is Either.Left -> respondUnavailable(exchange, chunk.value)
+            is Either.Left ->
+                if (chunk.value is Failure.NotHeld) {
+                    exchange.respond(NOT_FOUND, emptyList(), NO_BYTES)
+                } else {
+                    respondUnavailable(exchange, chunk.value)
+                }
         }
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/WeightFetcher.kt
@@ -26,6 +26,7 @@
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.digestOf
 import lagoonrudder.platform.OriginClient
+import kotlin.time.Duration
 
 class WeightFetcher(
     private val core: DirectCore,
@@ -115,6 +116,7 @@
         index: Int,
     ): Either<Failure, ByteArray> =
         fetchFromFirst(sources, "chunk $index of ${manifest.number.number}", ::isVerifiedBySource) { source ->
+            val startedAt = core.clock.elapsed()
             val fetched =
                 when (source) {
                     is WeightSource.Entry -> peers.chunk(source.address, manifest.model, manifest.number, index)
@@ -123,6 +125,7 @@
                     is WeightSource.Origin ->
                         OriginClient(core.http, source.address).chunk(manifest.model, manifest.number, index)
                 }
+            core.thread.decide { observeRate(fetched, startedAt) }
             val verified =
                 fetched.flatMap { bytes ->
                     val digest = digestOf(bytes)
@@ -140,6 +143,18 @@
             verified
         }
 
+    /** Runs on the control thread. */
+    private fun observeRate(
+        fetched: Either<Failure, ByteArray>,
+        startedAt: Duration,
+    ) {
+        val now = core.clock.elapsed()
+        when (fetched) {
+            is Either.Right -> core.transferRates.onTransferred(fetched.value.size, startedAt, now)
+            is Either.Left -> if (fetched.value !is Failure.NotHeld) core.transferRates.onFailed(now)
+        }
+    }
+
     /** Whether [source] has verified what did not match here, so that other sources would send the same. */
     private fun isVerifiedBySource(
         source: WeightSource,
@@ -162,6 +177,8 @@
         for (source in sources) {
             // A chunk that a target daemon holds is had from it soon, without using the link of the origin.
             if (isHolderBusy && source !is WeightSource.Holder) break
+            // A version that peers do not fetch any more must not be fetched from the origin by each of them.
+            if (failure is Failure.NotHeld && source is WeightSource.Origin) continue
             if (!core.thread.decide { core.weightSources.mayFetch(source, core.clock.elapsed()) }) continue
             val fetched = fetchRecorded(source, fetch)
             when (fetched) {
@@ -197,7 +214,7 @@
         val failure = (fetched as? Either.Left)?.value
         when {
             fetched == null -> core.thread.decide { core.weightSources.onCancelled(source) }
-            failure == null || failure is Failure.Declined || failure is Failure.Damaged -> {
+            failure == null || failure is Failure.Declined || failure is Failure.NotHeld || failure is Failure.Damaged -> {
                 if (failure is Failure.Damaged) core.log.failure("draw-damaged", failure)
                 val recovery = core.thread.decide { core.weightSources.onAnswer(source, core.clock.elapsed()) }
                 if (recovery != null) {
