Take a status that is not between 100 and 599 for a broken response

A back end in trouble may respond with the status 000. HttpConnection skipped it as an informational response, so the attempt waited for a response until its deadline; 600 and 999 with the fields of a response reached the caller. Now the call fails at once, whoever reads it, and its connection is closed: a request that may run again goes to another back end, any other ends with 502.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpConnection.kt
@@ -225,6 +225,11 @@
                 fail("invalid response head from $address: a status line inside the head, which is two heads run together")
                 return false
             }
+            // Whoever sends it is in trouble, and a status below 100 looks like an informational one, after which a response follows.
+            if (head.status !in VALID_STATUSES) {
+                fail("invalid response head from $address: status ${head.status}, expected 100 to 599")
+                return false
+            }
             skipping = head.status < FIRST_FINAL_STATUS || !isOwn(head)
             if (ended) return false
             persistent = HttpUtil.isKeepAlive(response) && !head.endsWithConnection
@@ -328,6 +333,7 @@
     }
 
     private companion object {
+        val VALID_STATUSES = 100..599
         const val FIRST_FINAL_STATUS = 200
 
         /** Far above the informational and late responses that a sound server may send before the expected one. */
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -401,6 +401,44 @@
             }.use { server -> withClient { it.fetch(server.address).leftOrNull().shouldBeInstanceOf<Failure.Interrupted>() } }
         }
 
+        // A status of 000 was skipped as an informational one, and the request hung until its deadline.
+        test("a response whose status is not between 100 and 599 is reported as broken at once, and its connection is closed") {
+            for (status in listOf("000", "001", "99", "099", "600", "999", "1000")) {
+                for (framing in listOf("Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok", "Transfer-Encoding: chunked\r\n\r\n")) {
+                    ScriptedServer { connection ->
+                        connection.readHead()
+                        connection.send("HTTP/1.1 $status Odd\r\nRequest-Id: r\r\n$framing")
+                        connection.readHead()
+                        connection.send(OK_BODY)
+                    }.use { server ->
+                        withClient { client ->
+                            withClue("$status $framing") {
+                                val event = withTimeoutOrNull(3.seconds) { client.firstEvent(server.address, "r") }
+                                event.shouldBeInstanceOf<HttpEvent.Broken>().disconnected shouldBe false
+                                client.fetch(server.address)
+                                server.connections.get() shouldBe 2
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
+        test("an informational response is skipped, and the highest valid status is returned") {
+            ScriptedServer { connection ->
+                connection.readHead()
+                connection.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 599 Odd\r\nContent-Length: 0\r\n\r\n")
+                connection.readRest()
+            }.use { server ->
+                withClient {
+                    it
+                        .fetch(server.address)
+                        .getOrElse { error("") }
+                        .head.status shouldBe 599
+                }
+            }
+        }
+
         test("a response that is sent before the request was read is returned") {
             ScriptedServer { connection ->
                 connection.send("HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
