Count contact from the start of the process, and confirm while nobody hears of the store

Loading classes takes up to a second on a busy machine, by which a daemon took the limits to bind it later than others do. A peer that had been paused in an outage of the store does not say when it last answered, so a daemon that started then stayed unconfirmed until the store was back.

CatchUpControllerTest with that case and DirectSettingsTest for the contact setting pass, as do StoreViewControllerTest, VersionAgeTest, StoreReadersTest, StoreOutagesTest, StartedDaemonsTest, PlannedStopTest and LateOrderTest. The start of the process itself has no test: it is read in the main function.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -169,7 +169,7 @@
 
     /** A peer's state may be older than this daemon if the peer lags behind itself. */
     private fun checkAgeOfState(now: Duration) {
-        val isStoreAway = storeContact.let { it != null && now - it.until >= STORE_AWAY_AFTER }
+        val isStoreAway = now - (storeContact?.until ?: startedAt) >= STORE_AWAY_AFTER
         if (versions.isUpToDateSince(startedAt) || (isStoreAway && confirmedAt != null)) isCurrentSinceStart = true
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/CatchUpControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/CatchUpControllerTest.kt
@@ -160,5 +160,8 @@
             val unknown = storeView()
             unknown.applySettledChanges(configuration, 29, started + 100.milliseconds)
             unknown.confirmed shouldBe false
+            // Nobody has heard of the store meanwhile, for example because the peer had been paused in the outage.
+            unknown.applySettledChanges(emptyList(), 29, started + 2.2.seconds)
+            unknown.confirmed shouldBe true
         }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -44,9 +44,11 @@
 /** How often an entry daemon looks for pauses and for what has expired. */
 internal val TICK_INTERVAL = 100.milliseconds
 
+/** [startedAt] is the start of the process, from which the limits of versions count that bind it. */
 class DirectCore(
     val settings: DirectSettings,
     val clock: Clock,
+    startedAt: Duration = clock.elapsed(),
 ) : AutoCloseable {
     val log = EventLog(settings.name.text)
     val invariants = Invariants { log.invariantViolation(it) }
@@ -59,7 +61,6 @@
                 CoroutineExceptionHandler { _, error -> log.error("coroutine-failed", "error" to error.stackTraceToString()) },
         )
     val http = HttpClient(loop, clock)
-    private val startedAt = clock.elapsed()
     val storeView = StoreViewController(invariants, settings.bounds.versionLimit, startedAt + settings.bounds.contact, startedAt)
     val catchUp = CatchUpController(storeView)
     private val pauseDetector = PauseDetector(clock)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/Main.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/Main.kt
@@ -13,8 +13,10 @@
 import sun.misc.Signal
 import java.io.File
 import java.io.IOException
+import java.lang.management.ManagementFactory
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
+import kotlin.time.Duration.Companion.milliseconds
 
 private const val EXIT_INVALID_SETTINGS = 2
 
@@ -23,7 +25,10 @@
     val file by parser.option(ArgType.String, "settings", description = "INI file with the settings of this daemon").required()
     parser.parse(arguments)
     val settings = readSettingsFile(file).getOrElse { exit(it) }
-    val core = DirectCore(settings, SystemClock())
+    val clock = SystemClock()
+    // Others count from the start of the process, and loading classes takes up to a second on a busy machine.
+    val uptime = ManagementFactory.getRuntimeMXBean().uptime.milliseconds
+    val core = DirectCore(settings, clock, startedAt = clock.elapsed() - uptime)
     val daemon = directDaemon(core)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
--- a/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
+++ b/daemon/src/test/kotlin/lagoonrudder/daemon/direct/DirectSettingsTest.kt
@@ -40,6 +40,12 @@
             readDirectSettings(empty, "file.ini").getOrElse { kotlin.error(it.describe()) }.slot.shouldBeNull()
         }
 
+        test("the time of contact is optional, so that settings from before it are parsed") {
+            fun contact(text: String) = readDirectSettings(text, "file.ini").getOrElse { kotlin.error(it.describe()) }.bounds.contact
+            contact(ENTRY) shouldBe 3.seconds
+            contact(ENTRY.replace("version = 8s", "version = 8s\ncontact = 4000ms")) shouldBe 4.seconds
+        }
+
         test("an error names the file, the section and the key") {
             errorOf(ENTRY.replace("version = 8s", "version = soon")) shouldContain "file file.ini section [bounds] key version"
             errorOf(ENTRY.replace("role = entry", "role = other")) shouldContain "section [daemon] key role"
