Admit requests by urgency over all entry daemons

On a burst of the least urgent kind the most urgent one was served least, as rank counted only in the queue of one daemon. Now the level that is admitted is computed from the counts of all daemons; what is not admitted is refused at once, unless a quarter of the slots is free. Predicted waits and times to return count only requests that go before. Levels that are admitted whole take any free place, those admitted in part leave the last slot of an engine, and a slot is left to more urgent requests that wait nearby. Back ends are told the level. Log line admission-level; gauges of the level and of what is admitted and refused.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/BackEndEligibility.kt
@@ -23,24 +23,32 @@
     ): Boolean {
         val region = topology.regions[backEnd.domain]
         val inHomeRegions = request.homeRegions.all { it.isEmpty() || region in it }
-        val isOpen =
-            !backEnd.leaving &&
-                !notices.isLeaving(backEnd) &&
-                backEnd.domain !in storeView.evacuated &&
-                !backEndStates.closed(backEnd, now) &&
-                backEnd.id !in request.excluded
-        return isOpen && inHomeRegions && holdsWeights(backEnd, request, now)
+        return isOpen(backEnd, now) && backEnd.id !in request.excluded && inHomeRegions && holdsWeights(backEnd, request.number, now)
     }
 
+    /** Returns whether requests that are bound to no region and no version may be sent to [backEnd]. */
+    fun isUsable(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean = isOpen(backEnd, now) && holdsWeights(backEnd, null, now)
+
+    private fun isOpen(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean =
+        !backEnd.leaving &&
+            !notices.isLeaving(backEnd) &&
+            backEnd.domain !in storeView.evacuated &&
+            !backEndStates.closed(backEnd, now)
+
     private fun holdsWeights(
         backEnd: BackEnd,
-        request: PlacementRequest,
+        pinned: WeightNumber?,
         now: Duration,
     ): Boolean {
         val layout = storeView.serving?.service(backEnd.service)?.weights ?: return true
         val held = backEndStates.held(backEnd, now) ?: return false
         if (held.layers < layout.layers) return false
-        val pinned = request.number
         if (pinned != null && held.number != pinned) return false
         val binding = bindingNumber(held, now + SWITCH_MARGIN) ?: return true
         return held.number >= binding
@@ -72,7 +80,7 @@
         now: Duration,
     ): String {
         val all = storeView.backEndsOf(request.service)
-        val withoutWeights = all.count { !holdsWeights(it, request, now) }
+        val withoutWeights = all.count { !holdsWeights(it, request.number, now) }
         val leaving = all.count { it.leaving || notices.isLeaving(it) }
         return "no back end listed=${all.size} leaving=$leaving without-weights=$withoutWeights passed-over=${request.excluded.size}"
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -4,6 +4,7 @@
 package lagoonrudder.control.direct
 
 import kotlinx.coroutines.CompletableDeferred
+import lagoonrudder.control.direct.admission.UrgencyLevel
 import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.CustomerId
@@ -66,12 +67,14 @@
     /**
      * [number] is the version that the back end must still hold, null if the request may run on each one, and [beginLimit] tells until when
      * the request may begin there. [versions] tells for the log what was known; null for a back end without weights.
+     * [level] is the urgency of the request, null if the requests of the service don't differ in rank.
      */
     data class Placed(
         val backEnd: BackEnd,
         val number: WeightNumber?,
         val beginLimit: BeginLimit,
         val versions: KnownVersions? = null,
+        val level: UrgencyLevel? = null,
     ) : Placement()
 
     data class Refused(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -10,12 +10,19 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import lagoonrudder.control.DumpSection
+import lagoonrudder.control.direct.admission.AdmissionChange
+import lagoonrudder.control.direct.admission.AdmissionLevel
 import lagoonrudder.control.direct.admission.ClaimPolicy
+import lagoonrudder.control.direct.admission.LevelDemand
 import lagoonrudder.control.direct.admission.OverloadController
 import lagoonrudder.control.direct.admission.OverloadPolicies
 import lagoonrudder.control.direct.admission.PlacementQueue
 import lagoonrudder.control.direct.admission.QueuedRequest
+import lagoonrudder.control.direct.admission.SlotUse
+import lagoonrudder.control.direct.admission.UrgencyController
+import lagoonrudder.control.direct.admission.UrgencyLevel
 import lagoonrudder.control.direct.admission.WaitDecision
+import lagoonrudder.control.direct.admission.WaitLimit
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.control.direct.suspicion.Verdict
 import lagoonrudder.control.dumpSection
@@ -39,10 +46,21 @@
     private val notices: BackEndNoticeController,
     private val random: Random,
     private val policies: OverloadPolicies = OverloadPolicies(),
+    onAdmissionChange: (AdmissionChange) -> Unit = {},
 ) {
     private val eligibility = BackEndEligibility(topology, storeView, backEndStates, notices)
     private val beginLimits = BeginLimits(storeView, backEndStates)
     private val overload = OverloadController(random, policies)
+    private val urgency =
+        UrgencyController(
+            storeView,
+            peers,
+            random,
+            policies.admission,
+            ::slotUse,
+            waitingOf = { service, level -> queues[service]?.waitingOf(level) ?: 0 },
+            onAdmissionChange,
+        )
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
     private val inFlightOf = mutableMapOf<CustomerId, Int>()
@@ -52,23 +70,59 @@
         request: PlacementRequest,
         now: Duration,
     ): PlacementTicket {
-        if (!request.isLate) overload.recordArrival(request.service, now)
-        val choice = choose(request, request.isLate, now)
-        if (choice !is Choice.Full) return decided(placementOf(request, choice, now))
+        val level = levelOf(request)
+        if (level != null && !admits(request, level, now)) {
+            return decided(overloaded(request, Choice.Full(0), "not admitted level=${level.index}", now))
+        }
+        if (!request.isLate) recordArrival(request, level, now)
         val queue = queueOf(request.service)
+        val choice = if (level != null && queue.hasMoreUrgent(level)) Choice.Full(0) else choose(request, request.isLate, now)
+        if (choice !is Choice.Full) return decided(placementOf(request, choice, now))
         if (!request.isLate) queue.onShortage(now)
         if (queue.size >= MAX_QUEUE_LENGTH) return decided(placementOf(request, choice, now))
-        return when (val decision = overload.decide(request.service, request.wait, queue.lengths, now)) {
+        return when (val decision = decideWait(request, queue, level, now)) {
             is WaitDecision.Refuse -> decided(overloaded(request, choice, "no place predicted within ${decision.predicted}", now))
             is WaitDecision.Wait -> {
                 if (decision.limit <= Duration.ZERO) return decided(placementOf(request, choice, now))
-                val queued = QueuedRequest(request, decision.inTime && !request.isLate, now, now + decision.limit)
+                val queued = QueuedRequest(request, level, decision.inTime && !request.isLate, now, now + decision.limit)
                 queue.add(queued)
                 PlacementTicket(queued.result, decision.limit)
             }
         }
     }
 
+    /** Decides whether a new request of [level] may look for a place. One that was admitted before is not decided about again. */
+    private fun admits(
+        request: PlacementRequest,
+        level: UrgencyLevel,
+        now: Duration,
+    ): Boolean =
+        when (request.wait) {
+            is WaitLimit.Within -> true
+            is WaitLimit.ForObjective -> {
+                if (!request.isLate) urgency.recordArrival(request.service, level, now)
+                urgency.admits(request.service, level, now)
+            }
+        }
+
+    private fun recordArrival(
+        request: PlacementRequest,
+        level: UrgencyLevel?,
+        now: Duration,
+    ) = if (level == null) overload.recordArrival(request.service, now) else overload.recordArrival(request.service, now, level)
+
+    private fun decideWait(
+        request: PlacementRequest,
+        queue: PlacementQueue,
+        level: UrgencyLevel?,
+        now: Duration,
+    ): WaitDecision =
+        if (level == null) {
+            overload.decide(request.service, request.wait, queue.lengths, now)
+        } else {
+            overload.decide(request.service, request.wait, queue.lengthsBefore(level), now, level)
+        }
+
     /**
      * Assigns a back end to a request beside those that make no progress with it, [silent]; returns null if none has a place. A back end
      * that is silent itself is none: when all of a service pause at once, nothing is gained by moving their requests.
@@ -141,12 +195,16 @@
         if (customer != null) inFlightOf.merge(customer, -1, Int::plus)
         val service = storeView.backEnd(target)?.service ?: return
         val answered = outcome == AttemptOutcome.ANSWERED
+        if (outcome == AttemptOutcome.UNREACHABLE || outcome == AttemptOutcome.NOT_RUN) urgency.onNotRun(service)
         if (times != null) overload.recordRelease(service, times.held, times.firstEvent, answered, now)
         dispatchQueued(service, now)
     }
 
     /** Dispatches the queued requests of all services and refuses those whose wait is over; called after changes and periodically. */
-    fun dispatchQueued(now: Duration) = queues.keys.forEach { dispatchQueued(it, now) }
+    fun dispatchQueued(now: Duration) {
+        urgency.onTick(now)
+        queues.keys.forEach { dispatchQueued(it, now) }
+    }
 
     private fun dispatchQueued(
         service: ServiceId,
@@ -204,12 +262,20 @@
         choice: Choice.Full,
         reason: String,
         now: Duration,
-    ) = Placement.Refused(Refusal.Overloaded(maxOf(retryAfter(request, now), choice.openIn)), reason)
+    ): Placement {
+        levelOf(request)?.let { urgency.recordRefused(request.service, it, now) }
+        return Placement.Refused(Refusal.Overloaded(maxOf(retryAfter(request, now), choice.openIn)), reason)
+    }
 
     private fun retryAfter(
         request: PlacementRequest,
         now: Duration,
-    ): Duration = overload.retryAfter(request.service, request.timeLeft, queueOf(request.service).lengths, now)
+    ): Duration {
+        val queue = queueOf(request.service)
+        val level = levelOf(request)
+        if (level == null) return overload.retryAfter(request.service, request.timeLeft, queue.lengths, now)
+        return overload.retryAfter(request.service, request.timeLeft, queue.lengthsBefore(level), now, level)
+    }
 
     private fun queueOf(service: ServiceId) = queues.getOrPut(service) { PlacementQueue() }
 
@@ -221,6 +287,21 @@
     /** Returns the number of requests that this process has in flight at each back end. */
     fun inFlight(): Map<TargetId, Int> = statsByTarget.filterValues { it.inFlight > 0 }.mapValues { it.value.inFlight }
 
+    /** Returns what this process's callers ask of the services whose requests differ in rank. */
+    fun demand(now: Duration): Map<ServiceId, List<LevelDemand>> = urgency.demand(now)
+
+    fun admission(service: ServiceId): AdmissionLevel = urgency.admission(service)
+
+    /** Returns the gauges of what is admitted, by name. */
+    fun admissionGauges(): Map<String, Number> =
+        buildMap {
+            put("admission_level", urgency.lowestAdmitted)
+            urgency.totals().forEachIndexed { index, totals ->
+                put("admitted_level_$index", totals.admitted)
+                put("refused_level_$index", totals.refused)
+            }
+        }
+
     fun queueLength(): Int = queues.values.sumOf { it.size }
 
     fun dump(now: Duration): DumpSection =
@@ -274,12 +355,15 @@
             open
                 .filter { statsOf(it.id).ejectedUntil <= now }
                 .ifEmpty { listOf(open.minBy { statsOf(it.id).ejectedUntil }) }
-        val available = candidates.filter { hasPlace(it, late, now) && isWithinColdRate(it, now) && beginsInTime(it, now) }
-        if (available.isEmpty()) return Choice.Full(candidates.size)
+        val available = candidates.filter { hasPlace(it, request, late, now) && isWithinColdRate(it, now) && beginsInTime(it, now) }
+        val level = levelOf(request)
+        val isLeft = level != null && urgency.leavesSlot(request.service, level, now)
+        if (available.isEmpty() || isLeft) return Choice.Full(candidates.size)
         val chosen = available.minBy { score(it, now) }
         if (verdict is Verdict.Probe) suspicions.onProbeSent(verdict.suspicion, now)
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
+        if (level != null) urgency.recordPlaced(request.service, level, now)
         return Choice.Chosen(placed(chosen, request, now))
     }
 
@@ -289,9 +373,11 @@
         now: Duration,
     ): Placement.Placed {
         val number = eligibility.expectedNumber(backEnd, request, now)
-        return Placement.Placed(backEnd, number, beginLimits.limit(backEnd, now), knownVersions(backEnd, now))
+        return Placement.Placed(backEnd, number, beginLimits.limit(backEnd, now), knownVersions(backEnd, now), levelOf(request))
     }
 
+    private fun levelOf(request: PlacementRequest) = urgency.levelOf(request.service, request.priority)
+
     private fun knownVersions(
         backEnd: BackEnd,
         now: Duration,
@@ -317,20 +403,34 @@
 
     private fun hasPlace(
         backEnd: BackEnd,
+        request: PlacementRequest,
         late: Boolean,
         now: Duration,
     ): Boolean {
-        val limit = maxInFlight(backEnd, late, now)
+        val limit = maxInFlight(backEnd, late, isAdmittedInPart(request), now)
         val free = limit - load(backEnd, now)
         return free > 0 &&
             when (policies.claims) {
                 ClaimPolicy.All -> true
                 ClaimPolicy.Share -> {
-                    !queueOf(backEnd.service).isContended(now) || free > limit * AMPLE_SHARE || mayClaim(backEnd, free, now)
+                    !queueOf(backEnd.service).isContended(now) ||
+                        free > limit * AMPLE_SHARE ||
+                        isAdmittedWhole(request) ||
+                        mayClaim(backEnd, free, now)
                 }
             }
     }
 
+    /**
+     * Whether [request] is of a level that is admitted whole while others aren't. It takes any free place that it sees, since those who
+     * are admitted leave some places free.
+     */
+    private fun isAdmittedWhole(request: PlacementRequest): Boolean =
+        levelOf(request)?.let { urgency.isAdmittedWhole(request.service, it) } ?: false
+
+    private fun isAdmittedInPart(request: PlacementRequest): Boolean =
+        levelOf(request)?.let { urgency.isAdmittedInPart(request.service, it) } ?: false
+
     private fun mayClaim(
         backEnd: BackEnd,
         free: Int,
@@ -345,14 +445,30 @@
         now: Duration,
     ): Int = statsOf(backEnd.id).inFlight + peers.inFlightElsewhere(backEnd.id, now)
 
+    /** Returns the use of the slots of [service] at the back ends that take requests. */
+    private fun slotUse(
+        service: ServiceId,
+        now: Duration,
+    ): SlotUse {
+        val usable = storeView.backEndsOf(service).filter { eligibility.isUsable(it, now) && isAnswering(it, now) }
+        return SlotUse(usable.sumOf { it.slots }, usable.sumOf { minOf(load(it, now), it.slots) })
+    }
+
+    /** A back end that is tried again after an ejection counts only once it has answered. */
+    private fun isAnswering(
+        backEnd: BackEnd,
+        now: Duration,
+    ): Boolean = notices.closedFor(backEnd, now) == Duration.ZERO && statsOf(backEnd.id).let { it.ejectedUntil <= now && it.failures == 0 }
+
     /**
      * Returns the number of requests that may be in flight at [backEnd]. A slot in an engine's batch is occupied for a second,
      * one in a plain service for milliseconds. The last slots of an engine are reserved for requests that can still meet their
-     * latency objective.
+     * latency objective, and the last one for levels that are admitted whole.
      */
     private fun maxInFlight(
         backEnd: BackEnd,
         late: Boolean,
+        admittedInPart: Boolean,
         now: Duration,
     ): Int {
         val isEngine = storeView.serving?.service(backEnd.service)?.weights != null
@@ -360,6 +476,7 @@
             !isEngine -> backEnd.slots + QUEUED_CALLS
             eligibility.isNearSwitchDeadline(backEnd, now) -> (backEnd.slots - RESERVED_NEAR_DEADLINE).coerceAtLeast(1)
             late -> (backEnd.slots - RESERVED_FROM_LATE).coerceAtLeast(1)
+            admittedInPart -> (backEnd.slots - RESERVED_FROM_ADMITTED_IN_PART).coerceAtLeast(1)
             else -> backEnd.slots + QUEUED_STREAMS
         }
     }
@@ -412,6 +529,9 @@
         /** Slots of an engine: that many become free between two gossip messages of a peer nearby. */
         const val RESERVED_FROM_LATE = 2
 
+        /** With reports from other failure domains that are half a second old, most engines are then never full for urgent requests. */
+        const val RESERVED_FROM_ADMITTED_IN_PART = 1
+
         /** The remainder is left to entry daemons that this one has not discovered and to requests that are delayed and arrive together. */
         const val COLD_RATE_SAFETY_FACTOR = 0.9
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/AdmissionLevel.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/AdmissionLevel.kt
@@ -67,12 +67,26 @@
     var left = total * (overall - floor)
     for (each in arriving) {
         val needed = each.arrivals * (1 - floor)
-        if (left < needed) return AdmissionLevel.Bound(each.level, floor + left / each.arrivals, floor)
+        if (left < needed) return boundAt(each.level, floor + left / each.arrivals, floor, previous)
         left -= needed
     }
     return AdmissionLevel.Bound(arriving.last().level, 1.0, floor)
 }
 
+/** Returns the decision to cut at [level], or at the more urgent level of [previous] while the difference between both is small. */
+private fun boundAt(
+    level: UrgencyLevel,
+    share: Double,
+    floor: Double,
+    previous: AdmissionLevel,
+): AdmissionLevel.Bound {
+    val isBarelyAbove = previous is AdmissionLevel.Bound && previous.level < level && share < floor + LEVEL_MARGIN
+    return if (isBarelyAbove) previous.copy(share = 1.0, floor = floor) else AdmissionLevel.Bound(level, share, floor)
+}
+
+/** By how much a level must be admitted above the floor before it counts as the one that is cut, so that two levels don't alternate. */
+private const val LEVEL_MARGIN = 0.1
+
 /** The part of the overall share that the least urgent level keeps: a quarter is promised, and some admitted requests find no slot. */
 private const val FLOOR_SHARE = 0.3
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadController.kt
@@ -32,7 +32,8 @@
     fun recordArrival(
         service: ServiceId,
         now: Duration,
-    ) = loadOf(service).recordArrival(now)
+        level: UrgencyLevel = MOST_URGENT,
+    ) = loadOf(service).recordArrival(level, now)
 
     /** Records that a request has left its back end; [answered] is set if the back end answered it. */
     fun recordRelease(
@@ -47,30 +48,32 @@
         if (answered) load.recordAnswer(held, firstEvent)
     }
 
-    /** Decides about a request of [service] that found no free place. */
+    /** Decides about a request of [service] that found no free place. [queued] are those that go before it. */
     fun decide(
         service: ServiceId,
         limit: WaitLimit,
         queued: QueueLengths,
         now: Duration,
+        level: UrgencyLevel = MOST_URGENT,
     ): WaitDecision =
         when (limit) {
             is WaitLimit.Within -> WaitDecision.Wait(limit.limit, inTime = true)
-            is WaitLimit.ForObjective -> decideByPolicy(loadOf(service), limit, queued, now)
+            is WaitLimit.ForObjective -> decideByPolicy(loadOf(service), limit, queued, level, now)
         }
 
-    /** Returns the time after which a caller that has [timeLeft] should return to [service]. */
+    /** Returns the time after which a caller that has [timeLeft] should return to [service]. [queued] are those that go before it. */
     fun retryAfter(
         service: ServiceId,
         timeLeft: Duration,
         queued: QueueLengths,
         now: Duration,
+        level: UrgencyLevel = MOST_URGENT,
     ): Duration {
         val longest = (timeLeft * HONOURED_SHARE).coerceAtLeast(SHORTEST_RETURN)
         return when (returnPolicy) {
             is ReturnPolicy.Fixed -> returnPolicy.after
             ReturnPolicy.Jittered -> SHORTEST_RETURN + (longest - SHORTEST_RETURN) * random.nextDouble()
-            ReturnPolicy.Predicted -> predictedReturn(service, longest, queued, now)
+            ReturnPolicy.Predicted -> predictedReturn(service, longest, queued, level, now)
         }
     }
 
@@ -78,6 +81,7 @@
         load: ServiceLoad,
         limit: WaitLimit.ForObjective,
         queued: QueueLengths,
+        level: UrgencyLevel,
         now: Duration,
     ): WaitDecision =
         when (waitPolicy) {
@@ -87,19 +91,20 @@
                     inTime =
                         limit.objective > Duration.ZERO,
                 )
-            WaitPolicy.Predicted -> decideByPrediction(load, limit, queued, now)
+            WaitPolicy.Predicted -> decideByPrediction(load, limit, queued, level, now)
         }
 
     private fun decideByPrediction(
         load: ServiceLoad,
         limit: WaitLimit.ForObjective,
         queued: QueueLengths,
+        level: UrgencyLevel,
         now: Duration,
     ): WaitDecision {
         val longestInTime = limit.objective - load.firstEvent
-        if (load.timeToPlace(queued.inTime + 1, now) <= longestInTime) return WaitDecision.Wait(longestInTime, inTime = true)
+        if (load.timeToPlace(queued.inTime + 1, level, now) <= longestInTime) return WaitDecision.Wait(longestInTime, inTime = true)
         val longest = minOf(limit.patience - load.firstEvent, limit.deadline - load.hold * HOLD_MARGIN)
-        val predicted = load.timeToSparePlace(queued.inTime + queued.late + 1, now)
+        val predicted = load.timeToSparePlace(queued.inTime + queued.late + 1, level, now)
         return if (predicted <= longest) WaitDecision.Wait(longest, inTime = false) else WaitDecision.Refuse(predicted)
     }
 
@@ -107,11 +112,12 @@
         service: ServiceId,
         longest: Duration,
         queued: QueueLengths,
+        level: UrgencyLevel,
         now: Duration,
     ): Duration {
         val load = loadOf(service)
-        val afterQueue = now + load.timeToSparePlace(queued.inTime + queued.late + 1, now)
-        val afterOthers = lastReturn[service]?.let { it + load.timeToSparePlace(1, now) } ?: now
+        val afterQueue = now + load.timeToSparePlace(queued.inTime + queued.late + 1, level, now)
+        val afterOthers = lastReturn[service]?.let { it + load.timeToSparePlace(1, level, now) } ?: now
         val at = maxOf(afterQueue, afterOthers, now + SHORTEST_RETURN)
         if (at > now + longest) return longest * (1 - RETURN_SPREAD * random.nextDouble())
         lastReturn[service] = at
@@ -121,6 +127,9 @@
     private fun loadOf(service: ServiceId) = loads.getOrPut(service) { ServiceLoad() }
 
     private companion object {
+        /** The level of all requests of a service whose requests don't differ in rank. */
+        val MOST_URGENT = UrgencyLevel(0)
+
         /** Callers honour a third of the time left to them; the remainder covers the way of the response. */
         const val HONOURED_SHARE = 0.32
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
@@ -13,9 +13,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A request that waits until [deadline]; [inTime] is set while it is predicted to meet its latency objective. */
+/**
+ * A request that waits until [deadline]; [inTime] is set while it is predicted to meet its latency objective. [level] is null if the
+ * requests of its service don't differ in rank.
+ */
 internal class QueuedRequest(
     val request: PlacementRequest,
+    val level: UrgencyLevel?,
     val inTime: Boolean,
     val queuedAt: Duration,
     val deadline: Duration,
@@ -29,7 +33,18 @@
 
     val size: Int get() = requests.size
 
-    val lengths: QueueLengths get() = requests.count { it.inTime }.let { QueueLengths(it, requests.size - it) }
+    val lengths: QueueLengths get() = lengthsBefore(null)
+
+    /** Returns how many wait that go before a new request of [level]: those of that level and of more urgent ones. */
+    fun lengthsBefore(level: UrgencyLevel?): QueueLengths {
+        val before = if (level == null) requests else requests.filter { it.level == null || it.level <= level }
+        return before.count { it.inTime }.let { QueueLengths(it, before.size - it) }
+    }
+
+    fun waitingOf(level: UrgencyLevel): Int = requests.count { it.level == level }
+
+    /** Whether a request waits that is more urgent than [level]. */
+    fun hasMoreUrgent(level: UrgencyLevel): Boolean = requests.any { it.level != null && it.level < level }
 
     fun add(queued: QueuedRequest) {
         requests += queued
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/ServiceLoad.kt
@@ -14,7 +14,7 @@
 
 internal class ServiceLoad {
     private val releases = SlidingCount(WINDOW)
-    private val arrivals = SlidingCount(WINDOW)
+    private val arrivals = mutableMapOf<UrgencyLevel, SlidingCount>()
     private var meanHold = INITIAL_HOLD
     private var meanFirstEvent = INITIAL_FIRST_EVENT
     private var firstEventDeviation = INITIAL_FIRST_EVENT
@@ -25,8 +25,11 @@
     /** The time from the placement of a request within which the first event of its response comes in most cases. */
     val firstEvent: Duration get() = meanFirstEvent + firstEventDeviation * DEVIATIONS
 
-    /** Records the arrival of a request that can still meet its latency objective. */
-    fun recordArrival(now: Duration) = arrivals.add(now)
+    /** Records the arrival of a request of [level] that can still meet its latency objective. */
+    fun recordArrival(
+        level: UrgencyLevel,
+        now: Duration,
+    ) = arrivals.getOrPut(level) { SlidingCount(WINDOW) }.add(now)
 
     fun recordRelease(now: Duration) = releases.add(now)
 
@@ -41,20 +44,30 @@
         meanFirstEvent += (first - meanFirstEvent) * SMOOTHING
     }
 
-    /** Returns when the [position]th place from now becomes free; infinite while none is being released. */
+    /**
+     * Returns when the [position]th place from now becomes free that requests more urgent than [level] leave over; infinite while none
+     * is being released.
+     */
     fun timeToPlace(
         position: Int,
+        level: UrgencyLevel,
         now: Duration,
-    ): Duration = timeFor(position, releases.perSecond(now))
+    ): Duration = timeFor(position, releases.perSecond(now) - arrivalsPerSecond(now) { it < level })
 
     /**
-     * Returns when the [position]th place becomes free that is left over by requests which can still meet their objective;
-     * infinite while these take all places.
+     * Returns when the [position]th place becomes free that is left over by requests of [level] and more urgent ones which can still
+     * meet their objective; infinite while these take all places.
      */
     fun timeToSparePlace(
         position: Int,
+        level: UrgencyLevel,
+        now: Duration,
+    ): Duration = timeFor(position, releases.perSecond(now) * SPARE_SHARE - arrivalsPerSecond(now) { it <= level })
+
+    private fun arrivalsPerSecond(
         now: Duration,
-    ): Duration = timeFor(position, releases.perSecond(now) * SPARE_SHARE - arrivals.perSecond(now))
+        counted: (UrgencyLevel) -> Boolean,
+    ): Double = arrivals.entries.sumOf { (level, count) -> if (counted(level)) count.perSecond(now) else 0.0 }
 
     private fun timeFor(
         places: Int,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
@@ -83,6 +83,17 @@
             changes shouldBeLessThanOrEqual 1
         }
 
+        test("counts that vary around the point where two levels meet don't move the level in turns") {
+            val random = Random(1)
+            var admission = admissionLevel(demand(200, 200, 200), 250.0, AdmissionLevel.Open)
+            val levels =
+                (1..1_000).map {
+                    admission = admissionLevel(demand(190 + random.nextInt(20), 190 + random.nextInt(20), 200), 425.0, admission)
+                    (admission as AdmissionLevel.Bound).level.index
+                }
+            levels.zipWithNext().count { (before, after) -> before != after } shouldBeLessThanOrEqual 1
+        }
+
         test("nobody may be refused while a quarter of the slots is free") {
             SlotUse(100, 75).isAmple shouldBe true
             SlotUse(100, 76).isAmple shouldBe false
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -11,6 +11,8 @@
 import lagoonrudder.control.direct.RetryBudgetShare
 import lagoonrudder.control.direct.StopController
 import lagoonrudder.control.direct.Topology
+import lagoonrudder.control.direct.admission.AdmissionChange
+import lagoonrudder.control.direct.admission.AdmissionLevel
 import lagoonrudder.http.HttpServer
 import lagoonrudder.http.ServerReport
 import lagoonrudder.model.ModelId
@@ -30,6 +32,7 @@
 import lagoonrudder.traffic.direct.RequestBodyBudget
 import lagoonrudder.traffic.direct.RequestEnd
 import lagoonrudder.traffic.direct.directFilters
+import java.util.Locale
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -49,6 +52,7 @@
             core.suspicions,
             core.notices,
             random,
+            onAdmissionChange = ::logAdmission,
         )
     private val control =
         DirectControl(
@@ -64,7 +68,7 @@
         )
     private val client = PeerClient(core.http)
     private val store = StoreSyncLoop(core, onChange = ::onStoreViewChanged)
-    private val peers = GossipLoop(core, client, loads = placement::inFlight, onChange = ::onStoreViewChanged)
+    private val peers = GossipLoop(core, client, loads = placement::inFlight, demand = placement::demand, onChange = ::onStoreViewChanged)
     private val chunks = ChunkCache(core, WeightFetcher(core, client))
     private val bodies = RequestBodyBudget(RequestBodyBounds(total = Runtime.getRuntime().maxMemory() / SHARE_FOR_BODIES))
     private var prefetchedVersions = emptyMap<ModelId, WeightNumber>()
@@ -154,7 +158,25 @@
                 "in_flight" to placement.inFlight().values.sum(),
                 "waiting" to placement.queueLength(),
                 "parts_accused" to core.suspicions.accusedParts,
-            )
+            ) + placement.admissionGauges()
+
+    private fun logAdmission(change: AdmissionChange) =
+        core.log.info(
+            "admission-level",
+            "service" to change.service.text,
+            "before" to describe(change.before),
+            "after" to describe(change.after),
+            "demand" to change.demand.joinToString(",") { "${it.level.index}:${it.arrivals}/${it.placed}/${it.refused}/${it.waiting}" },
+            "slots" to change.use.slots,
+            "busy" to change.use.busy,
+            "capacity" to change.capacity,
+        )
+
+    private fun describe(admission: AdmissionLevel): String =
+        when (admission) {
+            AdmissionLevel.Open -> "open"
+            is AdmissionLevel.Bound -> "${admission.level.index}:${"%.2f".format(Locale.ROOT, admission.share)}"
+        }
 
     private fun logReport(report: ServerReport) =
         when (report) {
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
@@ -45,7 +45,7 @@
             caller = call.request,
             backEnd = placement.backEnd,
             customer = context.customer?.id,
-            priority = context.priority,
+            priority = placement.level?.index ?: context.priority,
             timeLeft = context.timeLeft(control.clock),
             number = placement.number,
             resumeAfter = relay.lastEvent ?: call.request.resumeAfter,
