--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/LoadPattern.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/LoadPattern.kt
@@ -37,6 +37,13 @@
         override val end: Duration = 15.seconds,
     ) : LoadPattern()
 
+    /** The callers of the least urgent rank send [factor] times their usual, and [fault] happens. */
+    data class UrgencyBurst(
+        val factor: Double,
+        val fault: SimulatedFault = SimulatedFault.Nothing,
+        override val end: Duration = START + 6.seconds,
+    ) : LoadPattern()
+
     companion object {
         val START = 5.seconds
     }
@@ -50,4 +57,6 @@
     val refusedAgain: Double,
     val medianWaitOfRefused: Duration,
     val leastServedCustomer: Double,
+    val ranks: List<RankResult>,
+    val admission: AdmissionTrace,
 )
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/Measure.kt
@@ -23,6 +23,7 @@
         "overload" to ::measureOverload,
         "store" to ::measureStoreCalls,
         "suspicion" to ::measureSuspicion,
+        "urgency" to ::measureUrgency,
         "versions" to ::measureVersions,
     )
 
