--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
@@ -5,6 +5,9 @@
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
@@ -19,6 +22,7 @@
 import lagoonrudder.control.direct.REGIONS
 import lagoonrudder.control.direct.StoreViewController
 import lagoonrudder.control.direct.Topology
+import lagoonrudder.control.direct.applyChanges
 import lagoonrudder.control.direct.backEnd
 import lagoonrudder.control.direct.item
 import lagoonrudder.control.direct.peer
@@ -30,9 +34,6 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 private val NOW = 100.seconds
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -4,6 +4,9 @@
  */
 package lagoonrudder.standins.virtual
 
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -11,11 +14,9 @@
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.StoreContact
 import lagoonrudder.control.direct.StoreItem
+import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.model.EventTime
 import lagoonrudder.model.StoreRecord
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 
 internal class VirtualStoreGossip(
     private val scope: CoroutineScope,
@@ -46,7 +47,7 @@
                 tellVersionsOfMessage(target, entry)
                 entry.peers.onGossipReceived(target.peer, NO_LOAD, null, clockOf(entry))
                 target.peers.onGossipReceived(entry.peer, NO_LOAD, entry.reader.contactAge(clockOf(entry)), clockOf(target))
-                sendItems(entry, target, entry.storeView.settledRevision)
+                sendItems(entry, target, entry.storeView.settledPosition)
             }
             delay(TARGET_EXCHANGE_INTERVAL)
         }
@@ -93,7 +94,7 @@
     private fun sendItems(
         sender: VirtualStoreDaemon,
         receiver: VirtualStoreDaemon,
-        settled: Long,
+        settled: StorePosition,
     ) {
         val sent = sender.storeView.itemsSince(receiver.storeView.at)
         val changes = sent.items.map { DecodedItem(it, recordOf(it)) }
