Let no request wait behind a more urgent one while slots are free

A request that waits for a full engine of its home region made every less urgent newcomer at the same daemon count as without a place, also while a quarter of the slots was free. UrgencyPlacementTest, 'a more urgent request that may only use a full engine elsewhere', was refused before and passes now.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -76,7 +76,8 @@
         }
         if (!request.isLate) recordArrival(request, level, now)
         val queue = queueOf(request.service)
-        val choice = if (level != null && queue.hasMoreUrgent(level)) Choice.Full(0) else choose(request, request.isLate, now)
+        val isOvertaking = level != null && queue.hasMoreUrgent(level) && !slotUse(request.service, now).isAmple
+        val choice = if (isOvertaking) Choice.Full(0) else choose(request, request.isLate, now)
         if (choice !is Choice.Full) return decided(placementOf(request, choice, now))
         if (!request.isLate) queue.onShortage(now)
         if (queue.size >= MAX_QUEUE_LENGTH) return decided(placementOf(request, choice, now))
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
@@ -9,6 +9,7 @@
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
 import lagoonrudder.control.direct.ENGINES
+import lagoonrudder.control.direct.FAR
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.NEAR
 import lagoonrudder.control.direct.PeerController
@@ -36,7 +37,7 @@
 
 private val NOW = 100.seconds
 
-/** Ten engines of four slots, and a neighbour that has [busy] requests in flight at each and reports [demand]. */
+/** Ten engines of four slots, a full one in another region, and a neighbour that has [busy] requests in flight at each and reports [demand]. */
 @OptIn(ExperimentalCoroutinesApi::class)
 private class UrgencyScene(
     busy: Int,
@@ -62,13 +63,26 @@
         val configuration = servingSet(1).copy(routes = routes)
         storeView.applyChanges(listOf(item("op/config", 1, StoreRecord.Configuration(configuration))), 1, 10.seconds)
         storeView.applyChanges((0 until 10).map { registered(backEnd("engine-$it"), it + 2L) }, 50, 10.seconds)
-        val inFlight = (0 until 10).associate { TargetId("engine-$it") to busy }
+        val full = backEnd("engine-far", FAR)
+        storeView.applyChanges(listOf(registered(full, 60)), 60, 10.seconds)
+        val inFlight = (0 until 10).associate { TargetId("engine-$it") to busy } + (full.id to 2 * full.slots)
         peers.onGossipReceived(peer("neighbour"), LoadReport(inFlight, 1, mapOf(ENGINES to demand)), null, NOW)
     }
 
     fun place(rank: Int): Placement? {
         val wait = WaitLimit.ForObjective(400.milliseconds, 400.milliseconds, 2.4.seconds, 6.seconds)
         val request = PlacementRequest(ENGINES, null, rank, emptyList(), emptySet(), null, 0, isLate = false, wait, timeLeft = 6.seconds)
+        return place(request)
+    }
+
+    /** A request that waits because the only engine which it may use is full. */
+    fun waitInOtherRegion(rank: Int): Placement? {
+        val homeRegions = listOf(setOf(REGIONS.getValue(FAR)))
+        val wait = WaitLimit.Within(1.seconds)
+        return place(PlacementRequest(ENGINES, null, rank, homeRegions, emptySet(), null, 0, isLate = false, wait, timeLeft = 6.seconds))
+    }
+
+    private fun place(request: PlacementRequest): Placement? {
         val result = placement.place(request, NOW).result
         return if (result.isCompleted) result.getCompleted() else null
     }
@@ -91,6 +105,12 @@
             repeat(10) { scene.place(1).shouldBeInstanceOf<Placement.Placed>() }
         }
 
+        test("a more urgent request that may only use a full engine elsewhere doesn't hold back others while slots are free") {
+            val scene = UrgencyScene(busy = 2, BURST)
+            scene.waitInOtherRegion(0) shouldBe null
+            scene.place(1).shouldBeInstanceOf<Placement.Placed>()
+        }
+
         test("a slot is left to more urgent requests that wait at a daemon nearby") {
             val waiting = listOf(LevelDemand(UrgencyLevel(0), 30, 40, 0, 1_000_000))
             (UrgencyScene(busy = 4, waiting).place(1) is Placement.Placed) shouldBe false
