--- a/control/src/test/kotlin/lagoonrudder/control/direct/CatchUpControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/CatchUpControllerTest.kt
@@ -17,6 +17,7 @@
 private const val SERIES = 15
 private const val PEERS = 5
 private val REQUEST_TIMEOUT = 800.milliseconds
+
 /** Each of the nine others may be ranked before a daemon. */
 private val RANKED_DELAY = 150.milliseconds * 9
 private val CONFIGURATION_INTERVAL = 300.milliseconds
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
@@ -5,9 +5,6 @@
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
@@ -35,6 +32,9 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val NOW = 100.seconds
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/weights/ChunkHoldingsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/weights/ChunkHoldingsTest.kt
@@ -5,10 +5,6 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
 import io.kotest.matchers.shouldBe
-import java.util.BitSet
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import lagoonrudder.control.direct.FAR
 import lagoonrudder.control.direct.HolderKind
 import lagoonrudder.control.direct.MODEL
@@ -32,6 +28,10 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.WeightNumber
+import java.util.BitSet
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val TWO = WeightNumber(2)
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/weights/RestartedEntryDaemonsTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/weights/RestartedEntryDaemonsTest.kt
@@ -3,12 +3,6 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.comparables.shouldBeLessThan
 import io.kotest.matchers.shouldBe
-import java.util.BitSet
-import java.util.PriorityQueue
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import lagoonrudder.control.direct.FAR
 import lagoonrudder.control.direct.LoadReport
 import lagoonrudder.control.direct.MODEL
@@ -30,6 +24,12 @@
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.WeightNumber
+import java.util.BitSet
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val DOMAINS = listOf(NEAR, FAR, DomainId("third"))
 private val REGION_OF = DOMAINS.associateWith { RegionId("region-${it.text}") }
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -4,9 +4,6 @@
  */
 package lagoonrudder.standins.virtual
 
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -17,6 +14,9 @@
 import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.model.EventTime
 import lagoonrudder.model.StoreRecord
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 internal class VirtualStoreGossip(
     private val scope: CoroutineScope,
