--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ChunkCache.kt
@@ -157,15 +157,10 @@
         val refusedBefore = refused.filter { it.first == model }.map { it.second }.toSet()
         val decided =
             core.thread.decide {
-                if (core.storeView.versions
-                        .declarations(model)
-                        .size < 2
-                ) {
-                    return@decide null
-                }
+                val declared = core.storeView.versions.declarations(model)
+                if (declared.size < 2) return@decide null
                 val now = core.clock.elapsed()
-                val newest = core.storeView.versions.newest[model]
-                val inProgress = lacking.filter { (number, count) -> count > 0 || number == newest }
+                val inProgress = lacking.filter { (number, count) -> count > 0 || number == declared.last().number }
                 val supply =
                     VersionSupply(
                         held = oldestHeld(model, now),
@@ -206,13 +201,8 @@
     ): Map<WeightNumber, Int> {
         val own = prefetched.filterKeys { it.first == model }.flatMap { (version, own) -> own.map { ChunkKey(model, version.second, it) } }
         val pending = chunks.filter { (key, fetching) -> key.model == model && !fetching.isCompleted }.keys
-        val lacking =
-            (
-                own + pending +
-                    listOfNotNull(
-                        asked,
-                    )
-            ).toSet().filter { chunks[it]?.isCompleted != true }.groupingBy { it.number }.eachCount()
+        val wanted = (own + pending + listOfNotNull(asked)).toSet()
+        val lacking = wanted.filter { chunks[it]?.isCompleted != true }.groupingBy { it.number }.eachCount()
         val newest = prefetched.filter { it.key.first == model && it.value.isNotEmpty() }.keys.maxOfOrNull { it.second } ?: return lacking
         return if (newest in lacking) lacking else lacking + (newest to 0)
     }
