Rank requests of one customer priority by their routes, and refuse none while no back end answers

A customer's priority still goes first; that of the route decides among customers of one priority. The test that asked for one level there is replaced by one for both orders. A service without an answering back end counts as one of unknown capacity.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyController.kt
@@ -166,7 +166,9 @@
         val demand = sumOfDemand(listOf(ownDemand(service, now), peers.demandElsewhere(service, now)))
         val use = slotUse(service, now)
         val placedPerSlot = updatePlacedPerSlot(state, demand, use)
-        val capacity = if (placedPerSlot == null || use.isAmple) Double.POSITIVE_INFINITY else use.slots * placedPerSlot * policy.usedShare
+        // Where no back end is known to answer, placement tries them one by one, so nothing is refused beforehand.
+        val isUnknown = placedPerSlot == null || use.slots == 0
+        val capacity = if (isUnknown || use.isAmple) Double.POSITIVE_INFINITY else use.slots * placedPerSlot * policy.usedShare
         val before = state.admission
         val next = admissionLevel(demand, capacity, before)
         if (next is AdmissionLevel.Bound) state.scarceAt = now
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
@@ -1,7 +1,7 @@
 /**
  * Groups the ranks of the requests of each service into levels of urgency.
  *
- * A customer's rank takes precedence over the rank of the route. A service whose requests all have one rank has no levels, so nothing
+ * A customer's priority takes precedence over that of the route, which decides among customers of one priority. A service whose requests all have one rank has no levels, so nothing
  * about them is decided by urgency.
  */
 package lagoonrudder.control.direct.admission
@@ -9,6 +9,7 @@
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingConfiguration
 import lagoonrudder.model.ServingRoute
+import lagoonrudder.model.rankOf
 
 class UrgencyLevels private constructor(
     private val ranksByService: Map<ServiceId, List<Int>>,
@@ -48,9 +49,9 @@
                     if (route.open ||
                         ofCustomers.isEmpty()
                     ) {
-                        listOf(route.priority)
+                        listOf(rankOf(null, route.priority))
                     } else {
-                        ofCustomers.map { it ?: route.priority }
+                        ofCustomers.map { rankOf(it, route.priority) }
                     }
                 }.distinct()
                 .sorted()
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
@@ -7,13 +7,14 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
+import kotlin.random.Random
 import lagoonrudder.control.direct.ENGINES
 import lagoonrudder.control.direct.route
 import lagoonrudder.control.direct.servingSet
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.ServingCustomer
-import kotlin.random.Random
+import lagoonrudder.model.rankOf
 
 private fun demand(vararg arrivals: Int) = arrivals.mapIndexed { index, count -> LevelDemand(UrgencyLevel(index), count, 0, 0, 0) }
 
@@ -27,7 +28,7 @@
     return UrgencyLevels.of(servingSet(1).copy(routes = routes, customers = customers))
 }
 
-private fun UrgencyLevels.indexes(ranks: IntRange) = ranks.map { levelOf(ENGINES, it)?.index }
+private fun UrgencyLevels.indexes(ranks: IntRange) = ranks.map { levelOf(ENGINES, rankOf(null, it))?.index }
 
 /** Guards against an admission that follows neither the rank nor the capacity. */
 class AdmissionLevelTest :
@@ -38,9 +39,14 @@
             levels(listOf(0, 1, 2, 3, 4, 5)).indexes(0..5) shouldBe listOf(0, 1, 2, 3, 3, 3)
         }
 
-        test("a customer's rank takes precedence over that of the route") {
+        // All customers of a deployment may have one priority, which must not hide that its routes differ.
+        test("a customer's priority takes precedence over that of the route, which decides among customers of one priority") {
             levels(listOf(1), listOf(1, 1)).services shouldBe emptySet()
-            levels(listOf(0, 1), listOf(2, 2)).services shouldBe emptySet()
+            val ranked = levels(listOf(0, 1), listOf(2, 5))
+            listOf(rankOf(2, 0), rankOf(2, 1), rankOf(5, 0), rankOf(5, 1)).map { ranked.levelOf(ENGINES, it)?.index } shouldBe
+                listOf(0, 1, 2, 3)
+            val alike = levels(listOf(0, 1, 2), listOf(1, 1))
+            listOf(rankOf(1, 0), rankOf(1, 1), rankOf(1, 2)).map { alike.levelOf(ENGINES, it)?.index } shouldBe listOf(0, 1, 2)
             levels(listOf(1), listOf(null, 5)).indexes(1..5) shouldBe listOf(0, 1, 1, 1, 1)
             levels(listOf(0, 1), listOf(2), open = true).indexes(0..1) shouldBe listOf(0, 1)
         }
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -97,6 +97,21 @@
     val homeRegions: Set<RegionId>,
 )
 
+/**
+ * Returns the rank of a request, of which the lowest is the most urgent: by the priority of its customer, or of its route if the customer has
+ * none, and by that of its route among customers of one priority.
+ */
+fun rankOf(
+    customerPriority: Int?,
+    routePriority: Int,
+): Int {
+    val first = (customerPriority ?: routePriority).coerceIn(-MAX_PRIORITY, MAX_PRIORITY)
+    return first * PRIORITY_STEP + routePriority.coerceIn(-MAX_PRIORITY, MAX_PRIORITY)
+}
+
+private const val MAX_PRIORITY = 10_000
+private const val PRIORITY_STEP = 2 * MAX_PRIORITY + 1
+
 /** Limits on the size and duration of requests from callers. */
 data class CallerLimits(
     val headerBytes: Int,
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -7,6 +7,12 @@
  */
 package lagoonrudder.standins.measure
 
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.AttemptOutcome
 import lagoonrudder.control.direct.AttemptTimes
@@ -51,12 +57,7 @@
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightLayout
 import lagoonrudder.model.WeightNumber
-import java.util.PriorityQueue
-import kotlin.math.ln
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
+import lagoonrudder.model.rankOf
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class OverloadSimulation(
@@ -306,7 +307,7 @@
     ) = PlacementRequest(
         service = SERVICE,
         customer = CustomerId("customer-${caller.customer}"),
-        priority = caller.rank.rank,
+        priority = rankOf(null, caller.rank.rank),
         homeRegions = emptyList(),
         excluded = emptySet(),
         number = null,
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectCall.kt
@@ -19,7 +19,7 @@
 /**
  * The result of [DirectIdentifyFilter]. [deadline] is the time at which the caller or the route stops waiting; [isLate] is set
  * if the caller had waited longer than the route's latency objective before it sent this request, for example because an
- * earlier request was refused.
+ * earlier request was refused. [rank] orders requests by urgency, and [priority] is what back ends are told.
  */
 class DirectRequestContext(
     val revision: Revision,
@@ -28,11 +28,13 @@
     val service: ServiceId,
     val deadline: Duration,
     val priority: Int,
+    val rank: Int,
     val homeRegions: List<Set<RegionId>>,
     val isLate: Boolean,
 ) {
     /** Returns this context with an earlier [deadline]. */
-    fun endingBy(deadline: Duration) = DirectRequestContext(revision, route, customer, service, deadline, priority, homeRegions, isLate)
+    fun endingBy(deadline: Duration) =
+        DirectRequestContext(revision, route, customer, service, deadline, priority, rank, homeRegions, isLate)
 
     /** Returns the time left until the deadline. */
     fun timeLeft(clock: Clock): Duration = deadline - clock.elapsed()
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -3,6 +3,9 @@
  */
 package lagoonrudder.traffic.direct
 
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.isActive
@@ -17,11 +20,9 @@
 import lagoonrudder.model.ServingCustomer
 import lagoonrudder.model.ServingRoute
 import lagoonrudder.model.Step
+import lagoonrudder.model.rankOf
 import lagoonrudder.traffic.Filter
 import lagoonrudder.traffic.Next
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /** Returns the filters; [onLateVersion] hears of each request that begins on too old a version, [onEnded] of each end. */
 fun directFilters(
@@ -153,6 +154,7 @@
                 service = service,
                 deadline = call.receivedAt + limit,
                 priority = customer?.priority ?: route.priority,
+                rank = rankOf(customer?.priority, route.priority),
                 homeRegions = listOf(route.homeRegions, homeRegionsOf(customer)),
                 isLate = isLate(request, route),
             ),
