--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
@@ -7,7 +7,6 @@
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import kotlin.random.Random
 import lagoonrudder.control.direct.ENGINES
 import lagoonrudder.control.direct.route
 import lagoonrudder.control.direct.servingSet
@@ -15,6 +14,7 @@
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.ServingCustomer
 import lagoonrudder.model.rankOf
+import kotlin.random.Random
 
 private fun demand(vararg arrivals: Int) = arrivals.mapIndexed { index, count -> LevelDemand(UrgencyLevel(index), count, 0, 0, 0) }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/UrgencyPlacementTest.kt
@@ -5,9 +5,6 @@
 import io.kotest.matchers.ints.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.BackEndNoticeController
 import lagoonrudder.control.direct.BackEndStateController
@@ -36,6 +33,9 @@
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.rankOf
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 private val NOW = 100.seconds
 
@@ -73,7 +73,19 @@
 
     fun place(rank: Int): Placement? {
         val wait = WaitLimit.ForObjective(400.milliseconds, 400.milliseconds, 2.4.seconds, 6.seconds)
-        val request = PlacementRequest(ENGINES, null, rankOf(null, rank), emptyList(), emptySet(), null, 0, isLate = false, wait, timeLeft = 6.seconds)
+        val request =
+            PlacementRequest(
+                ENGINES,
+                null,
+                rankOf(null, rank),
+                emptyList(),
+                emptySet(),
+                null,
+                0,
+                isLate = false,
+                wait,
+                timeLeft = 6.seconds,
+            )
         return place(request)
     }
 
@@ -81,7 +93,20 @@
     fun waitInOtherRegion(rank: Int): Placement? {
         val homeRegions = listOf(setOf(REGIONS.getValue(FAR)))
         val wait = WaitLimit.Within(1.seconds)
-        return place(PlacementRequest(ENGINES, null, rankOf(null, rank), homeRegions, emptySet(), null, 0, isLate = false, wait, timeLeft = 6.seconds))
+        return place(
+            PlacementRequest(
+                ENGINES,
+                null,
+                rankOf(null, rank),
+                homeRegions,
+                emptySet(),
+                null,
+                0,
+                isLate = false,
+                wait,
+                timeLeft = 6.seconds,
+            ),
+        )
     }
 
     private fun place(request: PlacementRequest): Placement? {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -7,12 +7,6 @@
  */
 package lagoonrudder.standins.measure
 
-import java.util.PriorityQueue
-import kotlin.math.ln
-import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import lagoonrudder.control.direct.AttemptOutcome
 import lagoonrudder.control.direct.AttemptTimes
@@ -58,6 +52,12 @@
 import lagoonrudder.model.WeightLayout
 import lagoonrudder.model.WeightNumber
 import lagoonrudder.model.rankOf
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class OverloadSimulation(
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -3,9 +3,6 @@
  */
 package lagoonrudder.traffic.direct
 
-import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.isActive
@@ -23,6 +20,9 @@
 import lagoonrudder.model.rankOf
 import lagoonrudder.traffic.Filter
 import lagoonrudder.traffic.Next
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Returns the filters; [onLateVersion] hears of each request that begins on too old a version, [onEnded] of each end. */
 fun directFilters(
