--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -48,8 +48,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target, [demand] what its callers ask for; [onChange] runs on the control thread
- * after a reply changed the published state.
+ * Runs the gossip of this daemon. [loads] returns this process's requests in flight by target, and [demand] what its callers ask for.
+ * [onChange] runs on the control thread after a reply changed the published state.
  */
 class GossipLoop(
     private val core: DirectCore,
