--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -156,9 +156,10 @@
     ): Boolean = chooseVersion(model, supply, now).isWorthFetching(number)
 
     /**
-     * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without
-     * success: entry daemons of its region that hold it, then those that fetch it, the chunk's primary source first. The origin is one only while no entry daemon is alive, since its link would be shared by all back ends. There
-     * is none while a process that has just started has not discovered an entry daemon.
+     * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without success: entry
+     * daemons of its region that hold it, then those that fetch it, the chunk's primary source first. The origin is one only while no entry
+     * daemon is alive, since its link would be shared by all back ends. There is none while a process that has just started has not
+     * discovered an entry daemon.
      */
     fun sources(
         model: ModelId,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
@@ -1,8 +1,8 @@
 /**
  * Groups the ranks of the requests of each service into levels of urgency.
  *
- * A customer's priority takes precedence over that of the route, which decides among customers of one priority. A service whose requests all have one rank has no levels, so nothing
- * about them is decided by urgency.
+ * A customer's priority takes precedence over that of the route, which decides among customers of one priority. A service whose requests all
+ * have one rank has no levels, so nothing about them is decided by urgency.
  */
 package lagoonrudder.control.direct.admission
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -1,9 +1,10 @@
 /**
  * Simulates entry daemons before engines under overload, in virtual time, with the real placement controllers.
  *
- * Engines run up to their slots at a time and queue the rest in the order of the priority that they are told. Entry daemons of one failure domain learn of each other's requests by
- * gossip that is a tenth of a second old; every 450 ms, each exchanges the sum of its domain with one daemon of each other domain. Callers go to a random entry daemon, honour the time to return up to a third of the time that they have
- * left, and try once more.
+ * Engines run up to their slots at a time and queue the rest in the order of the priority that they are told. Entry daemons of one
+ * failure domain learn of each other's requests by gossip that is a tenth of a second old; every 450 ms, each exchanges the sum of its
+ * domain with one daemon of each other domain. Callers go to a random entry daemon, honour the time to return up to a third of the time
+ * that they have left, and try once more.
  */
 package lagoonrudder.standins.measure
 
