Decide by urgency only about services with engines

Requests for their plain services differ in rank, as routes without a key have their own, and their capacity was counted from reports that are older than the 20 to 40 ms for which a slot is held. AdmissionLevelTest.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
@@ -2,7 +2,8 @@
  * Groups the ranks of the requests of each service into levels of urgency.
  *
  * A customer's priority takes precedence over that of the route, which decides among customers of one priority. A service whose requests all
- * have one rank has no levels, so nothing about them is decided by urgency.
+ * have one rank has no levels, so nothing about them is decided by urgency. Neither has a plain service: its slots are held for milliseconds,
+ * which is less than the age of the reports that tell how many are in use.
  */
 package lagoonrudder.control.direct.admission
 
@@ -35,7 +36,8 @@
                 configuration.routes
                     .flatMap { route -> route.shares.map { it.service to route } }
                     .groupBy({ it.first }, { it.second })
-            return UrgencyLevels(routesByService.mapValues { ranksOf(it.value, configuration) }.filterValues { it.size > 1 })
+            val ofEngines = routesByService.filterKeys { configuration.service(it)?.weights != null }
+            return UrgencyLevels(ofEngines.mapValues { ranksOf(it.value, configuration) }.filterValues { it.size > 1 })
         }
 
         /** Returns the ranks of requests on [routes], the most urgent first. A route without customers has its own rank. */
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
@@ -12,6 +12,8 @@
 import lagoonrudder.control.direct.servingSet
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.RequestKind
+import lagoonrudder.model.ServiceId
+import lagoonrudder.model.ServiceShare
 import lagoonrudder.model.ServingCustomer
 import lagoonrudder.model.rankOf
 import kotlin.random.Random
@@ -51,6 +53,13 @@
             levels(listOf(0, 1), listOf(2), open = true).indexes(0..1) shouldBe listOf(0, 1)
         }
 
+        // Counts of the slots of a plain service are older than the time for which its slots are held, and cut it without need.
+        test("a service without engines has no levels") {
+            val plain = listOf(ServiceShare(ServiceId("plain"), 1.0))
+            val routes = listOf(0, 1).map { route(RequestKind.Idempotent).copy(priority = it, shares = plain) }
+            UrgencyLevels.of(servingSet(1).copy(routes = routes)).services shouldBe emptySet()
+        }
+
         test("everything is admitted while the capacity suffices") {
             admissionLevel(demand(100, 100, 100), 301.0, AdmissionLevel.Open) shouldBe AdmissionLevel.Open
             admissionLevel(emptyList(), 0.0, AdmissionLevel.Open) shouldBe AdmissionLevel.Open
