Declare the next version only once the origin has failed

CompetingVersionsTest, 'an origin that is back ...', failed once on an idle machine: 4 chunks, expected 6 to 7. By reading: a daemon that has just started fetches nothing of a declared version for a second, so on a fast start version 3 was declared before any chunk of version 2 was asked for, and two of its six chunks came before the origin failed.

--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/CompetingVersionsTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/CompetingVersionsTest.kt
@@ -29,9 +29,10 @@
         // Entry daemons went on with the chunks of version 2 when the origin was back.
         test("an origin that is back after the declaration of a newer version is asked for chunks of that one only") {
             withSite(entries = 2, workers = 2) {
-                origin.failsAfter = CHUNK_COUNT + 2
+                origin.failsAfter = origin.chunksServed + 2
                 declare(2)
-                delay(500.milliseconds)
+                // A daemon that has just started fetches nothing of a declared version for a second, however fast the site starts.
+                eventually(5.seconds) { origin.failedRequests > 0 }
                 declare(3)
                 delay(1_500.milliseconds)
                 val before = origin.chunksServed
