Call what exists, and say what is so, in the parts for hard load

Behaviour is meant to be the same. - The layout of a model is looked up in one place, ServingConfiguration.weightLayout; paths of peers are split in one place. - Items are encoded on the traffic thread, not in the decision about a gossip message. - A request for a staged chunk waits for a permit instead of looking for one every 50 ms. - PlacementRequest.rank is what it holds; one call for services with and without levels; StorePosition.NONE marks a daemon that has just started; shouldFinishStaging and a result that nobody read are gone, and its test asks the decision itself. - Documentation of messages and comments that were no longer true.

Tests of control.direct, wire, daemon, platform and traffic, UrgencyTest, OverloadTest, ShapeTest, RestoredStore* and DirectSiteTest pass.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/DeclaredVersions.kt
@@ -90,7 +90,7 @@
         val known = declaredByModel[offered.model].orEmpty()
         if (known.isNotEmpty() && known.last().number >= offered.number) return null
         val earliest = (upToDateAt ?: -Duration.INFINITE).coerceAtMost(now)
-        // The limits don't bind a daemon that was cut off before they have bound it again for a while, which is longer than this.
+        // A daemon that was cut off is bound again only after a time of contact, which is longer than this.
         val assumedLimitAt = (now + UNKNOWN_AGE_ROLLOUT_TIME).coerceAtMost(if (upToDateAt == null) bindingFrom else Duration.INFINITE)
         val declared = Declaration(offered.number, EventTime(earliest, now), assumedLimitAt)
         declaredByModel[offered.model] = (known + declared).takeLast(MAX_DECLARATIONS)
--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -39,7 +39,7 @@
 data class PlacementRequest(
     val service: ServiceId,
     val customer: CustomerId?,
-    val priority: Int,
+    val rank: Int,
     val homeRegions: List<Set<RegionId>>,
     val excluded: Set<TargetId>,
     val number: WeightNumber?,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -74,14 +74,14 @@
         if (level != null && !admits(request, level, now)) {
             return decided(overloaded(request, Choice.Full(0), "not admitted level=${level.index}", now))
         }
-        if (!request.isLate) recordArrival(request, level, now)
+        if (!request.isLate) overload.recordArrival(request.service, now, level)
         val queue = queueOf(request.service)
         val isOvertaking = level != null && queue.hasMoreUrgent(level) && !slotUse(request.service, now).isAmple
         val choice = if (isOvertaking) Choice.Full(0) else choose(request, request.isLate, now)
         if (choice !is Choice.Full) return decided(placementOf(request, choice, now))
         if (!request.isLate) queue.onShortage(now)
         if (queue.size >= MAX_QUEUE_LENGTH) return decided(placementOf(request, choice, now))
-        return when (val decision = decideWait(request, queue, level, now)) {
+        return when (val decision = overload.decide(request.service, request.wait, queue.lengthsBefore(level), now, level)) {
             is WaitDecision.Refuse -> decided(overloaded(request, choice, "no place predicted within ${decision.predicted}", now))
             is WaitDecision.Wait -> {
                 if (decision.limit <= Duration.ZERO) return decided(placementOf(request, choice, now))
@@ -106,24 +106,6 @@
             }
         }
 
-    private fun recordArrival(
-        request: PlacementRequest,
-        level: UrgencyLevel?,
-        now: Duration,
-    ) = if (level == null) overload.recordArrival(request.service, now) else overload.recordArrival(request.service, now, level)
-
-    private fun decideWait(
-        request: PlacementRequest,
-        queue: PlacementQueue,
-        level: UrgencyLevel?,
-        now: Duration,
-    ): WaitDecision =
-        if (level == null) {
-            overload.decide(request.service, request.wait, queue.lengths, now)
-        } else {
-            overload.decide(request.service, request.wait, queue.lengthsBefore(level), now, level)
-        }
-
     /**
      * Assigns a back end to a request beside those that make no progress with it, [silent]; returns null if none has a place. A back end
      * that is silent itself is none: when all of a service pause at once, nothing is gained by moving their requests.
@@ -272,10 +254,9 @@
         request: PlacementRequest,
         now: Duration,
     ): Duration {
-        val queue = queueOf(request.service)
         val level = levelOf(request)
-        if (level == null) return overload.retryAfter(request.service, request.timeLeft, queue.lengths, now)
-        return overload.retryAfter(request.service, request.timeLeft, queue.lengthsBefore(level), now, level)
+        val queued = queueOf(request.service).lengthsBefore(level)
+        return overload.retryAfter(request.service, request.timeLeft, queued, now, level)
     }
 
     private fun queueOf(service: ServiceId) = queues.getOrPut(service) { PlacementQueue() }
@@ -377,7 +358,7 @@
         return Placement.Placed(backEnd, number, beginLimits.limit(backEnd, now), knownVersions(backEnd, now), levelOf(request))
     }
 
-    private fun levelOf(request: PlacementRequest) = urgency.levelOf(request.service, request.priority)
+    private fun levelOf(request: PlacementRequest) = urgency.levelOf(request.service, request.rank)
 
     private fun knownVersions(
         backEnd: BackEnd,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -48,13 +48,8 @@
     when (val record = offered.published) {
         is StoreRecord.Configuration -> {
             val set = (known?.published as? StoreRecord.Configuration)?.set
-            if (set != null &&
-                record.set.revision < set.revision
-            ) {
-                RestoredItemDecision.Keep(now + REWRITE_TIME)
-            } else {
-                RestoredItemDecision.Apply
-            }
+            val isOlder = set != null && record.set.revision < set.revision
+            if (isOlder) RestoredItemDecision.Keep(now + REWRITE_TIME) else RestoredItemDecision.Apply
         }
         is StoreRecord.Registered -> decideRegistration(known, registration, record, now)
         is StoreRecord.VersionDeclaration -> {
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StagingController.kt
@@ -147,14 +147,6 @@
         now: Duration,
     ): VersionChoice = VersionChoice.of(model, storeView.versions, supply, now)
 
-    /** Returns whether to continue staging [number]: an older version is completed only if requests will begin on it. */
-    fun shouldFinishStaging(
-        model: ModelId,
-        number: WeightNumber,
-        supply: VersionSupply,
-        now: Duration,
-    ): Boolean = chooseVersion(model, supply, now).isWorthFetching(number)
-
     /**
      * Returns the sources from which a target daemon fetches chunk [index], in order of preference, after [attempts] without success: entry
      * daemons of its region that hold it, then those that fetch it, the chunk's primary source first. The origin is one only while no entry
@@ -261,11 +253,7 @@
             .firstOrNull { it.service == service && it.address == address }
             ?.let { schedule.scheduledSwitch(it, report.held, number) }
 
-    private fun layout(model: ModelId): WeightLayout? =
-        storeView.serving
-            ?.services
-            ?.mapNotNull { it.weights }
-            ?.firstOrNull { model in it.models }
+    private fun layout(model: ModelId): WeightLayout? = storeView.serving?.weightLayout(model)
 
     private fun originService(): ServingService? = storeView.serving?.services?.firstOrNull { it.origin != null }
 
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -380,11 +380,8 @@
     ): List<DecodedItem> {
         completeAt = maxOf(completeAt, upTo)
         // A peer includes registrations of an earlier era while their removals are pending there.
-        val present =
-            all
-                .filter {
-                    it.item.position.era == upTo.era || it.published is StoreRecord.Registered
-                }.mapTo(mutableSetOf()) { it.item.key }
+        val held = all.filter { it.item.position.era == upTo.era || it.published is StoreRecord.Registered }
+        val present = held.mapTo(mutableSetOf()) { it.item.key }
         val removed =
             items.values
                 .filter { it.item.value != null && it.item.key !in present && it.item.position <= upTo }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/OverloadController.kt
@@ -32,8 +32,8 @@
     fun recordArrival(
         service: ServiceId,
         now: Duration,
-        level: UrgencyLevel = MOST_URGENT,
-    ) = loadOf(service).recordArrival(level, now)
+        level: UrgencyLevel? = null,
+    ) = loadOf(service).recordArrival(level ?: ONLY_LEVEL, now)
 
     /** Records that a request has left its back end; [answered] is set if the back end answered it. */
     fun recordRelease(
@@ -54,11 +54,11 @@
         limit: WaitLimit,
         queued: QueueLengths,
         now: Duration,
-        level: UrgencyLevel = MOST_URGENT,
+        level: UrgencyLevel? = null,
     ): WaitDecision =
         when (limit) {
             is WaitLimit.Within -> WaitDecision.Wait(limit.limit, inTime = true)
-            is WaitLimit.ForObjective -> decideByPolicy(loadOf(service), limit, queued, level, now)
+            is WaitLimit.ForObjective -> decideByPolicy(loadOf(service), limit, queued, level ?: ONLY_LEVEL, now)
         }
 
     /** Returns the time after which a caller that has [timeLeft] should return to [service]. [queued] are those that go before it. */
@@ -67,13 +67,13 @@
         timeLeft: Duration,
         queued: QueueLengths,
         now: Duration,
-        level: UrgencyLevel = MOST_URGENT,
+        level: UrgencyLevel? = null,
     ): Duration {
         val longest = (timeLeft * HONOURED_SHARE).coerceAtLeast(SHORTEST_RETURN)
         return when (returnPolicy) {
             is ReturnPolicy.Fixed -> returnPolicy.after
             ReturnPolicy.Jittered -> SHORTEST_RETURN + (longest - SHORTEST_RETURN) * random.nextDouble()
-            ReturnPolicy.Predicted -> predictedReturn(service, longest, queued, level, now)
+            ReturnPolicy.Predicted -> predictedReturn(service, longest, queued, level ?: ONLY_LEVEL, now)
         }
     }
 
@@ -128,7 +128,7 @@
 
     private companion object {
         /** The level of all requests of a service whose requests don't differ in rank. */
-        val MOST_URGENT = UrgencyLevel(0)
+        val ONLY_LEVEL = UrgencyLevel(0)
 
         /** Callers honour a third of the time left to them; the remainder covers the way of the response. */
         const val HONOURED_SHARE = 0.32
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/PlacementQueue.kt
@@ -1,7 +1,7 @@
 /**
  * The requests that wait for a place at the back ends of one service.
  *
- * Within a priority those that can still meet their latency objective go first, since a place then serves one caller in time
+ * Within a rank those that can still meet their latency objective go first, since a place then serves one caller in time
  * instead of one late.
  */
 package lagoonrudder.control.direct.admission
@@ -69,7 +69,7 @@
 
     /** Returns the requests in the order in which they get places; [inFlightOf] makes customers with fewer requests go first. */
     fun inOrder(inFlightOf: (CustomerId?) -> Int): List<QueuedRequest> =
-        requests.sortedWith(compareBy({ it.request.priority }, { !it.inTime }, { inFlightOf(it.request.customer) }, { it.queuedAt }))
+        requests.sortedWith(compareBy({ it.request.rank }, { !it.inTime }, { inFlightOf(it.request.customer) }, { it.queuedAt }))
 
     private companion object {
         val SHORTAGE_MEMORY = 500.milliseconds
--- a/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/admission/UrgencyLevels.kt
@@ -48,13 +48,8 @@
             val ofCustomers = configuration.customers.map { it.priority }.distinct()
             return routes
                 .flatMap { route ->
-                    if (route.open ||
-                        ofCustomers.isEmpty()
-                    ) {
-                        listOf(rankOf(null, route.priority))
-                    } else {
-                        ofCustomers.map { rankOf(it, route.priority) }
-                    }
+                    val priorities = if (route.open || ofCustomers.isEmpty()) listOf(null) else ofCustomers
+                    priorities.map { rankOf(it, route.priority) }
                 }.distinct()
                 .sorted()
         }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/weights/ChunkHoldings.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/weights/ChunkHoldings.kt
@@ -112,25 +112,20 @@
         val known = holders[holding.daemon]
         val isDirect = holding.daemon == from.daemon
         val heardAt = now - holding.age
-        if (known != null &&
-            !isDirect &&
-            (known.heardAt >= heardAt || (known.isDirect && now - known.heardAt < REFRESH_INTERVAL * 2))
-        ) {
-            return
-        }
+        if (!isDirect && known != null && !known.isOlderThan(heardAt, now)) return
         // The reporter of a target daemon is a member of its failure domain.
         val holder = if (isDirect) from else entries[holding.daemon] ?: from.copy(daemon = holding.daemon, role = DaemonRole.TARGET)
         val refuted = (known?.refuted ?: BitSet()).apply { and(holding.chunks) }
         holders[holding.daemon] = Heard(holder, holding.address, holding.chunks, heardAt, isDirect, refuted)
-        if (holders.size > MAX_HOLDERS) {
-            holders.remove(
-                holders.values
-                    .minBy { it.heardAt }
-                    .holder.daemon,
-            )
-        }
+        if (holders.size > MAX_HOLDERS) holders.remove(holders.minBy { it.value.heardAt }.key)
     }
 
+    /** Whether a repeated report from [reportedAt] replaces this one; what the holder said itself stands for as long as it goes on. */
+    private fun Heard.isOlderThan(
+        reportedAt: Duration,
+        now: Duration,
+    ): Boolean = heardAt < reportedAt && !(isDirect && now - heardAt < REFRESH_INTERVAL * 2)
+
     /** Records that [daemon] did not deliver chunk [index] that it had reported; it counts again once it reported to lack it. */
     fun onRefuted(
         daemon: DaemonId,
@@ -266,8 +261,8 @@
     ): Boolean {
         val declared = storeView.versions.declaration(version.model, version.number)
         if (declared != null && now - declared.acknowledged.latest < ROLLOUT_TIME) return true
-        val layouts = storeView.serving?.services?.mapNotNull { it.weights } ?: return true
-        val total = layouts.firstOrNull { version.model in it.models }?.chunkCount ?: return false
+        val serving = storeView.serving ?: return true
+        val total = serving.weightLayout(version.model)?.chunkCount ?: return false
         val ownLacks = peers.self.role == DaemonRole.TARGET && own[version].let { it != null && it.cardinality() < total }
         val othersLack = heard[version]?.values.orEmpty().any { it.holder.role == DaemonRole.TARGET && it.chunks.cardinality() < total }
         return ownLacks || othersLack
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -61,7 +61,7 @@
         PlacementRequest(
             service = ENGINES,
             customer = null,
-            priority = 1,
+            rank = 1,
             homeRegions = emptyList(),
             excluded = emptySet(),
             number = null,
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -277,7 +277,12 @@
                 number: Long,
                 now: Duration,
                 missing: Long = 1,
-            ) = staging.shouldFinishStaging(MODEL, WeightNumber(number), supply.copy(missing = mapOf(WeightNumber(2) to missing)), now)
+            ) = staging
+                .chooseVersion(
+                    MODEL,
+                    supply.copy(missing = mapOf(WeightNumber(2) to missing)),
+                    now,
+                ).isWorthFetching(WeightNumber(number))
 
             shouldFinish(1, 10.seconds) shouldBe true
             declare(storeView, 2)
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -253,7 +253,7 @@
                 core.peers.onGossipReceived(peer, reply.load, reply.storeContactAge, now)
                 reply.storeContact(sentAt, now)?.let { core.storeView.onStoreHeard(it) }
                 core.holdings.onHeard(peer, reply.holdings.mapNotNull { it.toHolding() }, now)
-                if (reply.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
+                if (reply.position == StorePosition.NONE) core.holdings.onForgotten(peer.daemon)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
                 val isBehind = reply.position > core.storeView.at
                 if (core.catchUp.onHeard(reply.position, now)) logLag(reply.position, now)
@@ -303,9 +303,6 @@
     }
 
     private companion object {
-        /** The revision of a daemon that has just started. */
-        const val NO_REVISION = 0L
-
         /**
          * Entry daemons of one failure domain send most of their requests to the same back ends, about twelve a second each, so
          * each needs the others' loads promptly.
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ItemEncoder.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/ItemEncoder.kt
@@ -1,8 +1,8 @@
 /**
  * Encodes items of the store for peers, so that large ones take little of the links.
  *
- * Every peer gets the same items within a short time, so the encoded form of each large item is kept until the item changes. Runs on the
- * control thread.
+ * Every peer gets the same items within a short time, so the encoded form of each large item is kept until the item changes. Confined
+ * to the traffic thread, since encoding a large item takes milliseconds.
  */
 package lagoonrudder.daemon.direct
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerClient.kt
@@ -35,6 +35,11 @@
     const val GOSSIP = "/peer/word"
     const val MANIFEST = "/peer/manifest"
     const val CHUNK = "/peer/piece"
+
+    fun segmentsOf(target: String): List<String> = target.split('/').drop(1)
+
+    /** Returns the one of these paths that [segments] begin with, if any. */
+    fun pathOf(segments: List<String>): String = "/" + segments.take(2).joinToString("/")
 }
 
 class PeerClient(
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -4,6 +4,8 @@
 package lagoonrudder.daemon.direct
 
 import arrow.core.Either
+import lagoonrudder.control.direct.StoreItems
+import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.http.HttpExchange
 import lagoonrudder.http.HttpHandler
 import lagoonrudder.http.NO_BYTES
@@ -43,11 +45,8 @@
     private val encoder = ItemEncoder()
 
     override suspend fun handle(exchange: HttpExchange) {
-        val segments =
-            exchange.request.target
-                .split('/')
-                .drop(1)
-        val path = "/" + segments.take(2).joinToString("/")
+        val segments = PeerPaths.segmentsOf(exchange.request.target)
+        val path = PeerPaths.pathOf(segments)
         when {
             path == PeerPaths.GOSSIP -> respondToGossip(exchange)
             path == PeerPaths.MANIFEST && segments.size in MANIFEST_PATH_SEGMENTS -> manifest(exchange, segments)
@@ -65,9 +64,15 @@
                 exchange.respond(BAD_REQUEST, emptyList(), NO_BYTES)
                 return
             }
-        val (reply, knowsLess) = core.thread.decide { replyTo(message) to knowsLessThanSender(message) }
-        if (knowsLess) gossip.catchUp(message.self.toPeer())
-        exchange.respond(OK, emptyList(), encodeMessage(GossipReply.serializer(), reply))
+        val (reply, items, knowsLess) =
+            core.thread.decide {
+                val items = if (message.itemsRequested) core.storeView.itemsSince(message.position) else null
+                Triple(replyTo(message, items), items?.items.orEmpty(), knowsLessThanSender(message))
+            }
+        val peer = message.self.toPeer()
+        if (knowsLess) gossip.catchUp(peer)
+        val encoded = items.map { encoder.encode(it, peer.role, message.deflatedAccepted) }
+        exchange.respond(OK, emptyList(), encodeMessage(GossipReply.serializer(), reply.copy(items = encoded)))
     }
 
     /** Whether the sender knows of later changes, of a longer contact with the store, or how new its state is. Runs on the control thread. */
@@ -78,12 +83,17 @@
         return message.position > core.storeView.at || canConfirm || (since != null && core.storeView.isGraceRefutedBy(since, now))
     }
 
-    private fun replyTo(message: GossipMessage): GossipReply {
+    /** Returns the reply to [message] but for [items]. Runs on the control thread. */
+    private fun replyTo(
+        message: GossipMessage,
+        items: StoreItems?,
+    ): GossipReply {
         val now = core.clock.elapsed()
         val peer = message.self.toPeer()
         core.peers.onGossipReceived(peer, message.load, message.storeContactAge, now)
         core.holdings.onHeard(peer, message.holdings.mapNotNull { it.toHolding() }, now)
-        if (message.at == NO_REVISION) core.holdings.onForgotten(peer.daemon)
+        // A daemon that has just started has lost what it was told.
+        if (message.position == StorePosition.NONE) core.holdings.onForgotten(peer.daemon)
         message.storeContact(now)?.let { core.storeView.onStoreHeard(it) }
         core.storeView.versions.onTold(message.declared(now), askedAt = now)
         val slot = message.slot?.toGossipSlot()
@@ -100,7 +110,6 @@
         message.evidence?.let { core.suspicions.onGossipReceived(it.toReport(), now) }
         val needsEvidence = peer.role == DaemonRole.ENTRY && message.evidenceDigest != core.suspicions.digest
         val load = gossip.loadFor(peer, now)
-        val items = if (message.itemsRequested) core.storeView.itemsSince(message.position) else null
         val contact = core.contactToTell()
         val settled = core.storeView.settledPosition
         return GossipReply(
@@ -111,7 +120,6 @@
             loadDaemons = load.daemons,
             storeContactMilliseconds = core.storeReader.contactAge(now).toMilliseconds(),
             livePeers = if (message.peersRequested) core.peers.livePeers(now).map { it.toMessage() } else emptyList(),
-            items = items?.items.orEmpty().map { encoder.encode(it, peer.role, message.deflatedAccepted) },
             itemsComplete = items?.isComplete ?: false,
             evidenceDigest = core.suspicions.digest,
             evidence = if (needsEvidence) core.suspicions.report(now).toMessage() else null,
@@ -163,8 +171,6 @@
     ) = exchange.respond(UNAVAILABLE, emptyList(), failure.describe().encodeToByteArray())
 
     private companion object {
-        /** The revision of a daemon that has just started, and has lost what it was told. */
-        const val NO_REVISION = 0L
         const val OK = 200
         const val BAD_REQUEST = 400
         const val NOT_FOUND = 404
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagedChunkEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagedChunkEndpoint.kt
@@ -6,8 +6,8 @@
  */
 package lagoonrudder.daemon.direct
 
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.sync.Semaphore
+import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.http.HttpExchange
 import lagoonrudder.http.HttpHandler
 import lagoonrudder.http.NO_BYTES
@@ -24,11 +24,8 @@
     private val permits = Semaphore(MAX_CONCURRENT_CHUNKS)
 
     override suspend fun handle(exchange: HttpExchange) {
-        val segments =
-            exchange.request.target
-                .split('/')
-                .drop(1)
-        val path = "/" + segments.take(2).joinToString("/")
+        val segments = PeerPaths.segmentsOf(exchange.request.target)
+        val path = PeerPaths.pathOf(segments)
         val number = segments.getOrNull(3)?.toLongOrNull()?.let { WeightNumber(it) }
         val index = segments.getOrNull(4)?.toIntOrNull()
         when {
@@ -58,7 +55,7 @@
         number: WeightNumber,
         index: Int,
     ) {
-        if (!acquire()) {
+        if (withTimeoutOrNull(MAX_WAIT) { permits.acquire() } == null) {
             exchange.respond(UNAVAILABLE, emptyList(), NO_BYTES)
             return
         }
@@ -73,22 +70,13 @@
         }
     }
 
-    private suspend fun acquire(): Boolean {
-        repeat(MAX_WAITS) {
-            if (permits.tryAcquire()) return true
-            delay(WAIT)
-        }
-        return permits.tryAcquire()
-    }
-
     private companion object {
         const val OK = 200
         const val NOT_FOUND = 404
         const val UNAVAILABLE = 503
         const val MAX_CONCURRENT_CHUNKS = 2
 
-        /** Together about the time in which the link carries the chunks of those that were here first, twice. */
-        const val MAX_WAITS = 4
-        val WAIT = 50.milliseconds
+        /** The time in which the link carries the chunks of those that were here first, twice. */
+        val MAX_WAIT = 200.milliseconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StoreSyncLoop.kt
@@ -75,10 +75,7 @@
                 is StoreWatchResult.Changes -> {
                     val items = watched.response.items
                     val at = watched.response.at
-                    if (!step.isContinuedBy(
-                            at,
-                        )
-                    ) {
+                    if (!step.isContinuedBy(at)) {
                         return@map logRegained(core.thread.decide { reader.onOtherEra(at.era, core.clock.elapsed()) })
                     }
                     applyAnswer(
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/VersionChoiceLog.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/VersionChoiceLog.kt
@@ -14,13 +14,13 @@
 ) {
     private val decisions = mutableMapOf<ModelId, VersionDecision>()
 
-    /** Records [choice], which was made from [supply]; returns whether it differs from the previous one for [model]. */
+    /** Logs [choice], which was made from [supply], if its decision differs from the previous one for [model]. */
     fun onChoice(
         model: ModelId,
         supply: VersionSupply,
         choice: VersionChoice,
-    ): Boolean {
-        if (decisions.put(model, choice.decision) == choice.decision) return false
+    ) {
+        if (decisions.put(model, choice.decision) == choice.decision) return
         val now = core.clock.elapsed()
         core.versionChoiceChanges.incrementAndGet()
         core.log.info(
@@ -39,7 +39,6 @@
             "serves-in-ms" to choice.outlooks.map { "${it.number.number}:${millisecondsUntil(it.servesAt, now)}" },
             "stops-in-ms" to choice.outlooks.map { "${it.number.number}:${millisecondsUntil(it.stopsAt, now)}" },
         )
-        return true
     }
 
     private fun millisecondsUntil(
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -141,6 +141,9 @@
 
     fun service(id: ServiceId): ServingService? = servicesById[id]
 
+    /** Returns the layout of [model], which all services that serve it share. */
+    fun weightLayout(model: ModelId): WeightLayout? = services.mapNotNull { it.weights }.firstOrNull { model in it.models }
+
     val requiresApiKeys: Boolean get() = customers.isNotEmpty()
 }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -308,7 +308,7 @@
     ) = PlacementRequest(
         service = SERVICE,
         customer = CustomerId("customer-${caller.customer}"),
-        priority = rankOf(null, caller.rank.rank),
+        rank = rankOf(null, caller.rank.rank),
         homeRegions = emptyList(),
         excluded = emptySet(),
         number = null,
@@ -349,7 +349,7 @@
         when {
             engine.isLost -> schedule(REFUSED_CONNECTION) { onLost() }
             isCut(entry.peer.domain, engine.domain) -> schedule(CONNECTION_TIMEOUT) { onLost() }
-            else -> engine.submit(Work(entry, caller, placed.level?.index ?: request.priority, onLost) { run(it, engine, sentAt) })
+            else -> engine.submit(Work(entry, caller, placed.level?.index ?: request.rank, onLost) { run(it, engine, sentAt) })
         }
     }
 
@@ -385,7 +385,7 @@
         if (!hasBegun) caller.firstEventAt = null
         val next =
             request.copy(
-                priority = if (hasBegun) RESUME_PRIORITY else request.priority,
+                rank = if (hasBegun) RESUME_RANK else request.rank,
                 excluded = request.excluded + engine.id,
                 wait = WaitLimit.Within(if (hasBegun) RESUME_WAIT else RETRY_WAIT),
             )
@@ -587,7 +587,7 @@
 
         /** One engine in this many is lost. */
         const val LOST_FRACTION = 5
-        const val RESUME_PRIORITY = -1
+        const val RESUME_RANK = Int.MIN_VALUE
         const val BUSY_SHARE = 0.75
         val RESUME_WAIT = 1.seconds
         val RETRY_WAIT = 60.milliseconds
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
@@ -109,7 +109,7 @@
     ) = PlacementRequest(
         service = context.service,
         customer = context.customer?.id,
-        priority = if (relay.started) RESUME_PRIORITY else context.rank,
+        rank = if (relay.started) RESUME_RANK else context.rank,
         homeRegions = context.homeRegions,
         excluded = excluded.toSet(),
         number = relay.number,
@@ -140,8 +140,8 @@
         }
 
     private companion object {
-        /** A stream that has started precedes requests of every priority. */
-        const val RESUME_PRIORITY = Int.MIN_VALUE
+        /** A stream that has started precedes requests of every rank. */
+        const val RESUME_RANK = Int.MIN_VALUE
 
         /** A retry is already delayed, so it takes a free slot within this time or none. */
         val RETRY_MAX_WAIT = 60.milliseconds
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -69,7 +69,7 @@
     @ProtoNumber(7) val sequence: Long = 0,
 )
 
-/** An item of the platform's store; [value] is compressed if [deflated] is set. */
+/** An item of the platform's store at [revision] in [era]; [value] is compressed if [deflated] is set. */
 @Serializable
 class ItemMessage(
     @ProtoNumber(1) val key: String,
@@ -109,8 +109,9 @@
  * State that a daemon announces to a peer. [at] is the sender's store revision: [itemsRequested] asks for the items that changed
  * after it, [peersRequested] for the live peers. [loads] are the requests in flight of [loadDaemons] daemons, and the store last
  * answered the sender [storeContactMilliseconds] ago; as far as it knows, the store has kept answering for [storeSinceMilliseconds].
- * [evidenceDigest] is that of the sender's evidence about crashes, which is sent itself only if the receiver's digest differs.
- * [declarations] and [upToDateMilliseconds] are as in a [GossipReply].
+ * [evidenceDigest] is that of the sender's evidence about crashes, which is sent itself only if the receiver's digest differs. [era] is that
+ * of [at], and [demand] comes from the daemons of [loads]. [declarations] and [upToDateMilliseconds] mean what they mean in a [GossipReply].
+ * [holdings] are what the sender knows of chunks of weights, and [deflatedAccepted] says that items may come compressed.
  */
 @Serializable
 data class GossipMessage(
@@ -136,11 +137,11 @@
 /**
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
  * heard of [storeHeardMilliseconds] ago; it has kept answering for [storeSinceMilliseconds]. [items] are those that changed, or all that
- * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run and of the newest one whose limit is over, and
- * the store held nothing beyond [at] [upToDateMilliseconds] ago.
+ * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run and of the newest one whose limit is over,
+ * and the store held nothing beyond [at], a position in [era], [upToDateMilliseconds] ago. [holdings] and [demand] are as in the message.
  */
 @Serializable
-class GossipReply(
+data class GossipReply(
     @ProtoNumber(1) val self: PeerMessage,
     @ProtoNumber(2) val at: Long,
     @ProtoNumber(3) val loads: List<InFlightMessage> = emptyList(),
