Take a gossip reply with a damaged item for malformed

A compressed value that can't be decoded ended the loop that had asked, which starts again after half a second. It is logged and ignored now, like any other malformed message; found by reading, no test shows it at the loop (ItemMessageTest shows the exception).

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -28,6 +28,7 @@
 import lagoonrudder.platform.readItem
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
+import lagoonrudder.wire.messages.MalformedMessage
 import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.position
@@ -244,7 +245,7 @@
         address: Address,
         sentAt: Duration,
     ): Boolean {
-        val items = reply.items.map { readItem(it.toItem()) }
+        val items = itemsOf(reply) ?: return false
         val peer = reply.self.toPeer()
         val (change, isBehind, isPeerBehind) =
             core.thread.decide {
@@ -269,6 +270,15 @@
         return isPeerBehind
     }
 
+    /** Returns the items of [reply]; null if one can't be decoded. */
+    private fun itemsOf(reply: GossipReply): List<DecodedItem>? =
+        try {
+            reply.items.map { readItem(it.toItem()) }
+        } catch (malformed: MalformedMessage) {
+            core.log.warning("gossip-malformed", "detail" to malformed.message)
+            null
+        }
+
     private fun logLag(
         heard: StorePosition,
         now: Duration,
