--- a/review/stand-ins-2/src/review2/ColdWorker.java
+++ b/review/stand-ins-2/src/review2/ColdWorker.java
@@ -37,12 +37,15 @@
             "targetLatencyMs":150,"service":"desk","attempts":2,"priority":1}],
             "services":[{"name":"desk","maxConns":96,"healthPath":"/health","coldPerS":%s}],
             "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":2000,"idleTimeoutMs":8000}}""".formatted(COLD_PER_S));
-        Daemon seed = daemon("front-sued-a-1", "sued-a", store, List.of());
-        Daemon first = daemon("front-ost-a-1", "ost-a", store, List.of(seed.peers));
-        Daemon second = daemon("front-west-a-1", "west-a", store, List.of(seed.peers));
+        // Two seeds are stale in any case: machines that are gone, at whose addresses nothing listens.
+        List<String> stale = List.of(Daemon.freeAddress(), Daemon.freeAddress());
+        Daemon seed = daemon("front-sued-a-1", "sued-a", store, stale);
+        List<String> seeds = List.of(seed.peers, stale.get(0), stale.get(1));
+        Daemon first = daemon("front-ost-a-1", "ost-a", store, seeds);
+        Daemon second = daemon("front-west-a-1", "west-a", store, seeds);
         for (Daemon each : List.of(seed, first, second)) each.start();
         for (Daemon each : List.of(seed, first, second)) if (!each.awaitReady(20_000)) return NOT_RUN;
-        note("three machines are ready; the seed of all is " + seed.name);
+        note("three machines are ready; of three seeds two are stale, and the third is " + seed.name);
         Thread.sleep(5_000);
 
         if (trouble) {
@@ -51,8 +54,8 @@
         }
         long lostAt = Clock.ms();
         Thread.sleep(500);
-        Daemon spare = daemon("front-sued-a-2", "sued-a", store, List.of(seed.peers)).start();
-        note("a spare machine starts as " + spare.name + (trouble ? "; its seed is still the lost machine" : ""));
+        Daemon spare = daemon("front-sued-a-2", "sued-a", store, seeds).start();
+        note("a spare machine starts as " + spare.name + (trouble ? "; its seeds still name the lost machine" : ""));
         if (!spare.awaitReady(5_000)) return NOT_RUN;
         note(spare.name + " is ready");
         List<Daemon> serving = new ArrayList<>(List.of(first, second, spare));
