--- a/review/stand-ins-2/src/review2/Store.java
+++ b/review/stand-ins-2/src/review2/Store.java
@@ -36,17 +36,6 @@
         return revision;
     }
 
-    /** Writes [value] again if the store has another one. */
-    synchronized void putIfLost(String key, String value) {
-        Item item = items.get(key);
-        if (item == null || item.value == null || !new String(item.value, StandardCharsets.UTF_8).equals(value)) put(key, value);
-    }
-
-    synchronized void removeIfThere(String key) {
-        Item item = items.get(key);
-        if (item != null && item.value != null) remove(key);
-    }
-
     /** States the header Store-Era from now on. */
     synchronized void stateEra(long first) {
         statesEra = true;
