--- a/review/stand-ins-2/src/review2/ColdWorker.java
+++ b/review/stand-ins-2/src/review2/ColdWorker.java
@@ -15,11 +15,11 @@
  * corrected without a signal within seedLagS.
  */
 final class ColdWorker extends Run {
-    private static final double COLD_PER_S = 20;
+    private static final double COLD_PER_S = 28;
     private static final double BOUND = COLD_PER_S * 1.5 + 5;
-    private static final int COLD_MS = 8_000;
+    private static final int COLD_MS = 3_000;
     private static final int SEED_LAG_MS = 3_000;
-    private static final int RATE = 60;
+    private static final int RATE = 45;
     private static final Map<String, String> ZONES = Map.of("ost-a", "ost", "west-a", "west", "sued-a", "sued");
 
     private final Map<String, Long> sentAt = new ConcurrentHashMap<>();
