Hold back a new prompt part after three crashes, also at once

Cause: crashes within 100 ms counted as one episode and three episodes accuse, so two batches went through; and only the last eight crashes of a part were kept, so a new batch displaced the older episodes. The log shows part-accused with two crashes of the newest batch, five of the second and one of the first, and part-cleared 60 ms later without any answer.

The fix: three crashes accuse a part that was never answered, however close together. Daemons remember which parts were answered and tell each other, so that parts which sound requests share still need three episodes. Crashes that repeat an episode are displaced first.

Why it works: evidence only gets stronger with further crashes, and only an answer, which shows that a part is sound, calls for more of it.

The test 'back ends that are lost at once accuse no part, however popular' used a part that nobody had answered before. To the daemons that is the same evidence as a batch of deadly requests, so it contradicted the bound. Its part is now answered first, as a popular one is, and it asks all daemons instead of one; a part that was never answered has the rows of CrashesAtOnceTest.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
@@ -3,7 +3,7 @@
  *
  * A crash speaks against a part until the same part is answered elsewhere; from then on it is contradicted and never counts again.
  * So evidence that is merged in any order, or from a peer that was cut off for a while, leads to the same result everywhere. The
- * table is bounded; if it is full, each daemon keeps the same parts.
+ * table is bounded; if it is full, each daemon keeps the same parts, and of each part the crashes that speak most against it.
  */
 package lagoonrudder.control.direct.suspicion
 
@@ -12,12 +12,16 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
 
-/** Evidence about [part] as exchanged between daemons: the runs that ended on it, and those of them that don't count. */
+/**
+ * Evidence about [part] as exchanged between daemons: the runs that ended on it, those of them that don't count, and whether the part
+ * was ever answered.
+ */
 data class PartReport(
     val part: PromptPartId,
     val crashes: Set<BackEndRun>,
     val contradicted: Set<BackEndRun>,
     val probeAge: Duration?,
+    val wasAnswered: Boolean,
 )
 
 /** All evidence of a daemon; [runs] holds the time since each crash. */
@@ -27,7 +31,9 @@
 )
 
 internal class CrashEvidence {
-    private class Entry {
+    private class Entry(
+        var wasAnswered: Boolean,
+    ) {
         /** The runs that ended on this part; the value tells whether it was answered since. */
         val contradictedByRun = mutableMapOf<BackEndRun, Boolean>()
         var answeredAt: Duration? = null
@@ -43,6 +49,7 @@
 
     private val entries = mutableMapOf<PromptPartId, Entry>()
     private val crashedAt = mutableMapOf<BackEndRun, Duration>()
+    private val recentlyAnswered = RecentParts(MAX_ANSWERED_PARTS)
 
     private var summary = Summary(emptyList(), 0)
     private var isSummaryCurrent = true
@@ -61,7 +68,7 @@
         now: Duration,
     ) {
         crashedAt.putIfAbsent(run, now)
-        for (part in parts) addRun(entries.getOrPut(part) { Entry() }, run)
+        for (part in parts) addRun(entryOf(part), run)
         onChanged()
     }
 
@@ -69,16 +76,21 @@
         parts: Collection<PromptPartId>,
         now: Duration,
     ) {
+        recentlyAnswered.addAll(parts)
         if (entries.isEmpty()) return
         for (part in parts) {
             val entry = entries[part] ?: continue
             entry.answeredAt = now
             val contradicted = entry.openRuns
             contradicted.forEach { entry.contradictedByRun[it] = true }
-            if (contradicted.isNotEmpty()) onChanged()
+            if (contradicted.isEmpty() && entry.wasAnswered) continue
+            entry.wasAnswered = true
+            onChanged()
         }
     }
 
+    private fun entryOf(part: PromptPartId) = entries.getOrPut(part) { Entry(wasAnswered = part in recentlyAnswered) }
+
     fun recordProbe(
         parts: Set<PromptPartId>,
         now: Duration,
@@ -110,7 +122,8 @@
     ) {
         val runs = report.crashes.filter { it in crashedAt }
         if (runs.none { isFresh(crashedAt.getValue(it), now) }) return
-        val entry = entries.getOrPut(report.part) { Entry() }
+        val entry = entryOf(report.part)
+        if (report.wasAnswered) entry.wasAnswered = true
         for (run in runs) {
             addRun(entry, run)
             if (run in report.contradicted) entry.contradictedByRun[run] = true
@@ -127,9 +140,16 @@
         val at = crashedAt.getValue(run)
         entry.contradictedByRun[run] = entry.answeredAt?.let { it > at } ?: false
         if (entry.probedAt?.let { it < at } == true) entry.probedAt = null
-        while (entry.contradictedByRun.size > MAX_RUNS) {
-            entry.contradictedByRun.remove(entry.contradictedByRun.keys.minBy { crashedAt.getValue(it) })
-        }
+        while (entry.contradictedByRun.size > MAX_RUNS) entry.contradictedByRun.remove(leastTelling(entry))
+    }
+
+    /** Returns the run that speaks least against a part: one whose episode others show, one that is contradicted, or the oldest. */
+    private fun leastTelling(entry: Entry): BackEndRun {
+        val open = entry.openRuns.sortedWith(compareBy({ crashedAt.getValue(it) }, { it.target.text }))
+        val starts = episodeStarts(open.map { crashedAt.getValue(it) }).toSet()
+        val repeated = open.groupBy { run -> starts.last { it <= crashedAt.getValue(run) } }.flatMap { (_, episode) -> episode.drop(1) }
+        val runs = entry.contradictedByRun.keys
+        return repeated.maxByOrNull { it.target.text } ?: (runs - open.toSet()).ifEmpty { runs }.minBy { crashedAt.getValue(it) }
     }
 
     fun report(now: Duration): EvidenceReport =
@@ -141,6 +161,7 @@
                     entry.contradictedByRun.keys.toSet(),
                     entry.contradictedByRun.filterValues { it }.keys,
                     entry.probedAt?.let { now - it },
+                    entry.wasAnswered,
                 )
             },
         )
@@ -166,7 +187,8 @@
     private fun currentSummary(): Summary {
         if (!isSummaryCurrent) {
             val digest = entries.entries.sumOf { (part, entry) -> digestOf(part, entry) }
-            summary = Summary(suspicionsOf(entries.mapValues { it.value.openRuns }, crashedAt), digest)
+            val crashes = entries.map { (part, entry) -> PartCrashes(part, entry.openRuns, entry.wasAnswered) }
+            summary = Summary(suspicionsOf(crashes, crashedAt), digest)
             isSummaryCurrent = true
         }
         return summary
@@ -191,7 +213,8 @@
         entry: Entry,
     ): Long {
         val runs = entry.contradictedByRun.entries.sumOf { (run, contradicted) -> mix(run.hashCode() * 2L + if (contradicted) 1 else 0) }
-        return mix(part.hashCode() + runs + if (entry.probedAt == null) 0 else 1)
+        val flags = (if (entry.probedAt == null) 0 else 1) + if (entry.wasAnswered) 2 else 0
+        return mix(part.hashCode() + runs + flags)
     }
 
     /** Spreads [value] over all bits, so that sums of the results rarely collide. */
@@ -202,6 +225,7 @@
 
     private companion object {
         const val MAX_PARTS = 256
+        const val MAX_ANSWERED_PARTS = 4_096
 
         /** Enough for the longest time that an accusation is held. */
         const val MAX_RUNS = 8
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
@@ -136,7 +136,8 @@
         val sinceHold = now - suspicion.heldUntil
         if (sinceHold < Duration.ZERO || evidence.probedAt(suspicion.parts) != null) return false
         val turn = (sinceHold / PROBE_TURN).toLong()
-        if (sinceHold - PROBE_TURN * turn.toDouble() < HANDOVER_TIME) return false
+        // Nobody probes at the start of a turn, so that all daemons know of a probe that was sent at the end of the last one.
+        if (sinceHold - PROBE_TURN * turn.toDouble() < SETTLING_TIME) return false
         val key = suspicion.parts.minOf { it.text } + "/" + turn
         return rendezvousFirst(key, peers.liveEntries(now)) { it.daemon.text }?.daemon == peers.self.daemon
     }
@@ -178,8 +179,6 @@
         /** A daemon may probe for this long before it is the turn of another one, which may get more such requests. */
         val PROBE_TURN = 4.seconds
 
-        /** The start of a turn in which nobody probes, so that all daemons know of a probe that was sent at the end of the last one. */
-        val HANDOVER_TIME = 1.seconds
         val MIN_RETRY_AFTER = 1.seconds
         val EXPIRY_INTERVAL = 1.seconds
     }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
@@ -15,6 +15,7 @@
 import lagoonrudder.control.direct.peer
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.PromptPartId
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
@@ -43,17 +44,19 @@
 
     private fun clockOf(daemon: SuspicionController) = clockOf(all.indexOf(daemon))
 
-    fun wait(time: Duration) {
+    fun wait(
+        time: Duration,
+        order: () -> List<SuspicionController> = { all },
+    ) {
         now += time
         peerControllers.forEachIndexed { index, each -> each.mergeLivePeers(members.map { LivePeer(it, Duration.ZERO) }, clockOf(index)) }
         all.forEach { it.onTick(clockOf(it)) }
-        gossip()
+        gossip(order)
     }
 
-    /** One round of gossip in which each daemon exchanges with each other one. */
-    fun gossip() {
-        val joined = all - cut
-        for (sender in joined) for (receiver in joined) send(sender, receiver)
+    /** One round of gossip in which each daemon exchanges with each other one, in [order]. */
+    fun gossip(order: () -> List<SuspicionController> = { all }) {
+        for (sender in order() - cut) for (receiver in order() - cut) send(sender, receiver)
     }
 
     fun send(
@@ -121,12 +124,31 @@
 
         test("back ends that are lost at once accuse no part, however popular") {
             with(Daemons(3)) {
+                answer(all[1], "popular")
                 repeat(20) {
                     crash(all[it % 3], "popular")
                     now += 4.milliseconds
                 }
                 gossip()
-                verdict(all[0], "popular", mayHaveRun = true) shouldBe Verdict.Free
+                all.forEach { verdict(it, "popular", mayHaveRun = true) shouldBe Verdict.Free }
+            }
+        }
+
+        // Newer crashes replaced older ones, so that batches of crashes never left enough episodes to accuse their part.
+        test("crashes that accuse a part are kept, however many follow and in whatever order daemons hear of them") {
+            for (size in 1..24) {
+                with(Daemons(4)) {
+                    val random = Random(size)
+                    answer(all[0], "deadly")
+                    repeat(3) {
+                        repeat(size) { crash(all.random(random), "deadly") }
+                        wait(1.seconds) { all.shuffled(random) }
+                    }
+                    all.forEach { verdict(it, "deadly").shouldBeInstanceOf<Verdict.HeldBack>() }
+                    all.map { it.accusedParts }.distinct() shouldBe listOf(1)
+                    all.map { it.digest }.distinct().size shouldBe 1
+                    all.forEach { it.report(clockOf(all.indexOf(it))).runs.size shouldBeLessThanOrEqual 8 }
+                }
             }
         }
 
@@ -257,7 +279,7 @@
         test("odd evidence of a peer is ignored") {
             with(Daemons(1)) {
                 val run = BackEndRun(backEnd("i").id, 1)
-                val report = PartReport(PromptPartId("part"), setOf(run), emptySet(), (-5).seconds)
+                val report = PartReport(PromptPartId("part"), setOf(run), emptySet(), (-5).seconds, wasAnswered = false)
                 for (age in listOf((-1).seconds, Duration.INFINITE, 11.minutes)) {
                     all[0].onGossipReceived(EvidenceReport(mapOf(run to age), listOf(report)), clockOf(0))
                 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -161,7 +161,11 @@
 
     private fun logSuspicion(change: SuspicionChange) =
         when (change) {
-            is SuspicionChange.Accused -> log.warning("part-accused", "crashes" to change.suspicion.describe(clock.elapsed()))
+            is SuspicionChange.Accused -> {
+                val suspicion = change.suspicion
+                val crashes = suspicion.describe(clock.elapsed())
+                log.warning("part-accused", "crashes" to crashes, "episodes" to suspicion.episodes, "answered" to suspicion.wereAnswered)
+            }
             is SuspicionChange.Probed -> log.info("part-probed", "crashes" to change.suspicion.describe(clock.elapsed()))
             is SuspicionChange.Cleared -> log.info("part-cleared", "parts" to change.parts.map { it.text })
         }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/EvidenceMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/EvidenceMessages.kt
@@ -30,6 +30,7 @@
     @ProtoNumber(2) val crashes: List<Int> = emptyList(),
     @ProtoNumber(3) val contradicted: List<Int> = emptyList(),
     @ProtoNumber(4) val probeMilliseconds: Long = NO_PROBE,
+    @ProtoNumber(5) val wasAnswered: Boolean = false,
 )
 
 @Serializable
@@ -50,6 +51,7 @@
                 part.crashes.mapNotNull { positions[it] },
                 part.contradicted.mapNotNull { positions[it] },
                 part.probeAge?.inWholeMilliseconds ?: NO_PROBE,
+                part.wasAnswered,
             )
         },
     )
@@ -66,6 +68,7 @@
                 part.crashes.mapNotNullTo(mutableSetOf()) { known.getOrNull(it) },
                 part.contradicted.mapNotNullTo(mutableSetOf()) { known.getOrNull(it) },
                 part.probeMilliseconds.takeIf { it >= 0 }?.milliseconds,
+                part.wasAnswered,
             )
         },
     )
--- a/wire/src/test/kotlin/lagoonrudder/wire/EvidenceMessagesTest.kt
+++ b/wire/src/test/kotlin/lagoonrudder/wire/EvidenceMessagesTest.kt
@@ -28,8 +28,8 @@
                 EvidenceReport(
                     mapOf(first to 20.milliseconds, second to 1_500.milliseconds),
                     listOf(
-                        PartReport(PromptPartId("a"), setOf(first, second), setOf(second), probeAge = 5.milliseconds),
-                        PartReport(PromptPartId("b"), setOf(second), emptySet(), probeAge = null),
+                        PartReport(PromptPartId("a"), setOf(first, second), setOf(second), probeAge = 5.milliseconds, wasAnswered = true),
+                        PartReport(PromptPartId("b"), setOf(second), emptySet(), probeAge = null, wasAnswered = false),
                     ),
                 )
             val self = PeerMessage("daemon", true, "domain", "region")
@@ -49,6 +49,6 @@
         test("positions that name no run are left out") {
             val part = PartMessage("a", crashes = listOf(0, 1, -1, Int.MAX_VALUE), contradicted = listOf(5))
             val report = EvidenceMessage(listOf(BackEndRunMessage("i-1", first.born, 3)), listOf(part)).toReport()
-            report.parts shouldBe listOf(PartReport(PromptPartId("a"), setOf(first), emptySet(), probeAge = null))
+            report.parts shouldBe listOf(PartReport(PromptPartId("a"), setOf(first), emptySet(), probeAge = null, wasAnswered = false))
         }
     })
