Judge the parts of a request again once its slow connection is open

Cause: the place of such a request is confirmed for its back end, version and cold rate, but not for its parts.

The fix: the confirmation asks for the verdict too, except for a probe, which was let through on purpose. A declined request is placed again, which refuses it at once.

Test: ConnectingBackEndTest, 'a request is not sent once a part of its prompt is held back while the connection is opened' failed before (the request was completed) and passes; a second one guards the probe.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/Placement.kt
@@ -68,6 +68,7 @@
      * [number] is the version that the back end must still hold, null if the request may run on each one, and [beginLimit] tells until when
      * the request may begin there. [versions] tells for the log what was known; null for a back end without weights.
      * [level] is the urgency of the request, null if the requests of the service don't differ in rank.
+     * With [isProbe] the request finds out whether a part of its prompt crashes back ends.
      */
     data class Placed(
         val backEnd: BackEnd,
@@ -75,6 +76,7 @@
         val beginLimit: BeginLimit,
         val versions: KnownVersions? = null,
         val level: UrgencyLevel? = null,
+        val isProbe: Boolean = false,
     ) : Placement()
 
     data class Refused(
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -129,21 +129,23 @@
 
     /**
      * Decides again about the place of [request] at [placed], which was taken at or before [takenAt] and to which nothing was sent yet.
-     * Returns null if the request may not be sent to that run of the back end any more; otherwise it counts as sent now.
+     * Returns null if the request may not be sent to that run of the back end any more; otherwise it counts as sent now. A probe stays one.
      */
     fun confirm(
         placed: BackEnd,
         request: PlacementRequest,
         takenAt: Duration,
         now: Duration,
+        isProbe: Boolean = false,
     ): Placement.Placed? {
         val stats = statsOf(placed.id)
         stats.withdrawSend(takenAt)
         val backEnd = storeView.backEnd(placed.id)?.takeIf { it.run == placed.run && it.address == placed.address } ?: return null
         val isOpen = eligibility.isEligible(backEnd, request, now) && notices.closedFor(backEnd, now) == Duration.ZERO
         if (!isOpen || !isWithinColdRate(backEnd, now)) return null
+        if (!isProbe && suspicions.verdict(request.parts, request.mayHaveRun, now) != Verdict.Free) return null
         stats.recordDelayedSend(request.promptTokens, now)
-        return placed(backEnd, request, now)
+        return placed(backEnd, request, isProbe, now)
     }
 
     /** Records that an attempt at [target] makes no progress. */
@@ -346,16 +348,17 @@
         statsOf(chosen.id).recordSend(request.promptTokens, now)
         if (request.customer != null) inFlightOf.merge(request.customer, 1, Int::plus)
         if (level != null) urgency.recordPlaced(request.service, level, now)
-        return Choice.Chosen(placed(chosen, request, now))
+        return Choice.Chosen(placed(chosen, request, verdict is Verdict.Probe, now))
     }
 
     private fun placed(
         backEnd: BackEnd,
         request: PlacementRequest,
+        isProbe: Boolean,
         now: Duration,
     ): Placement.Placed {
         val number = eligibility.expectedNumber(backEnd, request, now)
-        return Placement.Placed(backEnd, number, beginLimits.limit(backEnd, now), knownVersions(backEnd, now), levelOf(request))
+        return Placement.Placed(backEnd, number, beginLimits.limit(backEnd, now), knownVersions(backEnd, now), levelOf(request), isProbe)
     }
 
     private fun levelOf(request: PlacementRequest) = urgency.levelOf(request.service, request.rank)
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/AttemptSender.kt
@@ -36,7 +36,7 @@
         val startedAt = control.clock.elapsed()
         return LiveAttempt(placement, attemptRelay, startedAt) {
             call.mayBeSent = true
-            client.send(attempt) { confirmed(it, startedAt) }.mapLeft { notSent(it) }
+            client.send(attempt) { confirmed(it, placement, startedAt) }.mapLeft { notSent(it) }
         }
     }
 
@@ -56,11 +56,12 @@
     /** Returns [attempt] as it may be sent now that there is a connection; its place is decided again if that took long. */
     private suspend fun confirmed(
         attempt: DirectAttempt,
+        taken: Placement.Placed,
         startedAt: Duration,
     ): Either<Failure, DirectAttempt> {
         val isPrompt = control.clock.elapsed() - startedAt <= PROMPT_CONNECTION
         if (isPrompt) return attempt.copy(timeLeft = context.timeLeft(control.clock)).right()
-        val place = places.confirm(attempt.backEnd, startedAt)
+        val place = places.confirm(taken, startedAt)
         if (place == null) return Failure.Declined(Step.CHOOSE_TARGET, Peer.SELF, "the place is no longer available").left()
         return attempt.copy(number = place.number, timeLeft = context.timeLeft(control.clock)).right()
     }
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestPlaces.kt
@@ -14,7 +14,6 @@
 import lagoonrudder.control.direct.PlacementRequest
 import lagoonrudder.control.direct.PlacementTicket
 import lagoonrudder.control.direct.admission.WaitLimit
-import lagoonrudder.model.BackEnd
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.TargetId
@@ -67,13 +66,14 @@
         return control.thread.decide { placeTakeOver(request, silent) }
     }
 
-    /** Returns the place that was taken at [backEnd] at or before [takenAt] as it is now; null if the request may not go there any more. */
+    /** Returns [taken], a place taken at or before [takenAt], as it is now; null if the request may not go there any more. */
     suspend fun confirm(
-        backEnd: BackEnd,
+        taken: Placement.Placed,
         takenAt: Duration,
     ): Placement.Placed? {
-        val request = placementRequest(WaitLimit.Within(Duration.ZERO), mayHaveRun = true, excluded - backEnd.id)
-        return control.thread.decide { control.placement.confirm(backEnd, request, takenAt, control.clock.elapsed()) }
+        val others = excluded - taken.backEnd.id
+        val request = placementRequest(WaitLimit.Within(Duration.ZERO), mayHaveRun = others.isNotEmpty(), others)
+        return control.thread.decide { control.placement.confirm(taken.backEnd, request, takenAt, control.clock.elapsed(), taken.isProbe) }
     }
 
     /** Runs on the control thread. */
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/ConnectingBackEndTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/ConnectingBackEndTest.kt
@@ -20,11 +20,13 @@
 import kotlinx.coroutines.test.runTest
 import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.Outcome
+import lagoonrudder.model.PromptPartId
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.TargetId
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
+private val DEADLY = PromptPartId("deadly")
 private val CONNECTING = 450.milliseconds
 private val ANSWER = Behaviour.Replies(listOf(head(), bytes("done"), ResponseEvent.End))
 private val SLOW_CONNECTION = Behaviour.Connects(CONNECTING, ANSWER)
@@ -80,6 +82,30 @@
             }
         }
 
+        test("a request is not sent once a part of its prompt is held back while the connection is opened") {
+            for (kind in kinds) {
+                runTest {
+                    val scene = Scene(this, kind, 1, SLOW_CONNECTION, ANSWER)
+                    val outcome = async { scene.run(sharedParts = listOf(DEADLY)) }
+                    advanceTimeBy(200.milliseconds)
+                    scene.crash(DEADLY, count = 3)
+                    outcome.await().shouldBeInstanceOf<Outcome.Refused>()
+                    withClue(kind) { scene.link.sent shouldHaveSize 0 }
+                    scene.inFlight shouldBe emptyMap()
+                }
+            }
+        }
+
+        test("a probe is sent although its connection opens slowly") {
+            runTest {
+                val scene = Scene(this, RequestKind.Idempotent, 1, SLOW_CONNECTION)
+                scene.crash(DEADLY, count = 3)
+                advanceTimeBy(1_500.milliseconds)
+                scene.run(sharedParts = listOf(DEADLY)).shouldBeInstanceOf<Outcome.Completed>()
+                scene.link.sent shouldHaveSize 1
+            }
+        }
+
         test("the time that a back end gets is what is left once the connection to it is open") {
             runTest {
                 val scene = Scene(this, RequestKind.Idempotent, 1, SLOW_CONNECTION)
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -52,6 +52,7 @@
 import lagoonrudder.model.Outcome
 import lagoonrudder.model.Peer
 import lagoonrudder.model.PeerRole
+import lagoonrudder.model.PromptPartId
 import lagoonrudder.model.Refusal
 import lagoonrudder.model.RegionId
 import lagoonrudder.model.RequestId
@@ -477,8 +478,10 @@
         apiKey: String? = null,
         id: String = "r",
         to: CallerResponse = response,
+        sharedParts: List<PromptPartId> = emptyList(),
     ): Outcome {
-        val request = DirectRequest(RequestId(id), "POST", "host", path, apiKey, timeLeft, null, null, emptyList(), ByteArray(0))
+        val request =
+            DirectRequest(RequestId(id), "POST", "host", path, apiKey, timeLeft, null, null, emptyList(), ByteArray(0), sharedParts)
         return chain.run(DirectCall(request, to, clock.elapsed()))
     }
 
@@ -502,6 +505,12 @@
         notice: BackEndNotice,
     ) = control.thread.decide { notices.onNoticeReceived(backEnds.first { it.id == id }.run, notice, clock.elapsed()) }
 
+    /** Lets [count] back ends that this daemon doesn't use crash at once under requests with [part]. */
+    suspend fun crash(
+        part: PromptPartId,
+        count: Int,
+    ) = control.thread.decide { repeat(count) { suspicions.onCrash(backEnd("other-$it", null), listOf(part), clock.elapsed()) } }
+
     /** Puts [next] in force, which the store or, if [fromPeer] is set, a peer has told. */
     suspend fun publish(
         next: ServingConfiguration,
