Keep the newest configuration after a restore until the store holds it

Cause: what was kept after a restore was released after 3 s, when the copy's configuration applied ('configuration-in-force revision=3 source=restored', 3.0 s after 'store-era', at both daemons).

The fix: a configuration is replaced only by a newer one, in every era. It is kept, and told to peers, until the store holds it or a later one; versions in between are passed over. Gossip tells the revision in force, and a daemon that hears of a later one in its era asks for it, at any time after the restore. 'configuration-kept', 'configuration-written-again' and the gauge configuration_kept_seconds show that the store lacks what is in force.

Why it works: no process returns by itself to a version that it knows to be older, and what one knows all others learn, also those that start later or that knew less, so the end of the one that told it loses nothing.

Three tests required the return to the copy's configuration after 3 s (RestoredStoreTest, RestoredStoreSiteTest, RestoredStoreDaemonsTest). They now require that the newest one stays, in every place and at every time where they required the older one, and that a newer one applies at once.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -7,6 +7,7 @@
  */
 package lagoonrudder.control.direct
 
+import lagoonrudder.model.Revision
 import lagoonrudder.model.StoreRecord
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -38,6 +39,20 @@
         else -> born > 0
     }
 
+/**
+ * Whether [offered] must not replace [known], since versions of configurations and of weights only increase: one that is lower, missing or
+ * can't be read is what a store holds until the known one is written again.
+ */
+internal fun isLowerVersion(
+    offered: StoreRecord?,
+    known: StoreRecord?,
+): Boolean =
+    when (known) {
+        is StoreRecord.Configuration -> offered !is StoreRecord.Configuration || offered.set.revision < known.set.revision
+        is StoreRecord.VersionDeclaration -> offered !is StoreRecord.VersionDeclaration || offered.number < known.number
+        is StoreRecord.DomainEvacuation, is StoreRecord.Registered, is StoreRecord.Unreadable, null -> false
+    }
+
 /** [known] is the item in effect, and [registration] what is known of the back end if [offered] is a registration. */
 internal fun decideRestored(
     known: DecodedItem?,
@@ -46,29 +61,21 @@
     now: Duration,
 ): RestoredItemDecision =
     when (val record = offered.published) {
-        is StoreRecord.Configuration -> {
-            val set = (known?.published as? StoreRecord.Configuration)?.set
-            val isOlder = set != null && record.set.revision < set.revision
-            if (isOlder) RestoredItemDecision.Keep(now + REWRITE_TIME) else RestoredItemDecision.Apply
-        }
         is StoreRecord.Registered -> decideRegistration(known, registration, record, now)
-        is StoreRecord.VersionDeclaration -> {
-            val number = (known?.published as? StoreRecord.VersionDeclaration)?.number
-            if (number != null && record.number < number) RestoredItemDecision.Keep(Duration.INFINITE) else RestoredItemDecision.Apply
+        is StoreRecord.Configuration,
+        is StoreRecord.VersionDeclaration,
+        is StoreRecord.DomainEvacuation,
+        is StoreRecord.Unreadable,
+        null,
+        -> {
+            val isMissingEvacuation = offered.item.value == null && known?.published is StoreRecord.DomainEvacuation
+            when {
+                isLowerVersion(record, known?.published) -> RestoredItemDecision.Keep(Duration.INFINITE)
+                isMissingEvacuation -> RestoredItemDecision.Keep(now + REWRITE_TIME)
+                // A back end that is missing is removed as after an outage.
+                else -> RestoredItemDecision.Apply
+            }
         }
-        is StoreRecord.DomainEvacuation, is StoreRecord.Unreadable -> RestoredItemDecision.Apply
-        null -> if (offered.item.value == null) decideMissing(known, now) else RestoredItemDecision.Apply
-    }
-
-/** A back end that is missing is removed as after an outage, and without a configuration the last one stays active. */
-private fun decideMissing(
-    known: DecodedItem?,
-    now: Duration,
-): RestoredItemDecision =
-    when (known?.published) {
-        is StoreRecord.DomainEvacuation -> RestoredItemDecision.Keep(now + REWRITE_TIME)
-        is StoreRecord.VersionDeclaration -> RestoredItemDecision.Keep(Duration.INFINITE)
-        is StoreRecord.Configuration, is StoreRecord.Registered, is StoreRecord.Unreadable, null -> RestoredItemDecision.Apply
     }
 
 private fun decideRegistration(
@@ -90,9 +97,13 @@
 internal class RestoredItems {
     private class KeptItem(
         val known: DecodedItem,
+        val since: Duration,
         val until: Duration,
         val isToldByPeer: Boolean,
-    )
+    ) {
+        /** The revision of a configuration; null for another record. */
+        val revision: Revision? get() = (known.published as? StoreRecord.Configuration)?.set?.revision
+    }
 
     private val keptByKey = mutableMapOf<String, KeptItem>()
     private val discardedByKey = mutableMapOf<String, StoreItem>()
@@ -102,23 +113,31 @@
     val kept: List<DecodedItem> get() = keptByKey.values.map { it.known }
 
     /**
-     * What peers that start now can't know: the items that this process keeps, and the removals of discarded ones. What a peer told is
-     * passed on only if it is kept for good, as its time would begin anew with each daemon.
+     * Returns what a peer that started after the restore can't know: the items that this process keeps, and the removals of discarded ones.
+     * What a peer told is passed on only if it is kept until it is written again, as a time would begin anew with each daemon. A
+     * configuration is left out if the peer has that of [configuration] or a later one.
      */
-    val toTell: List<StoreItem>
-        get() =
-            keptByKey.values
-                .filter { !it.isToldByPeer || it.until.isInfinite() }
-                .map { it.known.item } + discardedByKey.values
+    fun toTell(configuration: Revision?): List<StoreItem> =
+        keptByKey.values
+            .filter { !it.isToldByPeer || it.until.isInfinite() }
+            .filter { kept -> configuration == null || (kept.revision?.let { it > configuration } ?: true) }
+            .map { it.known.item } + discardedByKey.values
+
+    /** The configuration that is kept, and since when. */
+    val keptConfiguration: Pair<Revision, Duration>?
+        get() = keptByKey.values.firstNotNullOfOrNull { kept -> kept.revision?.let { it to kept.since } }
 
     fun keptOf(key: String): DecodedItem? = keptByKey[key]?.known
 
     fun keep(
         known: DecodedItem,
+        now: Duration,
         until: Duration,
         isToldByPeer: Boolean = false,
     ) {
-        keptByKey[known.item.key] = KeptItem(known, until, isToldByPeer)
+        val since = keptByKey[known.item.key]?.since ?: now
+        discardedByKey -= known.item.key
+        keptByKey[known.item.key] = KeptItem(known, since, until, isToldByPeer)
     }
 
     /** Records that the item in place of [removal], at the same position, was discarded. */
@@ -134,30 +153,17 @@
 
     /** Records a further restore at [now], after which the operator writes again once more. */
     fun onRestored(now: Duration) {
-        keptByKey.replaceAll { _, item -> KeptItem(item.known, maxOf(item.until, now + REWRITE_TIME), item.isToldByPeer) }
+        keptByKey.replaceAll { _, item -> KeptItem(item.known, item.since, maxOf(item.until, now + REWRITE_TIME), item.isToldByPeer) }
     }
 
-    /**
-     * Records a [change] of the restored store. Returns whether it applies: a configuration that is older than the one kept does so only
-     * once the time to write it again is over, and an older declaration never.
-     */
+    /** Records a [change] of the restored store. Returns whether it applies: a version that is lower than the one kept never does. */
     fun onChange(change: DecodedItem): Boolean {
         discardedByKey -= change.item.key
-        val isOlder = keptByKey[change.item.key]?.let { isOlder(change.published, it.known.published) } ?: false
-        if (!isOlder) keptByKey -= change.item.key
-        return !isOlder
+        val isLower = keptByKey[change.item.key]?.let { isLowerVersion(change.published, it.known.published) } ?: false
+        if (!isLower) keptByKey -= change.item.key
+        return !isLower
     }
 
-    private fun isOlder(
-        offered: StoreRecord?,
-        kept: StoreRecord?,
-    ): Boolean =
-        when (kept) {
-            is StoreRecord.Configuration -> offered is StoreRecord.Configuration && offered.set.revision < kept.set.revision
-            is StoreRecord.VersionDeclaration -> offered !is StoreRecord.VersionDeclaration || offered.number < kept.number
-            is StoreRecord.DomainEvacuation, is StoreRecord.Registered, is StoreRecord.Unreadable, null -> false
-        }
-
     /** Returns the keys whose time is over at [now], and releases them. */
     fun expire(now: Duration): List<String> =
         keptByKey
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -14,6 +14,7 @@
 import lagoonrudder.model.DomainId
 import lagoonrudder.model.Invariant
 import lagoonrudder.model.Invariants
+import lagoonrudder.model.Revision
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.ServingConfiguration
 import lagoonrudder.model.Step
@@ -80,6 +81,13 @@
     val discarded: List<String>,
 )
 
+/** A configuration that is in force [since] a restore, although the store [holds] an older one or none. */
+data class KeptConfiguration(
+    val revision: Revision,
+    val holds: Revision?,
+    val since: Duration,
+)
+
 /**
  * A registration expires after three heartbeats of silence, 3.6 s. So none can expire in a shorter outage than this, whenever its last
  * heartbeat was. A watch that gets no response is followed by another call within less.
@@ -280,9 +288,7 @@
         now: Duration,
     ): StoreViewChange {
         val before = at
-        // The active configuration outlives its item, also one that was removed or could not be read later.
-        val active = listOfNotNull(servingItem).associateBy { it.item.key }
-        val known = items.mapValues { (key, item) -> restored.keptOf(key) ?: active[key] ?: item }
+        val known = items.keys.associateWith { inEffect(it) }
         eraSeenAt = now
         if (known.isNotEmpty()) restoredAt = now
         contactPosition = upTo
@@ -294,11 +300,14 @@
                 val key = change.item.key
                 val isNewer = storeIfNewer(change)
                 val decision = decideRestored(known[key], knownRegistration(change), change, now)
-                if (isNewer) restored.release(key)
                 when (decision) {
-                    RestoredItemDecision.Apply -> Unit
-                    is RestoredItemDecision.Keep -> restored.keep(known.getValue(key), decision.until)
-                    RestoredItemDecision.Discard -> discard(change).also { discarded += key }
+                    RestoredItemDecision.Apply -> if (isNewer) restored.release(key)
+                    is RestoredItemDecision.Keep -> known[key]?.let { restored.keep(it, now, decision.until) }
+                    RestoredItemDecision.Discard -> {
+                        restored.release(key)
+                        discard(change)
+                        discarded += key
+                    }
                 }
                 isNewer && decision == RestoredItemDecision.Apply
             }
@@ -309,6 +318,9 @@
         return change.copy(era = EraChange(before, upTo, restored.keptKeys.toList(), discarded))
     }
 
+    /** Returns the item of [key] in effect; the active configuration outlives its item, also one that was removed or can't be read. */
+    private fun inEffect(key: String): DecodedItem? = restored.keptOf(key) ?: servingItem?.takeIf { it.item.key == key } ?: items[key]
+
     /** Returns what is known of the back end whose registration [offered] holds; one whose removal is pending is no longer in effect. */
     private fun knownRegistration(offered: DecodedItem): KnownRegistration? {
         val latest = latestRegistrations[offered.item.key] ?: return null
@@ -346,13 +358,17 @@
             val current = items[key]
             val registered = each.published as? StoreRecord.Registered
             when {
+                isLowerVersion(inEffect(key)?.published, each.published) -> {
+                    restored.keep(each, now, Duration.INFINITE, isToldByPeer = true)
+                    true
+                }
                 !isSettling(now) || restored.keptOf(key) != null -> false
                 current == null && registered != null -> storeIfNewer(each)
                 current != null && current.item.position.era < at.era -> false
                 else -> {
                     val absent = DecodedItem(StoreItem(key, at, null), null)
                     val decision = decideRestored(each, registered?.let { KnownRegistration(it, true) }, current ?: absent, now)
-                    if (decision is RestoredItemDecision.Keep) restored.keep(each, decision.until, isToldByPeer = true)
+                    if (decision is RestoredItemDecision.Keep) restored.keep(each, now, decision.until, isToldByPeer = true)
                     decision is RestoredItemDecision.Keep
                 }
             }
@@ -364,6 +380,27 @@
      */
     val needsFullRead: Boolean get() = at.era > StoreEra.UNSTATED && readEra != at.era
 
+    /**
+     * Whether a peer at [position] with the [configuration] in force can tell a newer one. Such a peer need not be ahead in the store: it may
+     * keep a configuration that a restored store doesn't hold.
+     */
+    fun isOutdatedBy(
+        position: StorePosition,
+        configuration: Revision?,
+    ): Boolean {
+        if (position > at) return true
+        val current = serving?.revision
+        return position.era == at.era && configuration != null && (current == null || configuration > current)
+    }
+
+    /** The configuration in force if the store doesn't hold it or a later one. */
+    val keptConfiguration: KeptConfiguration?
+        get() =
+            restored.keptConfiguration?.let { (revision, since) ->
+                val held = items.values.firstNotNullOfOrNull { it.published as? StoreRecord.Configuration }
+                KeptConfiguration(revision, held?.set?.revision?.takeIf { it < revision }, since)
+            }
+
     /** Whether peers may know what a restored store lacks, since this process has seen its era only since lately. */
     fun isSettling(now: Duration): Boolean = eraSeenAt?.let { now < it + REWRITE_TIME } ?: false
 
@@ -411,11 +448,17 @@
     /** The position up to which no removal is pending: peers learn of a pending removal only after it has taken effect. */
     val settledPosition: StorePosition get() = pendingRemovals.values.minOfOrNull { it.change.position.previous() } ?: at
 
-    /** Returns what a peer needs that has seen every change up to the position [after], without pending removals. */
-    fun itemsSince(after: StorePosition): StoreItems {
+    /**
+     * Returns what a peer needs that has seen every change up to the position [after] and has the [configuration] in force, without pending
+     * removals.
+     */
+    fun itemsSince(
+        after: StorePosition,
+        configuration: Revision? = null,
+    ): StoreItems {
         val pending = pendingRemovals.values.mapTo(mutableSetOf()) { it.change }
         val settled = items.values.map { it.item }.filter { it !in pending }
-        val told = restored.toTell.filter { it !in pending }
+        val told = restored.toTell(configuration).filter { it !in pending }
         if (after >= completeAt) return StoreItems(settled.filter { it.position > after } + told, isComplete = false)
         return StoreItems(settled.filter { it.value != null } + pendingRemovals.values.map { it.registration } + told, isComplete = true)
     }
@@ -486,6 +529,7 @@
             entry("confirmed", confirmed)
             entry("store-contact", storeContact)
             entry("kept-after-restore", restored.keptKeys)
+            entry("kept-configuration", keptConfiguration)
             entry("evacuated", evacuated.map { it.text })
             entry("declared", versions.newest.map { (model, number) -> "${model.text}:${number.number}" })
             entry("back-ends", backEndsById.values.map { "${it.id.text} leaving=${it.leaving} weights=${it.weights?.number?.number}" })
@@ -538,17 +582,18 @@
         return StoreViewChange(next, added, changed, removed, declared, changedEvacuation(), unusable)
     }
 
-    /** Within an era a configuration is replaced only by a newer one; a later era is no longer bound by what was lost. */
+    /** A configuration is replaced only by a newer one, or by the same one as a later era holds it. */
     private fun replacesServing(
         change: DecodedItem,
         offered: ServingConfiguration,
     ): Boolean {
-        val current = serving
-        val isNewer = current == null || offered.revision > current.revision
+        val current = serving ?: return true
+        val isNewer = offered.revision > current.revision
         val currentEra = servingItem?.item?.position?.era ?: StoreEra.UNSTATED
-        if (change.item.position.era != currentEra) return isNewer || change.item.position.era > currentEra
+        if (change.item.position.era > currentEra) return offered.revision >= current.revision
+        if (change.item.position.era < currentEra) return isNewer
         invariants.check(isNewer, Invariant.CONFIGURATION_NEVER_REVERTS, Step.ACCEPT_CONFIGURATION) {
-            "offered=${offered.revision.number} current=${current?.revision?.number}"
+            "offered=${offered.revision.number} current=${current.revision.number}"
         }
         return isNewer
     }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
@@ -11,11 +11,13 @@
 import io.kotest.matchers.shouldBe
 import lagoonrudder.control.strictInvariants
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.Revision
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 
 private val A = TargetId("a")
@@ -84,18 +86,71 @@
             (position(2, 3) > position(2, 2)) shouldBe true
         }
 
-        test("an older configuration of the copy applies only after the operator had time to write again") {
-            val view = running(configuration(LOST, 9))
-            view.restore(configuration(COPY, 7)).serving shouldBe null
-            view.releaseKept(RESTORED_AT + 2.9.seconds).isEmpty shouldBe true
-            view.serving?.revision?.number shouldBe 9
-            view
-                .releaseKept(RESTORED_AT + 3.seconds)
-                .serving
-                ?.revision
-                ?.number shouldBe 7
-            view.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), RESTORED_AT + 4.seconds)
-            view.serving?.revision?.number shouldBe 8
+        // Running daemons returned to the copy's configuration after 3 s, so that a key which had been taken away worked again.
+        for (writtenAfter in listOf(500.milliseconds, 3.seconds, 5.seconds, 1.minutes, Duration.INFINITE)) {
+            test("an older configuration of the copy never applies, and the lost one is written again after $writtenAfter") {
+                val view = running(configuration(LOST, 9))
+                view.restore(configuration(COPY, 7)).serving shouldBe null
+                val end = RESTORED_AT + minOf(writtenAfter, 10.minutes)
+                var now = RESTORED_AT
+                while (now < end) {
+                    view.releaseKept(now).isEmpty shouldBe true
+                    view.serving?.revision?.number shouldBe 9
+                    view.keptConfiguration shouldBe KeptConfiguration(Revision(9), Revision(7), RESTORED_AT)
+                    now += 100.milliseconds
+                }
+                if (writtenAfter.isFinite()) {
+                    view.applyChanges(listOf(configuration(position(2, 101), 9)), position(2, 101), end).serving shouldBe null
+                    view.keptConfiguration shouldBe null
+                }
+                view.serving?.revision?.number shouldBe 9
+                val newer = listOf(configuration(position(2, 102), 12))
+                view
+                    .applyChanges(newer, position(2, 102), end)
+                    .serving
+                    ?.revision
+                    ?.number shouldBe 12
+                view.keptConfiguration shouldBe null
+            }
+        }
+
+        test("a configuration that the copy lacks or holds in a form that can't be read stays, and is told") {
+            val unreadable = itemAt(position(2, 60), "op/config", StoreRecord.Unreadable("field routes"))
+            for (copy in listOf(emptyList(), listOf(unreadable))) {
+                val lost = configuration(LOST, 9)
+                val view = running(lost)
+                val started = StoreViewController(strictInvariants())
+                for (each in listOf(view, started)) each.restore(*copy.toTypedArray())
+                view.serving?.revision?.number shouldBe 9
+                view.keptConfiguration shouldBe KeptConfiguration(Revision(9), null, RESTORED_AT)
+                view.tell(started, copy + lost, RESTORED_AT + 100.milliseconds)
+                started.serving?.revision?.number shouldBe 9
+                view.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), RESTORED_AT + 1.seconds)
+                view.serving?.revision?.number shouldBe 9
+            }
+        }
+
+        test("daemons that knew different configurations, or only the copy, agree on the newest at any time after the restore") {
+            val records = listOf(configuration(LOST, 9), configuration(position(1, 450), 8), configuration(position(2, 90), 7))
+            val newest = running(records[0])
+            val behind = running(records[1])
+            val started = StoreViewController(strictInvariants())
+            val last = StoreViewController(strictInvariants())
+            for (view in listOf(newest, behind, started, last)) view.restore(records[2])
+            val later = RESTORED_AT + 20.seconds
+            behind.isOutdatedBy(newest.at, newest.serving?.revision) shouldBe true
+            newest.tell(behind, records, later)
+            // The daemon that knew it first has ended meanwhile.
+            behind.tell(started, records, later + 10.seconds)
+            started.tell(last, records, later + 20.seconds)
+            for (view in listOf(newest, behind, started, last)) {
+                view.releaseKept(later + 1.minutes)
+                view.serving?.revision?.number shouldBe 9
+                newest.isOutdatedBy(view.at, view.serving?.revision) shouldBe false
+            }
+            withClue("told only to those that lack it") { last.itemsSince(COPY, Revision(9)).items.shouldBeEmpty() }
+            last.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), later + 1.minutes)
+            last.serving?.revision?.number shouldBe 9
         }
 
         test("a configuration that is written again stays, and one between the two does not apply in the time to write again") {
@@ -116,7 +171,7 @@
             view.serving?.revision?.number shouldBe 9
         }
 
-        test("two restores in a row give the operator the time to write again each") {
+        test("two restores in a row lose no configuration, and give the operator the time to evacuate again each") {
             val view = running(configuration(LOST, 9), evacuation(LOST))
             view.restore(configuration(COPY, 7))
             view.restore(configuration(position(3, 90), 6), at = position(3, 90), now = RESTORED_AT + 2.seconds)
@@ -124,7 +179,8 @@
             view.serving?.revision?.number shouldBe 9
             view.evacuated shouldBe setOf(NEAR)
             view.releaseKept(RESTORED_AT + 5.seconds)
-            view.serving?.revision?.number shouldBe 6
+            view.serving?.revision?.number shouldBe 9
+            view.keptConfiguration shouldBe KeptConfiguration(Revision(9), Revision(6), RESTORED_AT)
             view.evacuated.shouldBeEmpty()
         }
 
@@ -237,7 +293,7 @@
             follower.expire(RESTORED_AT + 2.4.seconds)
             follower.backEnds.shouldBeEmpty()
             follower.releaseKept(RESTORED_AT + 3.1.seconds)
-            follower.serving?.revision?.number shouldBe 7
+            follower.serving?.revision?.number shouldBe 9
             follower.at shouldBe COPY
         }
 
@@ -269,9 +325,9 @@
             withClue("leaving") { started.backEnd(TargetId("b"))?.leaving shouldBe true }
             started.serving?.revision?.number shouldBe 9
             started.evacuated shouldBe setOf(NEAR)
-            withClue("not passed on") { started.itemsSince(COPY).items.shouldBeEmpty() }
+            withClue("passed on") { started.itemsSince(COPY).items.map { it.key } shouldContainExactly listOf("op/config") }
             started.releaseKept(RESTORED_AT + 4.seconds)
-            started.serving?.revision?.number shouldBe 7
+            started.serving?.revision?.number shouldBe 9
             started.evacuated.shouldBeEmpty()
         }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -16,6 +16,7 @@
 import lagoonrudder.control.direct.CatchUpController
 import lagoonrudder.control.direct.ChunkWriteController
 import lagoonrudder.control.direct.DeclaredWeights
+import lagoonrudder.control.direct.KeptConfiguration
 import lagoonrudder.control.direct.LoadOrderController
 import lagoonrudder.control.direct.ManifestController
 import lagoonrudder.control.direct.PeerController
@@ -41,6 +42,7 @@
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
+import lagoonrudder.wire.messages.NO_CONFIGURATION
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -77,6 +79,7 @@
     val weightSources = WeightSourceController()
     val transferRates = TransferRateObserver()
     val versionChoiceChanges = AtomicLong()
+    private var reportedKept: KeptConfiguration? = null
     val manifests = ManifestController()
     val loadOrders = LoadOrderController()
     val chunkWrites = ChunkWriteController()
@@ -159,6 +162,21 @@
         return arrayOf("age-ms" to (now - declared.countsFrom).inWholeMilliseconds, "min-age-ms" to minAge.inWholeMilliseconds)
     }
 
+    /** Logs when a configuration begins or ceases to be in force without the store holding it. Runs on the control thread. */
+    fun reportKeptConfiguration() {
+        val before = reportedKept
+        val kept = storeView.keptConfiguration
+        if (kept == before) return
+        reportedKept = kept
+        if (kept != null) {
+            val age = clock.elapsed() - kept.since
+            log.warning("configuration-kept", "revision" to kept.revision.number, "store-holds" to kept.holds?.number, "for" to age)
+        } else if (before != null) {
+            val age = clock.elapsed() - before.since
+            log.info("configuration-written-again", "revision" to storeView.serving?.revision?.number, "kept-for" to age)
+        }
+    }
+
     private fun logSuspicion(change: SuspicionChange) =
         when (change) {
             is SuspicionChange.Accused -> {
@@ -201,6 +219,9 @@
     /** Returns what to tell peers of the declared versions; nothing after an unnoticed pause. Runs on the control thread. */
     fun versionsToTell(): List<VersionAcknowledgement> = if (hasUnnoticedPause) emptyList() else storeView.versions.toTell(clock.elapsed())
 
+    /** Returns the revision of the configuration in force to tell peers. Runs on the control thread. */
+    fun configurationToTell(): Long = storeView.serving?.revision?.number ?: NO_CONFIGURATION
+
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> =
         listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()), catchUp.dump(clock.elapsed()))
@@ -208,6 +229,7 @@
     fun gauges(): Map<String, Number> =
         mapOf(
             "configuration_revision" to (storeView.serving?.revision?.number ?: 0),
+            "configuration_kept_seconds" to (storeView.keptConfiguration?.let { (clock.elapsed() - it.since).inWholeSeconds } ?: 0),
             "store_revision" to storeView.at.revision.number,
             "store_era" to storeView.at.era.number,
             "catch_up_further_requests" to catchUp.furtherRequests,
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectEntryDaemon.kt
@@ -154,6 +154,7 @@
     private fun onTick(): List<TargetId> {
         val now = core.clock.elapsed()
         core.suspicions.onTick(now)
+        core.reportKeptConfiguration()
         placement.dispatchQueued(now)
         return core.storeView.expire(now)
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectTargetDaemon.kt
@@ -55,6 +55,7 @@
             core.thread.decide {
                 core.noticePause(PAUSE_CHECK_INTERVAL)
                 core.storeView.releaseKept(core.clock.elapsed())
+                core.reportKeptConfiguration()
             }
         }
     }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -29,6 +29,7 @@
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.MalformedMessage
+import lagoonrudder.wire.messages.configurationInForce
 import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.load
 import lagoonrudder.wire.messages.position
@@ -236,6 +237,7 @@
             demand = load.demand.toDemandMessages(),
             era = core.storeView.at.era.number,
             deflatedAccepted = true,
+            configuration = core.configurationToTell(),
         )
     }
 
@@ -256,7 +258,7 @@
                 core.holdings.onHeard(peer, reply.holdings.mapNotNull { it.toHolding() }, now)
                 if (reply.position == StorePosition.NONE) core.holdings.onForgotten(peer.daemon)
                 core.peers.mergeLivePeers(reply.livePeers.map { it.toLivePeer() }, now)
-                val isBehind = reply.position > core.storeView.at
+                val isBehind = core.storeView.isOutdatedBy(reply.position, reply.configurationInForce)
                 if (core.catchUp.onHeard(reply.position, now)) logLag(reply.position, now)
                 val isUpdate = items.isNotEmpty() || (!core.storeView.confirmed && core.storeView.serving != null && !isBehind)
                 val change = if (isUpdate) applyItems(items, reply, now) else null
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -18,6 +18,7 @@
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.MalformedMessage
 import lagoonrudder.wire.messages.ManifestMessage
+import lagoonrudder.wire.messages.configurationInForce
 import lagoonrudder.wire.messages.declared
 import lagoonrudder.wire.messages.decodeMessage
 import lagoonrudder.wire.messages.encodeMessage
@@ -66,7 +67,7 @@
             }
         val (reply, items, knowsLess) =
             core.thread.decide {
-                val items = if (message.itemsRequested) core.storeView.itemsSince(message.position) else null
+                val items = if (message.itemsRequested) core.storeView.itemsSince(message.position, message.configurationInForce) else null
                 Triple(replyTo(message, items), items?.items.orEmpty(), knowsLessThanSender(message))
             }
         val peer = message.self.toPeer()
@@ -80,7 +81,8 @@
         val now = core.clock.elapsed()
         val since = message.storeSince(now)
         val canConfirm = !core.storeView.confirmed && message.upToDateAge != null
-        return message.position > core.storeView.at || canConfirm || (since != null && core.storeView.isGraceRefutedBy(since, now))
+        val isOutdated = core.storeView.isOutdatedBy(message.position, message.configurationInForce)
+        return isOutdated || canConfirm || (since != null && core.storeView.isGraceRefutedBy(since, now))
     }
 
     /** Returns the reply to [message] but for [items]. Runs on the control thread. */
@@ -129,6 +131,7 @@
             declarations = core.versionsToTell().map { it.toMessage(now) },
             demand = load.demand.toDemandMessages(),
             holdings = core.holdings.toTell(peer, now).map { it.toMessage() },
+            configuration = core.configurationToTell(),
         )
     }
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreGossip.kt
@@ -83,7 +83,8 @@
         for ((receiver, sender) in listOf(first to second, second to first)) {
             receiver.peers.onGossipReceived(sender.peer, NO_LOAD, sender.reader.contactAge(clockOf(sender)), clockOf(receiver))
             val settled = sender.storeView.settledPosition
-            if (settled <= receiver.storeView.at && !receiver.storeView.isSettling(clockOf(receiver))) continue
+            val isOutdated = receiver.storeView.isOutdatedBy(settled, sender.storeView.serving?.revision)
+            if (!isOutdated && !receiver.storeView.isSettling(clockOf(receiver))) continue
             scope.launch {
                 delay(EXCHANGE_TIME)
                 if (canExchange(receiver, sender)) sendItems(sender, receiver, settled)
@@ -96,7 +97,7 @@
         receiver: VirtualStoreDaemon,
         settled: StorePosition,
     ) {
-        val sent = sender.storeView.itemsSince(receiver.storeView.at)
+        val sent = sender.storeView.itemsSince(receiver.storeView.at, receiver.storeView.serving?.revision)
         val changes = sent.items.map { DecodedItem(it, recordOf(it)) }
         if (sent.isComplete) {
             receiver.storeView.applySettledSnapshot(changes, settled, clockOf(receiver))
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/RestoredStoreSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/RestoredStoreSiteTest.kt
@@ -115,13 +115,13 @@
                 }
             }
 
-            context("what is not written again follows the store after the time to do so, $domains failure domains") {
+            context("what is not written again follows the store after the time to do so, but for versions, $domains failure domains") {
                 withTests(nameFn = { it.name }, Trouble.entries) { trouble ->
                     restoredSite(domains, trouble).use { site ->
                         site.advance(8.seconds)
                         for (daemon in site.daemons.filter { it.isRunning }) {
                             withClue(daemon.peer.daemon.text) {
-                                daemon.storeView.serving?.revision shouldBe Revision(1)
+                                daemon.storeView.serving?.revision shouldBe Revision(2)
                                 daemon.storeView.evacuated shouldBe emptySet()
                                 daemon.storeView.backEnds.map { it.id } shouldBe listOf(LEAVING.id)
                                 daemon.storeView.versions.newest[MODEL] shouldBe WeightNumber(2)
@@ -131,4 +131,42 @@
                 }
             }
         }
+
+        // A daemon asked for what a restored store lacks only right after it had seen the restore.
+        test("a daemon that starts long after the restore learns the newest configuration, and passes it on when the others are gone") {
+            restoredSite(2, Trouble.NONE).use { site ->
+                site.advance(20.seconds)
+                val (first, second) = site.daemons.filter { it !in site.readers() }
+                val others = site.daemons - first - second
+                listOf(first, second).forEach { site.stop(it) }
+                site.advance(1.seconds)
+                site.start(first)
+                site.advance(1.seconds)
+                first.storeView.serving?.revision shouldBe Revision(2)
+                others.forEach { site.stop(it) }
+                site.advance(10.seconds)
+                site.start(second)
+                site.advance(1.seconds)
+                second.storeView.serving?.revision shouldBe Revision(2)
+                site.publish(Revision(3))
+                site.advance(2.seconds)
+                listOf(first, second).forEach { it.storeView.serving?.revision shouldBe Revision(3) }
+            }
+        }
+
+        test("a daemon that could not be reached during the restore returns to no older configuration") {
+            restoredSite(2, Trouble.NONE).use { site ->
+                val cut = site.daemons.first { it !in site.readers() }
+                cut.isReachable = false
+                cut.treatment = StoreTreatment.Silent
+                site.advance(10.seconds)
+                cut.isReachable = true
+                cut.treatment = StoreTreatment.Answers
+                repeat(200) {
+                    site.advance(50.milliseconds)
+                    site.daemons.forEach { it.storeView.serving?.revision shouldBe Revision(2) }
+                }
+                cut.storeView.at.era.number shouldBe 1
+            }
+        }
     })
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/RestoredStoreDaemonsTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/direct/RestoredStoreDaemonsTest.kt
@@ -9,8 +9,8 @@
 
 class RestoredStoreDaemonsTest :
     FunSpec({
-        // Guards against daemons that compare revisions across a restore: they would keep the lost configuration, or revert at once.
-        test("a restored store's older configuration applies only if the lost one isn't written again in time") {
+        // Guards against daemons that compare revisions across a restore, and against those that return to an older configuration.
+        test("a restored store's older configuration never applies, and a newer one does at once") {
             withSite(entries = 2, workers = 2) {
                 publish(revision = 2, prefix = "/old/")
                 eventually { (0..1).all { request(it, "/old/b")?.head?.status == 200 } }
@@ -34,7 +34,10 @@
                 delay(4.seconds)
                 expectKept()
                 store.restore(copy)
-                eventually { (0..1).all { request(it, "/old/b")?.head?.status == 200 } }
+                delay(4.seconds)
+                expectKept()
+                publish(revision = 4, prefix = "/newest/")
+                eventually { (0..1).all { request(it, "/newest/b")?.head?.status == 200 } }
             }
         }
     })
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -29,6 +29,7 @@
 import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.RegionId
+import lagoonrudder.model.Revision
 import lagoonrudder.model.ServiceId
 import lagoonrudder.model.TargetId
 import lagoonrudder.model.WeightNumber
@@ -132,6 +133,7 @@
     @ProtoNumber(15) val demand: List<DemandMessage> = emptyList(),
     @ProtoNumber(16) val era: Long = 0,
     @ProtoNumber(17) val deflatedAccepted: Boolean = false,
+    @ProtoNumber(18) val configuration: Long = NO_CONFIGURATION,
 )
 
 /**
@@ -159,6 +161,7 @@
     @ProtoNumber(15) val holdings: List<HoldingMessage> = emptyList(),
     @ProtoNumber(16) val demand: List<DemandMessage> = emptyList(),
     @ProtoNumber(17) val era: Long = 0,
+    @ProtoNumber(18) val configuration: Long = NO_CONFIGURATION,
 )
 
 @Serializable
@@ -205,6 +208,16 @@
 
 private const val MAX_DEMAND_SERVICES = 8
 
+/** The revision that a daemon without a configuration tells. */
+const val NO_CONFIGURATION = 0L
+
+/** The revision of the configuration in force at the sender; null if it has none. */
+val GossipMessage.configurationInForce: Revision? get() = revisionOrNull(configuration)
+
+val GossipReply.configurationInForce: Revision? get() = revisionOrNull(configuration)
+
+private fun revisionOrNull(number: Long) = if (number == NO_CONFIGURATION) null else Revision(number)
+
 val GossipMessage.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons, demand.toDemand())
 
 val GossipReply.load: LoadReport get() = LoadReport(loads.toLoads(), loadDaemons, demand.toDemand())
--- a/wire/src/test/kotlin/lagoonrudder/wire/PositionMessagesTest.kt
+++ b/wire/src/test/kotlin/lagoonrudder/wire/PositionMessagesTest.kt
@@ -9,9 +9,11 @@
 import lagoonrudder.control.direct.StoreItem
 import lagoonrudder.control.direct.StorePosition
 import lagoonrudder.control.direct.StoreRevision
+import lagoonrudder.model.Revision
 import lagoonrudder.wire.messages.GossipMessage
 import lagoonrudder.wire.messages.GossipReply
 import lagoonrudder.wire.messages.PeerMessage
+import lagoonrudder.wire.messages.configurationInForce
 import lagoonrudder.wire.messages.position
 import lagoonrudder.wire.messages.toItem
 import lagoonrudder.wire.messages.toMessage
@@ -32,4 +34,11 @@
             GossipReply(self, at = 5).position shouldBe StorePosition.unstated(5)
             StoreItem("op/config", 5, null).toMessage().era shouldBe 0
         }
+
+        test("gossip carries the revision of the configuration in force, and none if there is none") {
+            GossipMessage(self, at = 5, configuration = 9).configurationInForce shouldBe Revision(9)
+            GossipReply(self, at = 5, configuration = 9).configurationInForce shouldBe Revision(9)
+            GossipMessage(self, at = 5).configurationInForce shouldBe null
+            GossipReply(self, at = 5).configurationInForce shouldBe null
+        }
     })
