Keep an evacuation after a restore until it is taken back

What callers saw: when the store came back from a copy without an evacuation, requests went to the domain again 3 s later, before it was taken back (EVAC); and an evacuation that had been taken back returned with an older copy and emptied a sound domain.

What the copy lacks was given up after a fixed time, and what it brings back was believed although this process knew that it had ended.

The fix: an evacuation that the copy lacks stays until the store removes it. If the operator takes it back instead of writing it again, the store may show nothing, so anything else that the operator writes after the restore shows that writing again has begun, and what is not among it within 10 s has ended. An evacuation that was known to have ended is discarded until it is written again, as a registration of a back end that is gone.

Left open: if the operator writes nothing at all, the evacuation stays; a daemon that comes back after the operator has written everything keeps it until the next write.

Tests: six of RestoredStoreTest failed before. The tests that let an evacuation end after 3 s, and return with the copy at a process that knew better, required the opposite of the rule; they now require that it stays, and which writes end it.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -62,19 +62,15 @@
 ): RestoredItemDecision =
     when (val record = offered.published) {
         is StoreRecord.Registered -> decideRegistration(known, registration, record, now)
-        is StoreRecord.Configuration,
-        is StoreRecord.VersionDeclaration,
-        is StoreRecord.DomainEvacuation,
-        is StoreRecord.Unreadable,
-        null,
-        -> {
+        is StoreRecord.DomainEvacuation -> {
+            val hadEnded = known != null && known.item.value == null
+            if (hadEnded) RestoredItemDecision.Discard else RestoredItemDecision.Apply
+        }
+        is StoreRecord.Configuration, is StoreRecord.VersionDeclaration, is StoreRecord.Unreadable, null -> {
             val isMissingEvacuation = offered.item.value == null && known?.published is StoreRecord.DomainEvacuation
-            when {
-                isLowerVersion(record, known?.published) -> RestoredItemDecision.Keep(Duration.INFINITE)
-                isMissingEvacuation -> RestoredItemDecision.Keep(now + REWRITE_TIME)
-                // A back end that is missing is removed as after an outage.
-                else -> RestoredItemDecision.Apply
-            }
+            val isKept = isMissingEvacuation || isLowerVersion(record, known?.published)
+            // A back end that is missing is removed as after an outage.
+            if (isKept) RestoredItemDecision.Keep(Duration.INFINITE) else RestoredItemDecision.Apply
         }
     }
 
@@ -101,6 +97,8 @@
         val until: Duration,
         val isToldByPeer: Boolean,
     ) {
+        val isEvacuation: Boolean get() = known.published is StoreRecord.DomainEvacuation
+
         /** The revision of a configuration; null for another record. */
         val revision: Revision? get() = (known.published as? StoreRecord.Configuration)?.set?.revision
     }
@@ -151,19 +149,40 @@
         discardedByKey -= key
     }
 
-    /** Records a further restore at [now], after which the operator writes again once more. */
-    fun onRestored(now: Duration) {
-        keptByKey.replaceAll { _, item -> KeptItem(item.known, item.since, maxOf(item.until, now + REWRITE_TIME), item.isToldByPeer) }
-    }
+    /** Records a further restore at [now], after which everything is written again once more. */
+    fun onRestored(now: Duration) =
+        keptByKey.replaceAll { _, item ->
+            val until = if (item.isEvacuation) Duration.INFINITE else maxOf(item.until, now + RENEWAL_TIME)
+            KeptItem(item.known, item.since, until, item.isToldByPeer)
+        }
 
-    /** Records a [change] of the restored store. Returns whether it applies: a version that is lower than the one kept never does. */
-    fun onChange(change: DecodedItem): Boolean {
-        discardedByKey -= change.item.key
-        val isLower = keptByKey[change.item.key]?.let { isLowerVersion(change.published, it.known.published) } ?: false
-        if (!isLower) keptByKey -= change.item.key
+    /**
+     * Records a [change] of the restored store. Returns whether it applies: a version that is lower than the one kept never does. Anything
+     * that the operator writes shows that the operator writes again what was lost, so an evacuation that is not among it has ended.
+     */
+    fun onChange(
+        change: DecodedItem,
+        now: Duration,
+    ): Boolean {
+        val key = change.item.key
+        discardedByKey -= key
+        val isLower = keptByKey[key]?.let { isLowerVersion(change.published, it.known.published) } ?: false
+        if (!isLower) keptByKey -= key
+        when (change.published) {
+            is StoreRecord.Configuration, is StoreRecord.DomainEvacuation, is StoreRecord.VersionDeclaration ->
+                endEvacuations(
+                    now + REWRITE_TIME,
+                )
+            is StoreRecord.Registered, is StoreRecord.Unreadable, null -> Unit
+        }
         return !isLower
     }
 
+    private fun endEvacuations(until: Duration) =
+        keptByKey.replaceAll { _, item ->
+            if (item.isEvacuation && item.until > until) KeptItem(item.known, item.since, until, item.isToldByPeer) else item
+        }
+
     /** Returns the keys whose time is over at [now], and releases them. */
     fun expire(now: Duration): List<String> =
         keptByKey
@@ -173,8 +192,8 @@
             .onEach { keptByKey -= it }
 }
 
-/** How long the operator has to write again what a copy lacks. */
-internal val REWRITE_TIME = 3.seconds
+/** The time in which the operator writes again all that a copy lacks, from the first write on. */
+private val REWRITE_TIME = 10.seconds
 
 /** Three heartbeats: a back end that has not renewed its registration by then is no longer alive. */
 private val RENEWAL_TIME = 3_600.milliseconds
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewController.kt
@@ -239,7 +239,7 @@
         holdRemovals: Boolean,
     ): StoreViewChange {
         val (current, earlier) = changes.partition { it.item.position.era == upTo.era }
-        val applied = current.filter { storeIfNewer(it) && restored.onChange(it) } + keepTold(earlier, now)
+        val applied = current.filter { storeIfNewer(it) && restored.onChange(it, now) } + keepTold(earlier, now)
         at = maxOf(at, upTo)
         confirmedAt = now
         checkAgeOfState(now)
@@ -402,7 +402,7 @@
             }
 
     /** Whether peers may know what a restored store lacks, since this process has seen its era only since lately. */
-    fun isSettling(now: Duration): Boolean = eraSeenAt?.let { now < it + REWRITE_TIME } ?: false
+    fun isSettling(now: Duration): Boolean = eraSeenAt?.let { now < it + LEARNING_TIME } ?: false
 
     /** Applies the store's items in place of those that were kept after a restore and whose time is over. */
     fun releaseKept(now: Duration): StoreViewChange {
@@ -648,6 +648,9 @@
     }
 
     private companion object {
+        /** The time in which a daemon that has just seen an era exchanges with all peers that it can reach. */
+        val LEARNING_TIME = 3.seconds
+
         /** A live back end registers within two seconds after the store recovers, and a change that shares a call comes 250 ms later. */
         val REMOVAL_GRACE = 2_300.milliseconds
     }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
@@ -8,6 +8,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
 import lagoonrudder.control.strictInvariants
 import lagoonrudder.model.BackEnd
@@ -171,17 +172,15 @@
             view.serving?.revision?.number shouldBe 9
         }
 
-        test("two restores in a row lose no configuration, and give the operator the time to evacuate again each") {
+        test("two restores in a row lose neither the configuration nor an evacuation") {
             val view = running(configuration(LOST, 9), evacuation(LOST))
             view.restore(configuration(COPY, 7))
+            view.applyChanges(listOf(configuration(position(2, 101), 8)), position(2, 101), RESTORED_AT + 1.seconds)
             view.restore(configuration(position(3, 90), 6), at = position(3, 90), now = RESTORED_AT + 2.seconds)
-            view.releaseKept(RESTORED_AT + 4.9.seconds).isEmpty shouldBe true
-            view.serving?.revision?.number shouldBe 9
-            view.evacuated shouldBe setOf(NEAR)
-            view.releaseKept(RESTORED_AT + 5.seconds)
+            view.releaseKept(RESTORED_AT + 1.minutes).isEmpty shouldBe true
             view.serving?.revision?.number shouldBe 9
             view.keptConfiguration shouldBe KeptConfiguration(Revision(9), Revision(6), RESTORED_AT)
-            view.evacuated.shouldBeEmpty()
+            view.evacuated shouldBe setOf(NEAR)
         }
 
         test("a registration that the copy lacks is kept until it is back, and dropped when it stays away") {
@@ -225,13 +224,60 @@
             renewed.backEnd(A)?.leaving shouldBe false
         }
 
-        test("an evacuation that the copy lacks stays for the time to write again, and one that it brings back takes effect at once") {
+        // An evacuation ended 3 s after the restore, so requests went to the domain before it was taken back.
+        test("an evacuation that the copy lacks stays until it ends in the store") {
+            val later = RESTORED_AT + 1.minutes
             val view = running(evacuation(LOST))
             view.restore().evacuated shouldBe null
-            view.releaseKept(RESTORED_AT + 2.9.seconds)
+            view.releaseKept(later)
+            view.evacuated shouldBe setOf(NEAR)
+            view.applyChanges(listOf(evacuation(position(2, 101))), position(2, 101), later)
+            view.releaseKept(later + 1.minutes)
+            view.evacuated shouldBe setOf(NEAR)
+            val ended = listOf(itemAt(position(2, 102), "op/evacuate/near", null))
+            view.applyChanges(ended, position(2, 102), later + 1.minutes).evacuated shouldBe emptySet()
+        }
+
+        test("an evacuation that the operator does not write again beside other things has ended") {
+            val far = itemAt(position(2, 101), "op/evacuate/far", StoreRecord.DomainEvacuation(FAR))
+            val declared = itemAt(position(2, 101), "op/version/model", StoreRecord.VersionDeclaration(MODEL, WeightNumber(3)))
+            for (written in listOf(configuration(position(2, 101), 9), far, declared)) {
+                val view = running(configuration(LOST, 9), evacuation(LOST))
+                view.restore(configuration(COPY, 7))
+                val writtenAt = RESTORED_AT + 20.seconds
+                view.applyChanges(listOf(written), position(2, 101), writtenAt)
+                view.applyChanges(listOf(configuration(position(2, 102), 12)), position(2, 102), writtenAt + 9.seconds)
+                view.releaseKept(writtenAt + 9.9.seconds)
+                (NEAR in view.evacuated) shouldBe true
+                view.releaseKept(writtenAt + 10.seconds)
+                (NEAR in view.evacuated) shouldBe false
+            }
+        }
+
+        test("what back ends write again says nothing about an evacuation") {
+            val view = running(evacuation(LOST), registration(LOST))
+            view.restore()
+            view.applyChanges(listOf(registration(position(2, 101))), position(2, 101), RESTORED_AT + 1.seconds)
+            view.releaseKept(RESTORED_AT + 1.minutes)
             view.evacuated shouldBe setOf(NEAR)
-            view.releaseKept(RESTORED_AT + 3.seconds).evacuated shouldBe emptySet()
+        }
+
+        // One that the operator had taken back kept the domain empty until it was removed once more.
+        test("an evacuation that the copy brings back applies only if it was not known to have ended, or once it is written again") {
             running().restore(evacuation(COPY)).evacuated shouldBe setOf(NEAR)
+            val view = running(evacuation(position(1, 490)))
+            view.applyChanges(listOf(itemAt(position(1, 501), "op/evacuate/near", null)), position(1, 501), 55.seconds)
+            val copy = evacuation(position(2, 90))
+            view.restore(copy).evacuated shouldBe null
+            view.evacuated.shouldBeEmpty()
+            val started = StoreViewController(strictInvariants())
+            started.restore(copy).evacuated shouldBe setOf(NEAR)
+            view.tell(started, listOf(copy), RESTORED_AT + 100.milliseconds)
+            withClue("told to a daemon that started") { started.evacuated.shouldBeEmpty() }
+            for (each in listOf(view, started)) {
+                each.applyChanges(listOf(evacuation(position(2, 101))), position(2, 101), RESTORED_AT + 1.seconds)
+                each.evacuated shouldBe setOf(NEAR)
+            }
         }
 
         test("an evacuation that ends in the new era ends at once") {
@@ -325,10 +371,13 @@
             withClue("leaving") { started.backEnd(TargetId("b"))?.leaving shouldBe true }
             started.serving?.revision?.number shouldBe 9
             started.evacuated shouldBe setOf(NEAR)
-            withClue("passed on") { started.itemsSince(COPY).items.map { it.key } shouldContainExactly listOf("op/config") }
+            withClue("passed on") {
+                started.itemsSince(COPY).items.map { it.key } shouldContainExactlyInAnyOrder
+                    listOf("op/config", "op/evacuate/near")
+            }
             started.releaseKept(RESTORED_AT + 4.seconds)
             started.serving?.revision?.number shouldBe 9
-            started.evacuated.shouldBeEmpty()
+            started.evacuated shouldBe setOf(NEAR)
         }
 
         test("without an era a revision that goes back changes nothing, as before") {
--- a/stand-ins/src/test/kotlin/lagoonrudder/standins/RestoredStoreSiteTest.kt
+++ b/stand-ins/src/test/kotlin/lagoonrudder/standins/RestoredStoreSiteTest.kt
@@ -115,14 +115,14 @@
                 }
             }
 
-            context("what is not written again follows the store after the time to do so, but for versions, $domains failure domains") {
+            context("what the operator does not write again stays, $domains failure domains") {
                 withTests(nameFn = { it.name }, Trouble.entries) { trouble ->
                     restoredSite(domains, trouble).use { site ->
                         site.advance(8.seconds)
                         for (daemon in site.daemons.filter { it.isRunning }) {
                             withClue(daemon.peer.daemon.text) {
                                 daemon.storeView.serving?.revision shouldBe Revision(2)
-                                daemon.storeView.evacuated shouldBe emptySet()
+                                daemon.storeView.evacuated shouldBe setOf(DOMAIN)
                                 daemon.storeView.backEnds.map { it.id } shouldBe listOf(LEAVING.id)
                                 daemon.storeView.versions.newest[MODEL] shouldBe WeightNumber(2)
                             }
