Keep a back end leaving after a restore until it registers anew

What callers saw: a back end that had said it leaves took requests again 3.6 s after the store came back from a copy in which it was still ready (DRAIN).

Cause: the same as of the older configuration: what was known was given up after a fixed time for the older word of the copy.

The fix: it stays leaving until it registers anew, as the same run with a later sequence or as a new run, or until its registration is removed. The platform's pages take an entry that was not renewed by then as gone, so nothing allows to take it as ready. What else a registration says still follows the store after three heartbeats.

Test: RestoredStoreTest, 'a back end that was known to be leaving stays so until it registers anew or is gone' failed before and passes. It replaces one that let the leaving end after three heartbeats.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -86,6 +86,7 @@
         offered.isLaterThan(registration.latest) -> RestoredItemDecision.Apply
         !registration.isInEffect -> RestoredItemDecision.Discard
         offered.backEnd == registration.latest.backEnd -> RestoredItemDecision.Apply
+        registration.latest.backEnd.leaving -> RestoredItemDecision.Keep(Duration.INFINITE)
         else -> RestoredItemDecision.Keep(now + RENEWAL_TIME)
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
@@ -209,19 +209,32 @@
             view.restore(registration(COPY, backEnd("a", born = 2), sequence = 0)).added.map { it.born } shouldContainExactly listOf(2L)
         }
 
-        test("a back end that was known to be leaving stays so until it registers anew or three heartbeats have passed") {
+        // It took requests again three heartbeats after the restore, although it had not registered anew.
+        test("a back end that was known to be leaving stays so until it registers anew or is gone") {
             fun restored() =
                 running(registration(LOST, backEnd("a", leaving = true), sequence = 20)).apply {
                     restore(registration(position(2, 40), sequence = 12))
+                    releaseKept(RESTORED_AT + 1.minutes)
+                    backEnd(A)?.leaving shouldBe true
                 }
-            val silent = restored()
-            silent.releaseKept(RESTORED_AT + 3.5.seconds)
-            silent.backEnd(A)?.leaving shouldBe true
-            silent.releaseKept(RESTORED_AT + 3.6.seconds)
-            silent.backEnd(A)?.leaving shouldBe false
-            val renewed = restored()
-            renewed.applyChanges(listOf(registration(position(2, 101), sequence = 21)), position(2, 101), RESTORED_AT + 1.seconds)
-            renewed.backEnd(A)?.leaving shouldBe false
+            val later = RESTORED_AT + 1.minutes
+            for (anew in listOf(registration(position(2, 101), sequence = 21), registration(position(2, 101), backEnd("a", born = 2)))) {
+                val renewed = restored()
+                renewed.applyChanges(listOf(anew), position(2, 101), later)
+                renewed.backEnd(A)?.leaving shouldBe false
+            }
+            val gone = restored()
+            gone.applyChanges(listOf(itemAt(position(2, 101), "servers/a", null)), position(2, 101), later).removed shouldContainExactly
+                listOf(A)
+        }
+
+        test("what else a registration of the copy says applies once three heartbeats have passed without a new one") {
+            val view = running(registration(LOST, backEnd("a", number = 2), sequence = 20))
+            view.restore(registration(position(2, 40), backEnd("a", number = 1), sequence = 12))
+            view.releaseKept(RESTORED_AT + 3.5.seconds)
+            view.backEnd(A)?.weights?.number shouldBe WeightNumber(2)
+            view.releaseKept(RESTORED_AT + 3.6.seconds)
+            view.backEnd(A)?.weights?.number shouldBe WeightNumber(1)
         }
 
         // An evacuation ended 3 s after the restore, so requests went to the domain before it was taken back.
@@ -373,7 +386,7 @@
             started.evacuated shouldBe setOf(NEAR)
             withClue("passed on") {
                 started.itemsSince(COPY).items.map { it.key } shouldContainExactlyInAnyOrder
-                    listOf("op/config", "op/evacuate/near")
+                    listOf("op/config", "op/evacuate/near", "servers/b")
             }
             started.releaseKept(RESTORED_AT + 4.seconds)
             started.serving?.revision?.number shouldBe 9
