Read the settings again when their file changes without a signal

Cause: the settings file was read again on SIGHUP only. The platform may replace it without a signal. The log of the daemon shows no 'reloaded'.

The fix: the file is read once a second, and changed seeds apply at once. A file that can't be read is reported once and changes nothing.

Test: SettingsReloadTest; there was nothing to test before it, since only the signal handler read the file.

--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/Main.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/Main.kt
@@ -1,5 +1,5 @@
 /**
- * The program of a daemon in direct mode. It reloads its settings on SIGHUP and stops on SIGTERM or SIGINT.
+ * The program of a daemon in direct mode. It reloads its settings on SIGHUP and when their file changes, and stops on SIGTERM or SIGINT.
  */
 package lagoonrudder.daemon.direct
 
@@ -11,8 +11,6 @@
 import kotlinx.coroutines.runBlocking
 import lagoonrudder.model.SystemClock
 import sun.misc.Signal
-import java.io.File
-import java.io.IOException
 import java.lang.management.ManagementFactory
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
@@ -37,32 +35,13 @@
             stopped.countDown()
         },
     )
-    Signal.handle(Signal("HUP")) { core.scope.launch { reload(core, file) } }
+    val reload = SettingsReload(core, file)
+    Signal.handle(Signal("HUP")) { core.scope.launch { reload.check() } }
+    core.launchLoop("settings") { reload.run() }
     runBlocking { daemon.start() }
     stopped.await()
 }
 
-/** Applies the one setting that may change at run time, the seeds. Settings that can't be read change nothing. */
-private suspend fun reload(
-    core: DirectCore,
-    file: String,
-) {
-    val reloaded =
-        readSettingsFile(file).getOrElse {
-            core.log.warning("reload-refused", "detail" to it)
-            return
-        }
-    core.thread.decide { core.peers.seeds = reloaded.seeds }
-    core.log.info("reloaded", "seeds" to reloaded.seeds)
-}
-
-private fun readSettingsFile(file: String): arrow.core.Either<String, DirectSettings> =
-    try {
-        readDirectSettings(File(file).readText(), file).mapLeft { it.describe() }
-    } catch (unreadable: IOException) {
-        arrow.core.Either.Left("file $file: ${unreadable.message}")
-    }
-
 private fun exit(message: String): Nothing {
     System.err.println("lagoonrudderd-direct: $message")
     exitProcess(EXIT_INVALID_SETTINGS)
