Assume other entry daemons until the seeds have led to one

Cause: three seconds after its start a daemon counts the entry daemons that it has discovered. With stale seeds that is itself alone, and the shares of the cold rate and of the retry budget are divided by that count.

The fix: as long as its seeds have led to no entry daemon, a daemon assumes ten, as in its first three seconds. One without other seeds, or that has known others before, counts as before.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -92,6 +92,7 @@
     private var reporters = 0
     private var nextExpiry = Duration.INFINITE
     private var startedAt: Duration? = null
+    private var hasDiscoveredEntries = false
 
     /** The addresses from which discovery starts; a reload of the settings may change them. */
     var seeds: List<Address> = seeds
@@ -113,6 +114,7 @@
         entry.lastExchangeAt = now
         entry.storeContactAt = storeContactAge?.let { now - it }
         if (peer.role != DaemonRole.ENTRY) return
+        hasDiscoveredEntries = true
         val isNear = peer.domain == self.domain
         // A peer that doesn't know this daemon yet sends the load of their common domain, of which other members report too.
         if (isNear && load.daemons > 1) return
@@ -213,6 +215,7 @@
             if (other.peer.daemon == self.daemon || other.age > REMOVAL_TIMEOUT) continue
             val entry = knownPeers.getOrPut(other.peer.daemon) { KnownPeer(other.peer, now - other.age) }
             entry.lastContactAt = maxOf(entry.lastContactAt, now - other.age)
+            if (other.peer.role == DaemonRole.ENTRY) hasDiscoveredEntries = true
         }
     }
 
@@ -246,14 +249,16 @@
     }
 
     /**
-     * Returns the number of entry daemons that may be sending requests, including this one and those that are partitioned. A
-     * process that has just started assumes that there are more than it has discovered.
+     * Returns the number of entry daemons that may be sending requests, including this one and those that are partitioned. A process that
+     * has just started, or whose seeds have not led to any other one yet, assumes that there are more than it has discovered.
      */
     fun entryCount(now: Duration): Int {
         val discovered = 1 + knownEntries().size
-        return if (hasJustStarted(now)) maxOf(discovered, ASSUMED_ENTRY_DAEMONS) else discovered
+        return if (hasJustStarted(now) || isUndiscovered) maxOf(discovered, ASSUMED_ENTRY_DAEMONS) else discovered
     }
 
+    private val isUndiscovered: Boolean get() = !hasDiscoveredEntries && seeds.any { it != self.address }
+
     /** Returns whether this process has just started and has discovered none of the entry daemons that its seeds may lead to. */
     fun isDiscovering(now: Duration): Boolean = hasJustStarted(now) && knownEntries().isEmpty() && seeds.any { it != self.address }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/SharesTest.kt
@@ -20,6 +20,7 @@
 import lagoonrudder.model.StoreRecord
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -56,6 +57,29 @@
             peers.entryCount(17.seconds) shouldBe 2
         }
 
+        // A daemon with stale seeds took itself for the only one after 3 s, and the whole allowance of a cold back end with it.
+        test("a daemon assumes more entry daemons than itself until its seeds have led to one, and not without seeds") {
+            val stale = PeerController(peer("self"), listOf(Address("10.1.0.250", 70)))
+            stale.entryCount(10.seconds) shouldBe 10
+            stale.entryCount(1.hours) shouldBe 10
+            stale.seeds = listOf(Address("10.1.0.251", 70))
+            stale.entryCount(1.hours) shouldBe 10
+            stale.onGossipReceived(peer("other"), emptyMap(), 1.hours)
+            stale.entryCount(1.hours) shouldBe 2
+            val first = PeerController(peer("self"), listOf(checkNotNull(peer("self").address)))
+            first.entryCount(10.seconds) shouldBe 10
+            first.entryCount(14.seconds) shouldBe 1
+        }
+
+        test("a daemon counts itself alone once all others that it knew have been silent for long") {
+            val peers = PeerController(peer("self"), listOf(Address("10.1.0.250", 70)))
+            peers.entryCount(1.seconds)
+            peers.mergeLivePeers(listOf(LivePeer(peer("other"), Duration.ZERO)), 10.seconds)
+            peers.entryCount(30.seconds) shouldBe 2
+            peers.nearAddresses(71.seconds)
+            peers.entryCount(71.seconds) shouldBe 1
+        }
+
         test("daemons discover each other through gossip") {
             val peers = PeerController(peer("self"), listOf(Address("10.1.0.250", 70)))
             peers.mergeLivePeers(listOf(LivePeer(peer("third"), 500.milliseconds)), 10.seconds)
