--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -2,8 +2,8 @@
  * Decides which items of a restored store apply at once, and keeps what stays in effect although the copy contradicts it.
  *
  * A copy lacks what was written after it was taken and brings back what was removed since. The operator and the back ends write again what
- * they had written, so until they had the time to, what this process knew is more likely to be right than the copy. What the copy holds of
- * a run of a back end that was known to be over never applies; such an item is discarded until it is written again.
+ * they had written, however long that takes, so what this process knew stays in effect until then. What the copy holds of a run of a back end
+ * or of an evacuation that was known to be over never applies; such an item is discarded until it is written again.
  */
 package lagoonrudder.control.direct
 
@@ -169,16 +169,16 @@
         discardedByKey -= key
         val isLower = keptByKey[key]?.let { isLowerVersion(change.published, it.known.published) } ?: false
         if (!isLower) keptByKey -= key
-        when (change.published) {
-            is StoreRecord.Configuration, is StoreRecord.DomainEvacuation, is StoreRecord.VersionDeclaration ->
-                endEvacuations(
-                    now + REWRITE_TIME,
-                )
-            is StoreRecord.Registered, is StoreRecord.Unreadable, null -> Unit
-        }
+        if (isWrittenByOperator(change.published)) endEvacuations(now + REWRITE_TIME)
         return !isLower
     }
 
+    private fun isWrittenByOperator(record: StoreRecord?): Boolean =
+        when (record) {
+            is StoreRecord.Configuration, is StoreRecord.DomainEvacuation, is StoreRecord.VersionDeclaration -> true
+            is StoreRecord.Registered, is StoreRecord.Unreadable, null -> false
+        }
+
     private fun endEvacuations(until: Duration) =
         keptByKey.replaceAll { _, item ->
             if (item.isEvacuation && item.until > until) KeptItem(item.known, item.since, until, item.isToldByPeer) else item
