Let no more daemons use a back end than it bears requests while cold

Cause: each daemon takes its share of the rate, here 0.69 requests in 1.1 s, but at least one, so all together may send 36.

The fix: where the share is less than one request, the daemons are ranked for each back end, those of its failure domain first and then by a hash, and only the first ones use it. The rank is computed anew only when the set of known daemons changes, so a placement costs the same.

Test: PlacementControllerTest, 'entry daemons that outnumber the requests a cold back end bears stay within its rate, and each has back ends to use', failed before (36 of at most 27).

--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -94,6 +94,10 @@
     private var startedAt: Duration? = null
     private var hasDiscoveredEntries = false
 
+    /** Rises whenever the set of known daemons changes. */
+    var membership = 0L
+        private set
+
     /** The addresses from which discovery starts; a reload of the settings may change them. */
     var seeds: List<Address> = seeds
 
@@ -108,7 +112,7 @@
         now: Duration,
     ) {
         if (peer.daemon == self.daemon) return
-        val entry = knownPeers.getOrPut(peer.daemon) { KnownPeer(peer, now) }
+        val entry = knownPeers.getOrPut(peer.daemon) { newPeer(peer, now) }
         entry.peer = peer
         entry.lastContactAt = now
         entry.lastExchangeAt = now
@@ -121,6 +125,14 @@
         replaceReport(if (isNear) ReportSource.Daemon(peer.daemon) else ReportSource.Domain(peer.domain), ReceivedReport(load, now))
     }
 
+    private fun newPeer(
+        peer: PeerDaemon,
+        lastContactAt: Duration,
+    ): KnownPeer {
+        membership++
+        return KnownPeer(peer, lastContactAt)
+    }
+
     /** Returns the load to report to [peer]: [own] and [demand], or the sums of this failure domain to a daemon of another one. */
     fun loadFor(
         peer: PeerDaemon?,
@@ -213,7 +225,7 @@
     ) {
         for (other in livePeers) {
             if (other.peer.daemon == self.daemon || other.age > REMOVAL_TIMEOUT) continue
-            val entry = knownPeers.getOrPut(other.peer.daemon) { KnownPeer(other.peer, now - other.age) }
+            val entry = knownPeers.getOrPut(other.peer.daemon) { newPeer(other.peer, now - other.age) }
             entry.lastContactAt = maxOf(entry.lastContactAt, now - other.age)
             if (other.peer.role == DaemonRole.ENTRY) hasDiscoveredEntries = true
         }
@@ -316,12 +328,15 @@
             for (known in knownPeers.values) entry(known.peer.daemon.text, "${known.peer.address} heard=${now - known.lastContactAt}")
         }
 
+    /** The known entry daemons other than this one, including those that are partitioned. */
+    val otherEntries: List<PeerDaemon> get() = knownEntries().map { it.peer }
+
     private fun knownEntries(): List<KnownPeer> = knownPeers.values.filter { it.peer.role == DaemonRole.ENTRY }
 
     private fun liveKnownEntries(now: Duration): List<KnownPeer> = knownEntries().filter { now - it.lastContactAt < LIVENESS_TIMEOUT }
 
     private fun removeExpired(now: Duration) {
-        knownPeers.values.removeIf { now - it.lastContactAt > REMOVAL_TIMEOUT }
+        if (knownPeers.values.removeIf { now - it.lastContactAt > REMOVAL_TIMEOUT }) membership++
     }
 
     private companion object {
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -64,6 +64,7 @@
     private val statsByTarget = mutableMapOf<TargetId, BackEndStats>()
     private val queues = mutableMapOf<ServiceId, PlacementQueue>()
     private val inFlightOf = mutableMapOf<CustomerId, Int>()
+    private val coldRateShares = ColdRateShares(peers)
 
     /** Assigns a back end to the request now, refuses it, or queues it for as long as the prediction of its wait allows. */
     fun place(
@@ -471,8 +472,8 @@
         now: Duration,
     ): Boolean {
         val rate = storeView.serving?.service(backEnd.service)?.coldRequestsPerSecond ?: return true
-        val maxRequests = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_RATE_SAFETY_FACTOR / peers.entryCount(now)
-        return statsOf(backEnd.id).recentRequests(now) + 1 <= maxRequests.coerceAtLeast(1.0)
+        val total = (rate * bounds.coldRatio + bounds.coldAllowance) * COLD_RATE_SAFETY_FACTOR
+        return statsOf(backEnd.id).recentRequests(now) + 1 <= coldRateShares.maxRequests(backEnd, total, now)
     }
 
     private fun score(
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -1,6 +1,8 @@
 package lagoonrudder.control.direct
 
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
@@ -34,10 +36,11 @@
     backEnds: List<BackEnd>,
     cold: Double? = null,
     seed: Int = 1,
+    self: PeerDaemon = peer("self"),
 ) {
     var now = 100.seconds
     val storeView = StoreViewController(strictInvariants())
-    val peers = PeerController(peer("self"), emptyList())
+    val peers = PeerController(self, emptyList())
     val slots = BackEndStateController()
     val notices = BackEndNoticeController()
     val placement =
@@ -478,6 +481,29 @@
             sent.sum() shouldBeLessThanOrEqual bound.toInt()
         }
 
+        // Each daemon took at least one request a second, so 36 of them sent 28 and more to a back end that bears 27.
+        test("entry daemons that outnumber the requests a cold back end bears stay within its rate, and each has back ends to use") {
+            val bound = 15.0 * 1.5 + 5
+            val entries = (0 until 36).map { peer("entry-$it", if (it % 2 == 0) NEAR else FAR) }
+            val backEnds = (0 until 8).map { backEnd("b-$it", if (it % 2 == 0) NEAR else FAR) }
+            val sent = backEnds.associate { it.id to mutableListOf<PeerDaemon>() }
+            for (self in entries) {
+                val scene = Scene(backEnds, cold = 15.0, self = self)
+                (entries - self).forEach { scene.peers.onGossipReceived(it, emptyMap(), 10.seconds) }
+                scene.peers.entryCount(10.seconds)
+                for (backEnd in backEnds) {
+                    val others = backEnds.mapTo(mutableSetOf()) { it.id } - backEnd.id
+                    repeat(5) { if (scene.place(excluded = others).target == backEnd.id) sent.getValue(backEnd.id) += self }
+                }
+            }
+            for (backEnd in backEnds) {
+                val senders = sent.getValue(backEnd.id)
+                senders.size shouldBeLessThanOrEqual bound.toInt()
+                senders.filter { it.domain == backEnd.domain } shouldHaveSize 18
+            }
+            for (self in entries) sent.values.count { self in it } shouldBeGreaterThanOrEqual 4
+        }
+
         test("consecutive failures eject a back end until the ejection time has passed") {
             val scene = Scene(listOf(backEnd("a"), backEnd("b")))
             repeat(3) {
