Test two probes at once from both sides of a cut

SuspicionControllerTest covered one daemon that probes. Two that are cut off from each other may both probe; their crashes must leave the accusation in force once they hear of each other again. Passes on the code as it is.

--- a/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionControllerTest.kt
@@ -49,7 +49,10 @@
         order: () -> List<SuspicionController> = { all },
     ) {
         now += time
-        peerControllers.forEachIndexed { index, each -> each.mergeLivePeers(members.map { LivePeer(it, Duration.ZERO) }, clockOf(index)) }
+        peerControllers.forEachIndexed { index, each ->
+            val heard = if (all[index] in cut) emptyList() else members.map { LivePeer(it, Duration.ZERO) }
+            each.mergeLivePeers(heard, clockOf(index))
+        }
         all.forEach { it.onTick(clockOf(it)) }
         gossip(order)
     }
@@ -235,6 +238,27 @@
             }
         }
 
+        test("two daemons that probe at once, since they were cut off from each other, leave the accusation in force") {
+            with(Daemons(2)) {
+                accuse("deadly")
+                cut += all
+                val senders = mutableSetOf<SuspicionController>()
+                while (senders.size < 2) {
+                    wait(100.milliseconds)
+                    all.filter { send(it, "deadly") }.forEach {
+                        senders += it
+                        crash(it, "deadly")
+                    }
+                    now shouldBeLessThan 2.minutes + 100.seconds
+                }
+                cut.clear()
+                gossip()
+                all.forEach { verdict(it, "deadly").shouldBeInstanceOf<Verdict.HeldBack>() }
+                wait(9.seconds)
+                all.none { send(it, "deadly") } shouldBe true
+            }
+        }
+
         test("a probe without a result is followed by another one") {
             with(Daemons(3)) {
                 accuse("deadly")
