Cache the rank at a cold back end instead of the decision

The decision whether a daemon may use a cold back end was cached for as long as the same daemons were known, so a configuration with another rate did not take effect on it, and back ends that had left stayed in the cache. The rank is cached now, and forgotten with the statistics of a back end.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/ColdRateShares.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/ColdRateShares.kt
@@ -14,7 +14,8 @@
 internal class ColdRateShares(
     private val peers: PeerController,
 ) {
-    private val isAmongFirst = mutableMapOf<TargetId, Boolean>()
+    /** How many entry daemons precede this one at each back end, as long as the same daemons are known. */
+    private val ranks = mutableMapOf<TargetId, Int>()
     private var membership = -1L
 
     /** Returns how many of the [total] requests that [backEnd] bears may come from this daemon. */
@@ -26,15 +27,19 @@
         val share = total / peers.entryCount(now)
         if (share >= 1) return share
         if (membership != peers.membership) {
-            isAmongFirst.clear()
+            ranks.clear()
             membership = peers.membership
         }
-        val mayUse = isAmongFirst.getOrPut(backEnd.id) { rank(backEnd) < total.toInt().coerceAtLeast(1) }
-        return if (mayUse) 1.0 else 0.0
+        val rank = ranks.getOrPut(backEnd.id) { rankAt(backEnd) }
+        return if (rank < total.toInt().coerceAtLeast(1)) 1.0 else 0.0
     }
 
-    /** Returns how many entry daemons precede this one at [backEnd]. */
-    private fun rank(backEnd: BackEnd): Int {
+    /** Forgets the back ends that are not [listed] any more. */
+    fun retain(listed: (TargetId) -> Boolean) {
+        ranks.keys.retainAll(listed)
+    }
+
+    private fun rankAt(backEnd: BackEnd): Int {
         val order = compareBy<PeerDaemon>({ it.domain != backEnd.domain }, { rendezvousScore(backEnd.id.text, it.daemon.text) })
         return peers.otherEntries.count { order.compare(it, peers.self) < 0 }
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PlacementController.kt
@@ -266,6 +266,7 @@
 
     /** Removes the statistics of back ends that are no longer registered. */
     fun removeStaleStats() {
+        coldRateShares.retain { storeView.backEnd(it) != null }
         statsByTarget.keys.removeIf { storeView.backEnd(it) == null && (statsByTarget[it]?.inFlight ?: 0) == 0 }
     }
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/PlacementControllerTest.kt
@@ -504,6 +504,24 @@
             for (self in entries) sent.values.count { self in it } shouldBeGreaterThanOrEqual 4
         }
 
+        test("the daemons that may use a cold back end follow its rate and the daemons that are known") {
+            val entries = (0 until 36).map { peer("entry-$it") }
+            val controllers = entries.map { PeerController(it, emptyList()) }
+            val shares = controllers.map { ColdRateShares(it) }
+
+            fun users(total: Double) = shares.count { it.maxRequests(backEnd("a"), total, 20.seconds) >= 1 }
+            for (controller in controllers) {
+                controller.entryCount(10.seconds)
+                controller.mergeLivePeers(entries.map { LivePeer(it, Duration.ZERO) }, 20.seconds)
+            }
+            users(24.7) shouldBe 24
+            users(12.0) shouldBe 12
+            users(0.4) shouldBe 1
+            val joined = peer("entry-36")
+            controllers.forEach { it.mergeLivePeers(listOf(LivePeer(joined, Duration.ZERO)), 20.seconds) }
+            users(12.0) shouldBeLessThanOrEqual 12
+        }
+
         test("consecutive failures eject a back end until the ejection time has passed") {
             val scene = Scene(listOf(backEnd("a"), backEnd("b")))
             repeat(3) {
