Simplify the change after one more read

No behaviour changes but for the order among daemons of equal standing at a cold back end. The rank there uses rendezvousOrder. Episode starts are found once for counting and for displacing crashes. Kept items are copied instead of built anew. Whether an entry daemon was ever discovered is recorded where daemons become known. The number for the configuration in force is made in the wire module. Comments and headers say what is so; unused parameters of the test fleet are gone, and its bound on crashes has a name.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/ColdRateShares.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/ColdRateShares.kt
@@ -8,7 +8,7 @@
 
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.TargetId
-import lagoonrudder.model.rendezvousScore
+import lagoonrudder.model.rendezvousOrder
 import kotlin.time.Duration
 
 internal class ColdRateShares(
@@ -40,7 +40,7 @@
     }
 
     private fun rankAt(backEnd: BackEnd): Int {
-        val order = compareBy<PeerDaemon>({ it.domain != backEnd.domain }, { rendezvousScore(backEnd.id.text, it.daemon.text) })
-        return peers.otherEntries.count { order.compare(it, peers.self) < 0 }
+        val entries = rendezvousOrder(backEnd.id.text, peers.otherEntries + peers.self) { it.daemon.text }
+        return entries.sortedBy { it.domain != backEnd.domain }.indexOf(peers.self)
     }
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/PeerController.kt
@@ -118,7 +118,6 @@
         entry.lastExchangeAt = now
         entry.storeContactAt = storeContactAge?.let { now - it }
         if (peer.role != DaemonRole.ENTRY) return
-        hasDiscoveredEntries = true
         val isNear = peer.domain == self.domain
         // A peer that doesn't know this daemon yet sends the load of their common domain, of which other members report too.
         if (isNear && load.daemons > 1) return
@@ -130,6 +129,7 @@
         lastContactAt: Duration,
     ): KnownPeer {
         membership++
+        if (peer.role == DaemonRole.ENTRY) hasDiscoveredEntries = true
         return KnownPeer(peer, lastContactAt)
     }
 
@@ -227,7 +227,6 @@
             if (other.peer.daemon == self.daemon || other.age > REMOVAL_TIMEOUT) continue
             val entry = knownPeers.getOrPut(other.peer.daemon) { newPeer(other.peer, now - other.age) }
             entry.lastContactAt = maxOf(entry.lastContactAt, now - other.age)
-            if (other.peer.role == DaemonRole.ENTRY) hasDiscoveredEntries = true
         }
     }
 
@@ -269,10 +268,12 @@
         return if (hasJustStarted(now) || isUndiscovered) maxOf(discovered, ASSUMED_ENTRY_DAEMONS) else discovered
     }
 
-    private val isUndiscovered: Boolean get() = !hasDiscoveredEntries && seeds.any { it != self.address }
+    private val isUndiscovered: Boolean get() = !hasDiscoveredEntries && hasOtherSeeds
+
+    private val hasOtherSeeds: Boolean get() = seeds.any { it != self.address }
 
     /** Returns whether this process has just started and has discovered none of the entry daemons that its seeds may lead to. */
-    fun isDiscovering(now: Duration): Boolean = hasJustStarted(now) && knownEntries().isEmpty() && seeds.any { it != self.address }
+    fun isDiscovering(now: Duration): Boolean = hasJustStarted(now) && knownEntries().isEmpty() && hasOtherSeeds
 
     /** The first question about the other daemons counts as the start. */
     private fun hasJustStarted(now: Duration): Boolean {
--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -67,8 +67,7 @@
             if (hadEnded) RestoredItemDecision.Discard else RestoredItemDecision.Apply
         }
         is StoreRecord.Configuration, is StoreRecord.VersionDeclaration, is StoreRecord.Unreadable, null -> {
-            val isMissingEvacuation = offered.item.value == null && known?.published is StoreRecord.DomainEvacuation
-            val isKept = isMissingEvacuation || isLowerVersion(record, known?.published)
+            val isKept = (record == null && known?.published is StoreRecord.DomainEvacuation) || isLowerVersion(record, known?.published)
             // A back end that is missing is removed as after an outage.
             if (isKept) RestoredItemDecision.Keep(Duration.INFINITE) else RestoredItemDecision.Apply
         }
@@ -92,7 +91,7 @@
 
 /** The items that stay in effect after a restore, and those that were discarded. */
 internal class RestoredItems {
-    private class KeptItem(
+    private data class KeptItem(
         val known: DecodedItem,
         val since: Duration,
         val until: Duration,
@@ -153,8 +152,7 @@
     /** Records a further restore at [now], after which everything is written again once more. */
     fun onRestored(now: Duration) =
         keptByKey.replaceAll { _, item ->
-            val until = if (item.isEvacuation) Duration.INFINITE else maxOf(item.until, now + RENEWAL_TIME)
-            KeptItem(item.known, item.since, until, item.isToldByPeer)
+            item.copy(until = if (item.isEvacuation) Duration.INFINITE else maxOf(item.until, now + RENEWAL_TIME))
         }
 
     /**
@@ -181,7 +179,7 @@
 
     private fun endEvacuations(until: Duration) =
         keptByKey.replaceAll { _, item ->
-            if (item.isEvacuation && item.until > until) KeptItem(item.known, item.since, until, item.isToldByPeer) else item
+            if (item.isEvacuation) item.copy(until = minOf(item.until, until)) else item
         }
 
     /** Returns the keys whose time is over at [now], and releases them. */
--- a/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewChange.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/StoreViewChange.kt
@@ -37,7 +37,7 @@
     }
 }
 
-/** A change from the position [before] to a later era; what was known of the [kept] keys stays in effect for a while. */
+/** A change from the position [before] to a later era; what was known of the [kept] keys stays in effect. */
 data class EraChange(
     val before: StorePosition,
     val after: StorePosition,
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/CrashEvidence.kt
@@ -146,8 +146,7 @@
     /** Returns the run that speaks least against a part: one whose episode others show, one that is contradicted, or the oldest. */
     private fun leastTelling(entry: Entry): BackEndRun {
         val open = entry.openRuns.sortedWith(compareBy({ crashedAt.getValue(it) }, { it.target.text }))
-        val starts = episodeStarts(open.map { crashedAt.getValue(it) }).toSet()
-        val repeated = open.groupBy { run -> starts.last { it <= crashedAt.getValue(run) } }.flatMap { (_, episode) -> episode.drop(1) }
+        val repeated = open - episodeStarts(open) { crashedAt.getValue(it) }.toSet()
         val runs = entry.contradictedByRun.keys
         return repeated.maxByOrNull { it.target.text } ?: (runs - open.toSet()).ifEmpty { runs }.minBy { crashedAt.getValue(it) }
     }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/Suspicion.kt
@@ -128,13 +128,16 @@
 ): Candidate? {
     if (crashes.size < CRASHES_OF_SUSPICION) return null
     val ordered = crashes.sortedWith(compareBy({ it.at }, { it.run.target.text }))
-    val episodes = episodeStarts(ordered.map { it.at }).size
+    val episodes = episodeStarts(ordered) { it.at }.size
     return if (wasAnswered && episodes < EPISODES_OF_SUSPICION) null else Candidate(part, ordered, episodes, wasAnswered)
 }
 
-/** Returns the times of [ordered] crashes that begin an episode. */
-internal fun episodeStarts(ordered: List<Duration>): List<Duration> {
-    val starts = mutableListOf<Duration>()
-    for (at in ordered) if (starts.isEmpty() || at - starts.last() >= EPISODE_LENGTH) starts += at
+/** Returns those of [ordered] crashes that begin an episode; [timeOf] is the time of a crash. */
+internal fun <T> episodeStarts(
+    ordered: List<T>,
+    timeOf: (T) -> Duration,
+): List<T> {
+    val starts = mutableListOf<T>()
+    for (crash in ordered) if (starts.isEmpty() || timeOf(crash) - timeOf(starts.last()) >= EPISODE_LENGTH) starts += crash
     return starts
 }
--- a/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/suspicion/SuspicionController.kt
@@ -4,8 +4,8 @@
  * A back end that closes its connections under requests that it has not begun to answer may have crashed on any part of their
  * prompts. A part that was there at several crashes, and that no answer contradicts, is accused: requests with it are refused at
  * once, wherever they come from, while all others are served. An accusation ends when one of these requests is answered. To find
- * out, a single request is let through as a probe after a time that doubles with each crash; all daemons know the same evidence, and
- * one of them at a time may probe.
+ * out, a single request is let through as a probe, soon after crashes that may be one loss of back ends, and after a time that doubles
+ * with each crash otherwise; all daemons know the same evidence, and one of them at a time may probe.
  */
 package lagoonrudder.control.direct.suspicion
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/CrashesAtOnceTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/CrashesAtOnceTest.kt
@@ -16,6 +16,9 @@
 private const val NEW = "new"
 private const val MAX_LATE_ARRIVALS = 3
 
+/** Each back end once, and then as many as may arrive late, before and after the time to find the cause. */
+private const val MAX_CRASHES = BACK_ENDS + 2 * MAX_LATE_ARRIVALS
+
 /** How long after crashes daemons may take to find their cause. */
 private val CONTACT = 3.seconds
 private val START = 2.seconds
@@ -106,7 +109,7 @@
                                     if (fleet.crashes.size >=
                                         5
                                     ) {
-                                        fleet.crashes.size shouldBeLessThanOrEqual BACK_ENDS + 2 * MAX_LATE_ARRIVALS
+                                        fleet.crashes.size shouldBeLessThanOrEqual MAX_CRASHES
                                     }
                                 }
                             }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionFleet.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/suspicion/SuspicionFleet.kt
@@ -23,10 +23,9 @@
 /** [bornAnew] tells whether a back end returns as a new run of the same id instead of under a new id. */
 internal class SuspicionFleet(
     daemonCount: Int,
-    private val backEndCount: Int,
+    backEndCount: Int,
     seed: Int = 1,
     private val bornAnew: Boolean = false,
-    private val downTime: Duration = 2.seconds,
 ) {
     private class Event(
         val at: Duration,
@@ -107,14 +106,11 @@
     fun every(
         interval: Duration,
         from: Duration = Duration.ZERO,
-        until: Duration = Duration.INFINITE,
         action: () -> Unit,
     ) {
-        if (from <= until) {
-            at(from) {
-                action()
-                every(interval, from + interval, until, action)
-            }
+        at(from) {
+            action()
+            every(interval, from + interval, action)
         }
     }
 
@@ -206,7 +202,7 @@
             if (!sent.isAnswered) sent.daemon.suspicions.onCrash(ended, sent.parts, now + sent.daemon.clockOffset)
         }
         for (sent in lost) if (sent.attempts < MAX_ATTEMPTS) send(sent.daemon, sent.parts, sent.attempts + 1)
-        at(now + downTime) {
+        at(now + DOWN_TIME) {
             val number = ++replaced
             slot.backEnd = if (bornAnew) backEnd(ended.id.text, born = ended.born + number) else backEnd("i-new-$number")
             slot.isDown = false
@@ -235,6 +231,7 @@
         val CRASH_TIME = 60.milliseconds
         val ANSWER_TIME = 80.milliseconds
         val SERVICE_TIME = 500.milliseconds
+        val DOWN_TIME = 2.seconds
         const val MAX_ATTEMPTS = 2
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -42,7 +42,6 @@
 import lagoonrudder.model.BackEndRun
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
-import lagoonrudder.wire.messages.NO_CONFIGURATION
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -219,9 +218,6 @@
     /** Returns what to tell peers of the declared versions; nothing after an unnoticed pause. Runs on the control thread. */
     fun versionsToTell(): List<VersionAcknowledgement> = if (hasUnnoticedPause) emptyList() else storeView.versions.toTell(clock.elapsed())
 
-    /** Returns the revision of the configuration in force to tell peers. Runs on the control thread. */
-    fun configurationToTell(): Long = storeView.serving?.revision?.number ?: NO_CONFIGURATION
-
     /** Returns the dump sections that both roles have. Runs on the control thread. */
     fun dump(): List<DumpSection> =
         listOf(storeView.dump(), peers.dump(clock.elapsed()), slots.dump(clock.elapsed()), catchUp.dump(clock.elapsed()))
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/GossipLoop.kt
@@ -35,6 +35,7 @@
 import lagoonrudder.wire.messages.position
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
+import lagoonrudder.wire.messages.toConfigurationNumber
 import lagoonrudder.wire.messages.toDemandMessages
 import lagoonrudder.wire.messages.toHolding
 import lagoonrudder.wire.messages.toItem
@@ -237,7 +238,10 @@
             demand = load.demand.toDemandMessages(),
             era = core.storeView.at.era.number,
             deflatedAccepted = true,
-            configuration = core.configurationToTell(),
+            configuration =
+                core.storeView.serving
+                    ?.revision
+                    .toConfigurationNumber(),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/PeerEndpoint.kt
@@ -27,6 +27,7 @@
 import lagoonrudder.wire.messages.storeContact
 import lagoonrudder.wire.messages.storeContactAge
 import lagoonrudder.wire.messages.storeSince
+import lagoonrudder.wire.messages.toConfigurationNumber
 import lagoonrudder.wire.messages.toDemandMessages
 import lagoonrudder.wire.messages.toGossipSlot
 import lagoonrudder.wire.messages.toHolding
@@ -131,7 +132,10 @@
             declarations = core.versionsToTell().map { it.toMessage(now) },
             demand = load.demand.toDemandMessages(),
             holdings = core.holdings.toTell(peer, now).map { it.toMessage() },
-            configuration = core.configurationToTell(),
+            configuration =
+                core.storeView.serving
+                    ?.revision
+                    .toConfigurationNumber(),
         )
     }
 
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SettingsReload.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SettingsReload.kt
@@ -38,12 +38,12 @@
             }
             is Either.Right -> {
                 refused = null
-                apply(read.value)
+                applySeeds(read.value)
             }
         }
     }
 
-    private suspend fun apply(settings: DirectSettings) {
+    private suspend fun applySeeds(settings: DirectSettings) {
         val isChanged = core.thread.decide { (core.peers.seeds != settings.seeds).also { core.peers.seeds = settings.seeds } }
         if (isChanged) core.log.info("reloaded", "seeds" to settings.seeds)
     }
--- a/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
+++ b/wire/src/main/kotlin/lagoonrudder/wire/messages/DirectMessages.kt
@@ -112,7 +112,8 @@
  * answered the sender [storeContactMilliseconds] ago; as far as it knows, the store has kept answering for [storeSinceMilliseconds].
  * [evidenceDigest] is that of the sender's evidence about crashes, which is sent itself only if the receiver's digest differs. [era] is that
  * of [at], and [demand] comes from the daemons of [loads]. [declarations] and [upToDateMilliseconds] mean what they mean in a [GossipReply].
- * [holdings] are what the sender knows of chunks of weights, and [deflatedAccepted] says that items may come compressed.
+ * [holdings] are what the sender knows of chunks of weights, and [deflatedAccepted] says that items may come compressed. [configuration] is
+ * the revision of the configuration in force at the sender, which a restored store need not hold.
  */
 @Serializable
 data class GossipMessage(
@@ -140,7 +141,7 @@
  * The state of the receiver of a [GossipMessage]. The store last answered it [storeContactMilliseconds] ago, and any daemon that it has
  * heard of [storeHeardMilliseconds] ago; it has kept answering for [storeSinceMilliseconds]. [items] are those that changed, or all that
  * there are if [itemsComplete] is set. [declarations] are those of versions whose limits still run and of the newest one whose limit is over,
- * and the store held nothing beyond [at], a position in [era], [upToDateMilliseconds] ago. [holdings] and [demand] are as in the message.
+ * and the store held nothing beyond [at], a position in [era], [upToDateMilliseconds] ago. [holdings], [demand] and [configuration] are as in the message.
  */
 @Serializable
 data class GossipReply(
@@ -208,8 +209,11 @@
 
 private const val MAX_DEMAND_SERVICES = 8
 
-/** The revision that a daemon without a configuration tells. */
-const val NO_CONFIGURATION = 0L
+/** What a daemon without a configuration tells. */
+private const val NO_CONFIGURATION = 0L
+
+/** Returns the number for the configuration in force, if there is one. */
+fun Revision?.toConfigurationNumber(): Long = this?.number ?: NO_CONFIGURATION
 
 /** The revision of the configuration in force at the sender; null if it has none. */
 val GossipMessage.configurationInForce: Revision? get() = revisionOrNull(configuration)
