Keep an evacuation whose item in the copy can't be read

What callers saw: a restored store that held an evacuation in a form that can't be read ended it at once, so requests went to the domain before it was taken back (EVAC).

Cause: only a missing item kept a known evacuation, as for configurations before. An item that can't be read says as little as a missing one.

Test: RestoredStoreTest, 'an evacuation that the copy holds in a form that can't be read stays', failed before (no domain evacuated) and passes.

--- a/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
+++ b/control/src/main/kotlin/lagoonrudder/control/direct/RestoredItems.kt
@@ -67,7 +67,7 @@
             if (hadEnded) RestoredItemDecision.Discard else RestoredItemDecision.Apply
         }
         is StoreRecord.Configuration, is StoreRecord.VersionDeclaration, is StoreRecord.Unreadable, null -> {
-            val isKept = (record == null && known?.published is StoreRecord.DomainEvacuation) || isLowerVersion(record, known?.published)
+            val isKept = known?.published is StoreRecord.DomainEvacuation || isLowerVersion(record, known?.published)
             // A back end that is missing is removed as after an outage.
             if (isKept) RestoredItemDecision.Keep(Duration.INFINITE) else RestoredItemDecision.Apply
         }
--- a/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/RestoredStoreTest.kt
@@ -267,6 +267,13 @@
             }
         }
 
+        test("an evacuation that the copy holds in a form that can't be read stays") {
+            val view = running(evacuation(LOST))
+            view.restore(itemAt(position(2, 60), "op/evacuate/near", StoreRecord.Unreadable("odd")))
+            view.releaseKept(RESTORED_AT + 1.minutes)
+            view.evacuated shouldBe setOf(NEAR)
+        }
+
         test("what back ends write again says nothing about an evacuation") {
             val view = running(evacuation(LOST), registration(LOST))
             view.restore()
