--- a/review/stand-ins-3/Lab.java
+++ b/review/stand-ins-3/Lab.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -17,10 +18,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +36,8 @@
 final class Lab {
     static final long START = System.nanoTime();
     static final String HOST = "127.0.0.1";
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> TAKEN = new HashSet<>();
     private static PrintWriter record;
     private static final List<Daemon> DAEMONS = new ArrayList<>();
 
@@ -51,10 +57,18 @@
         System.out.println(line);
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST))) {
-            return socket.getLocalPort();
+    /** Returns a port that nobody uses, below those that connections get. */
+    static synchronized int freePort() throws IOException {
+        for (int tries = 0; tries < 1000; tries++) {
+            int port = 15_000 + RANDOM.nextInt(15_000);
+            if (!TAKEN.add(port)) continue;
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(HOST))) {
+                return socket.getLocalPort();
+            } catch (BindException used) {
+                // Another one may be free.
+            }
         }
+        throw new IOException("no free port");
     }
 
     static void sleep(long milliseconds) {
