--- a/review/11/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/bash
-exec "$(dirname "$0")/../run-3.sh" 11 LastKey
