--- a/review/stand-ins-3/UnusedWorker.java
+++ b/review/stand-ins-3/UnusedWorker.java
@@ -45,6 +45,7 @@
         Site.Runs runs = new Site.Runs();
         String[] zones = {"ost-a", "west-a", "sued-a"};
         for (String zone : zones) register(store, runs, "i-desk-" + zone, "wuno96b", zone);
+        register(store, runs, "i-desk-more", "wuno96b", "ost-a");
         register(store, runs, "i-office", "gowu98c", "sued-a");
         Lab.background(() -> beat(store));
         List<Lab.Daemon> entries = Lab.entries(folder, store.address, zones);
