Admit nobody once a configuration lists no customer

Cause: whether requests need a key was derived from the number of customers.

Change: CallerAccess is Anyone or OnlyCustomers, whose list may be empty, and admits() is the only place that asks.

--- a/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/DirectFixtures.kt
@@ -2,6 +2,7 @@
 
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
@@ -61,7 +62,7 @@
             ServingService(ENGINES, 100, cold, WeightLayout(listOf(MODEL), LAYERS, 2, 8), null, null),
             ServingService(ServiceId("origin"), 100, null, null, Address("10.9.9.9", 80), FAR),
         ),
-    customers = emptyList(),
+    access = CallerAccess.Anyone,
     limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds),
 )
 
--- a/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/admission/AdmissionLevelTest.kt
@@ -10,6 +10,7 @@
 import lagoonrudder.control.direct.ENGINES
 import lagoonrudder.control.direct.route
 import lagoonrudder.control.direct.servingSet
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.RequestKind
 import lagoonrudder.model.ServiceId
@@ -27,7 +28,7 @@
 ): UrgencyLevels {
     val routes = routeRanks.map { route(RequestKind.Idempotent).copy(priority = it, open = open) }
     val customers = customerRanks.mapIndexed { index, rank -> ServingCustomer(CustomerId("c$index"), emptySet(), rank, emptySet()) }
-    return UrgencyLevels.of(servingSet(1).copy(routes = routes, customers = customers))
+    return UrgencyLevels.of(servingSet(1).copy(routes = routes, access = CallerAccess.OnlyCustomers(customers)))
 }
 
 private fun UrgencyLevels.indexes(ranks: IntRange) = ranks.map { levelOf(ENGINES, rankOf(null, it))?.index }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/DirectCore.kt
@@ -40,6 +40,7 @@
 import lagoonrudder.http.HttpEventLoop
 import lagoonrudder.model.BackEndNotice
 import lagoonrudder.model.BackEndRun
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.Clock
 import lagoonrudder.model.Invariants
 import java.util.concurrent.atomic.AtomicLong
@@ -114,6 +115,7 @@
                 "revision" to it.revision.number,
                 "routes" to it.routes.size,
                 "customers" to it.customers.size,
+                "keys" to if (it.access == CallerAccess.Anyone) "not-needed" else "needed",
                 "idle-timeout" to it.limits.idleTimeout,
                 "source" to source,
                 "at" to at,
--- a/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
+++ b/model/src/main/kotlin/lagoonrudder/model/Configuration.kt
@@ -97,6 +97,17 @@
     val homeRegions: Set<RegionId>,
 )
 
+/** Who may call the routes that are not open. */
+sealed class CallerAccess {
+    /** Anyone: the configuration does not speak of customers, so no request needs an API key. */
+    data object Anyone : CallerAccess()
+
+    /** Only [customers], by their API keys. Without customers, or without keys, nobody. */
+    data class OnlyCustomers(
+        val customers: List<ServingCustomer>,
+    ) : CallerAccess()
+}
+
 /**
  * Returns the rank of a request, of which the lowest is the most urgent: by the priority of its customer, or of its route if the customer has
  * none, and by that of its route among customers of one priority.
@@ -124,9 +135,17 @@
     val revision: Revision,
     val routes: List<ServingRoute>,
     val services: List<ServingService>,
-    val customers: List<ServingCustomer>,
+    val access: CallerAccess,
     val limits: CallerLimits,
 ) {
+    /** The customers that the configuration names. Whether requests need a key is up to [access]. */
+    val customers: List<ServingCustomer>
+        get() =
+            when (access) {
+                CallerAccess.Anyone -> emptyList()
+                is CallerAccess.OnlyCustomers -> access.customers
+            }
+
     private val routesByHost = routes.groupBy { it.host }.mapValues { (_, routes) -> routes.sortedByDescending { it.prefix.length } }
     private val customersByKey = customers.flatMap { customer -> customer.apiKeys.map { it to customer } }.toMap()
     private val servicesById = services.associateBy { it.id }
@@ -144,7 +163,15 @@
     /** Returns the layout of [model], which all services that serve it share. */
     fun weightLayout(model: ModelId): WeightLayout? = services.mapNotNull { it.weights }.firstOrNull { model in it.models }
 
-    val requiresApiKeys: Boolean get() = customers.isNotEmpty()
+    /** Returns whether a request on [route] may run for [customer], the holder of its API key; null if nobody holds it. */
+    fun admits(
+        route: ServingRoute,
+        customer: ServingCustomer?,
+    ): Boolean =
+        when (access) {
+            CallerAccess.Anyone -> true
+            is CallerAccess.OnlyCustomers -> route.open || customer != null
+        }
 }
 
 /** The weights that a back end holds: the first [layers] layers, without gaps. */
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -137,35 +137,35 @@
             with(workers[index]) { writeLoadedWeights() }
         }.toString()
 
-    /** Publishes a configuration whose only route has [prefix]. */
+    /** Publishes a configuration whose only route has [prefix]. [customers] is the text of the field that names them, with its comma. */
     fun publish(
         revision: Int,
         prefix: String = "/a/",
         kind: String = "stream",
+        customers: String = ""","tenants":[{"name":"customer","apiKeys":["key"]}]""",
     ) = store.put(
         "op/config",
         """{"version":$revision,"routes":[{"name":"r","host":"host","prefix":"$prefix","kind":"$kind","timeoutMs":5000,
         "targetLatencyMs":400,"service":"${SERVICE.text}","attempts":2,"canResume":true,"gapAimMs":300}],
         "services":[{"name":"${SERVICE.text}","maxConns":50,"engine":{"models":[{"name":"$MODEL_NAME"}],"layers":4,
         "chunks":$CHUNK_COUNT,"chunkBytes":4096}},{"name":"origin","origin":"$originAddress","zone":"one"}],
-        "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000},
-        "tenants":[{"name":"customer","apiKeys":["key"]}]}""",
+        "limits":{"maxHeaderBytes":8192,"maxBodyBytes":65536,"headerTimeoutMs":1000,"idleTimeoutMs":5000}$customers}""",
     )
 
     /** Sends a caller's request to the entry daemon [entry] and returns null when no complete response arrived. [id] must be new. */
     suspend fun request(
         entry: Int = 0,
         path: String = "/a/b",
-        key: String = "key",
+        key: String? = "key",
         parts: List<String> = emptyList(),
         id: String = "request-${requests++}",
     ): HttpResponse? {
         val fields =
-            listOf(
+            listOfNotNull(
                 HeaderField("Host", "host"),
                 HeaderField("Request-Id", id),
                 HeaderField("Deadline-Ms", "4000"),
-                HeaderField("X-Api-Key", key),
+                key?.let { HeaderField("X-Api-Key", it) },
                 HeaderField("Prompt-Prefix", (parts + "own-$id").joinToString(",") { "$it:100" }),
             )
         val request = HttpRequest("POST", path, fields, "prompt".encodeToByteArray())
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/measure/OverloadSimulation.kt
@@ -31,6 +31,7 @@
 import lagoonrudder.control.direct.suspicion.SuspicionController
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.DaemonId
@@ -538,7 +539,7 @@
             Revision(1),
             fleet.ranks.map { route(it) },
             listOf(ServingService(SERVICE, 100, null, WeightLayout(listOf(MODEL), LAYERS, 2, 8), null, null)),
-            emptyList(),
+            CallerAccess.Anyone,
             CallerLimits(1_000, 1_000, 1.seconds, 1.seconds),
         )
 
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/virtual/VirtualStoreSite.kt
@@ -26,6 +26,7 @@
 import lagoonrudder.control.direct.StoreStep
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.DaemonId
 import lagoonrudder.model.DaemonRole
@@ -160,7 +161,7 @@
 
     /** Writes a configuration to the store; its acknowledgement comes at once. */
     fun publish(configuration: Revision) {
-        val serving = ServingConfiguration(configuration, emptyList(), emptyList(), emptyList(), LIMITS)
+        val serving = ServingConfiguration(configuration, emptyList(), emptyList(), CallerAccess.Anyone, LIMITS)
         write(CONFIGURATION_KEY, StoreRecord.Configuration(serving))
     }
 
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/DirectFilters.kt
@@ -143,7 +143,7 @@
         val request = call.request
         val route = serving.route(request.host, request.path.substringBefore('?')) ?: return Refusal.UnknownRoute
         val customer = request.apiKey?.let { serving.customerByApiKey(it) }
-        if (serving.requiresApiKeys && !route.open && customer == null) return Refusal.UnknownCustomer
+        if (!serving.admits(route, customer)) return Refusal.UnknownCustomer
         val service = pickService(route) ?: return Refusal.NoTarget(RETRY_AFTER)
         val limit = request.timeLeft?.let { minOf(route.timeout, it) } ?: route.timeout
         call.identify(
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/DirectSendFilterTest.kt
@@ -39,6 +39,7 @@
 import lagoonrudder.model.Address
 import lagoonrudder.model.BackEnd
 import lagoonrudder.model.BackEndNotice
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.Clock
 import lagoonrudder.model.DaemonId
@@ -440,7 +441,7 @@
                 listOf(
                     ServingService(SERVICE, 9, coldRequestsPerSecond, held?.let { WeightLayout(listOf(MODEL), LAYERS, 1, 1) }, null, null),
                 ),
-                customers,
+                if (customers.isEmpty()) CallerAccess.Anyone else CallerAccess.OnlyCustomers(customers),
                 limits,
             )
         val items =
--- a/traffic/src/test/kotlin/lagoonrudder/traffic/direct/SilenceBesideConfigurationTest.kt
+++ b/traffic/src/test/kotlin/lagoonrudder/traffic/direct/SilenceBesideConfigurationTest.kt
@@ -15,6 +15,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.runTest
+import lagoonrudder.model.CallerAccess
 import lagoonrudder.model.CustomerId
 import lagoonrudder.model.EventId
 import lagoonrudder.model.Outcome
@@ -120,6 +121,9 @@
 
 private val ALL_OTHERS = listOf(Others.Sound, Others.None, Others.SilentAsWell, Others.NoRetryLeft, Others.NoBudgetLeft)
 
+private fun ServingConfiguration.withCustomers(change: (List<ServingCustomer>) -> List<ServingCustomer>) =
+    copy(access = CallerAccess.OnlyCustomers(change(customers)))
+
 private fun ServingConfiguration.withRoute(change: (ServingRoute) -> ServingRoute) = copy(routes = routes.map(change))
 
 private val RENAMED = ServiceId("renamed")
@@ -139,15 +143,17 @@
             listOf(initial.copy(services = services).withRoute { it.copy(shares = listOf(ServiceShare(RENAMED, 1.0))) })
         },
     ),
-    KEY_GONE({ initial -> listOf(initial.copy(customers = initial.customers.map { it.copy(apiKeys = setOf("other")) })) }),
-    CUSTOMER_GONE({ listOf(it.copy(customers = listOf(ServingCustomer(CustomerId("other"), setOf("other"), null, emptySet())))) }),
-    CUSTOMER_RENAMED({ initial -> listOf(initial.copy(customers = initial.customers.map { it.copy(id = CustomerId("renamed")) })) }),
+    KEY_GONE({ initial -> listOf(initial.withCustomers { all -> all.map { it.copy(apiKeys = setOf("other")) } }) }),
+    LAST_KEY_GONE({ initial -> listOf(initial.withCustomers { all -> all.map { it.copy(apiKeys = emptySet()) } }) }),
+    CUSTOMER_GONE({ listOf(it.withCustomers { listOf(ServingCustomer(CustomerId("other"), setOf("other"), null, emptySet())) }) }),
+    LAST_CUSTOMER_GONE({ listOf(it.withCustomers { emptyList() }) }),
+    CUSTOMER_RENAMED({ initial -> listOf(initial.withCustomers { all -> all.map { it.copy(id = CustomerId("renamed")) } }) }),
     TIMEOUT_SHORTER({ initial -> listOf(initial.withRoute { it.copy(timeout = 1.seconds) }) }),
     TIMEOUT_LONGER({ initial -> listOf(initial.withRoute { it.copy(timeout = 9.seconds) }) }),
     ATTEMPTS_FEWER({ initial -> listOf(initial.withRoute { it.copy(attempts = 1) }) }),
     KIND_OTHER({ initial -> listOf(initial.withRoute { it.copy(kind = RequestKind.AtMostOnce) }) }),
     IDLE_SHORTER({ listOf(it.copy(limits = it.limits.copy(idleTimeout = 1.milliseconds, bodyBytes = 0))) }),
-    GONE_AND_BACK({ listOf(it.copy(routes = emptyList(), services = emptyList(), customers = emptyList()), it) }),
+    GONE_AND_BACK({ listOf(it.copy(routes = emptyList(), services = emptyList()).withCustomers { emptyList() }, it) }),
 }
 
 /** The times from the start of the request at which the configuration changes. */
