Judge what a connection carries by the limits in force

A longer time for a head or for the rest of a body did not hold for one that was on its way, which got 408.

Cause: the decoder of a connection got the limit of a head when the connection was opened, and timers kept the limit of the time at which they were started.

Change: the decoder has no limit; ServerConnection judges each complete head by the limits in force, and a timer that runs out reads its limit again. UndecodedBytes bounds what the decoder holds of a head, of the size of a chunk or of trailers, which has no end with some callers.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -127,9 +127,8 @@
         val PEER_LIMITS = CallerLimits(headerBytes = 8_192, bodyBytes = 8_388_608, headerTimeout = 3.seconds, idleTimeout = 30.seconds)
 
         /**
-         * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time, that of the head
-         * for each new connection. [onReport] is called on the event loop thread. A request whose body does not fit into [bodies] is
-         * refused with 503. The ages of requests are measured with [clock].
+         * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time. [onReport] is called on the event loop
+         * thread. A request whose body does not fit into [bodies] is refused with 503. The ages of requests are measured with [clock].
          */
         fun start(
             loop: HttpEventLoop,
@@ -192,14 +191,14 @@
         channel: SocketChannel,
         limits: () -> CallerLimits,
     ) {
-        val maxHeaderBytes = limits().headerBytes
+        // The limits may change while the connection is open, so it applies them itself.
         val decoder =
             HttpDecoderConfig()
-                .setMaxInitialLineLength(maxHeaderBytes)
-                .setMaxHeaderSize(maxHeaderBytes)
+                .setMaxInitialLineLength(Int.MAX_VALUE)
+                .setMaxHeaderSize(Int.MAX_VALUE)
                 .setMaxChunkSize(CHUNK_BYTES)
         val connection = ServerConnection(channel, limits, this)
-        channel.pipeline().addLast(ReadNotifier { connection.onBytesReceived() }, HttpServerCodec(decoder), connection)
+        channel.pipeline().addLast(connection.undecoded, HttpServerCodec(decoder), connection)
     }
 
     companion object {
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -15,8 +15,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import io.netty.handler.codec.http.TooLongHttpHeaderException
-import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.ReferenceCountUtil
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.launch
@@ -44,12 +42,17 @@
     private var awaited = Awaited.REQUEST
     private var closeReason = CloseReason.CALLER
 
-    /** How long the connection has been idle at the end of the current timer. */
-    private var idleAtTimeout = Duration.ZERO
+    /** Goes in front of the decoder of this connection. A request line and the fields of a head may each be as long as their limit. */
+    val undecoded =
+        UndecodedBytes(
+            maxBytes = { 2L * limits().headerBytes },
+            onRead = ::onBytesReceived,
+            onExcess = ::rejectUndecoded,
+        )
 
     override fun channelActive(context: ChannelHandlerContext) {
         server.connections += this
-        awaitRequest(idleFor = Duration.ZERO)
+        await(Awaited.REQUEST)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -81,6 +84,7 @@
         context: ChannelHandlerContext,
         message: Any,
     ) {
+        undecoded.onDecoded()
         try {
             if (message is NettyRequest) {
                 if (closing) reportUnhandled(null, "behind the last request of its connection") else readHead(message)
@@ -92,9 +96,17 @@
     }
 
     /** Called for every read. The first bytes of a request start the timeout for its head. */
-    fun onBytesReceived() {
+    private fun onBytesReceived() {
         val awaitsRequest = awaited == Awaited.REQUEST || awaited == Awaited.LAST_REQUEST
-        if (awaitsRequest && current == null && reading == null && !closing) startTimer(limits().headerTimeout, Awaited.HEAD)
+        if (awaitsRequest && current == null && reading == null && !closing) await(Awaited.HEAD)
+    }
+
+    private fun rejectUndecoded(bytes: Long) {
+        when {
+            closing -> Unit
+            reading == null -> reject(FIELDS_TOO_LARGE, "head of over $bytes bytes, limit ${limits().headerBytes}")
+            else -> reject(BAD_REQUEST, "unreadable body: $bytes bytes without a chunk")
+        }
     }
 
     /** Closes the connection now if no request is being read or processed, otherwise after the next response. */
@@ -126,12 +138,14 @@
     private fun readHead(message: NettyRequest) {
         server.refusal?.let { return reject(it.head.status, "the server has stopped reading", it.head.fields) }
         val failure = message.decoderResult().cause()
-        if (failure != null) return reject(statusOf(failure), "unreadable head: ${failure.message}")
+        if (failure != null) return reject(BAD_REQUEST, "unreadable head: ${failure.message}")
         val hasDuplicateLength = message.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size > 1
         val hasLengthAndChunks = HttpUtil.isTransferEncodingChunked(message) && message.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
         val codings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
         val hasUnknownCoding = codings.isNotEmpty() && codings.singleOrNull()?.equals("chunked", ignoreCase = true) != true
         if (hasDuplicateLength || hasLengthAndChunks || hasUnknownCoding) return reject(BAD_REQUEST, "ambiguous length")
+        val headBytes = headBytes(message)
+        if (headBytes > limits().headerBytes) return reject(FIELDS_TOO_LARGE, "head of $headBytes bytes, limit ${limits().headerBytes}")
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
         val request = RequestReader(message)
@@ -140,12 +154,18 @@
         if (current == null) awaitBody()
     }
 
+    /** Returns the length of the request line or of the fields of [message], whichever is longer. */
+    private fun headBytes(message: NettyRequest): Int {
+        val requestLine = message.method().name().length + message.uri().length + message.protocolVersion().text().length + 2
+        return maxOf(requestLine, message.headers().sumOf { it.key.length + it.value.length + 2 })
+    }
+
     /**
      * Starts the timeout for the body that is being read, and tells a caller that waits for it to send that. Behind a response in
      * progress, a body may have to wait for its end.
      */
     private fun awaitBody() {
-        startTimer(limits().idleTimeout, Awaited.BODY)
+        await(Awaited.BODY)
         val request = reading ?: return
         if (!request.expectsContinue) return
         request.expectsContinue = false
@@ -158,7 +178,7 @@
         if (!request.body.allows(content.content())) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
         request.body.append(content.content())?.let { return refuseBody(it) }
         if (content !is LastHttpContent) {
-            if (current == null) startTimer(limits().idleTimeout, Awaited.BODY)
+            if (current == null) await(Awaited.BODY)
             return
         }
         reading = null
@@ -187,9 +207,7 @@
     }
 
     /** Waits for the next request. One that is on its way when the server stops still gets its refusal. */
-    private fun awaitNext() {
-        if (server.refusal == null) awaitRequest(idleFor = Duration.ZERO) else startTimer(ServerState.LINGER, Awaited.LAST_REQUEST)
-    }
+    private fun awaitNext() = await(if (server.refusal == null) Awaited.REQUEST else Awaited.LAST_REQUEST)
 
     private fun process(received: Received.Whole) {
         channel.config().isAutoRead = true
@@ -254,7 +272,7 @@
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(rejected.status))
         rejected.fields.forEach { response.headers().add(it.name, it.value) }
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        startTimer(UNREAD_LIMIT, Awaited.CALLER_TO_READ)
+        await(Awaited.CALLER_TO_READ)
         channel.writeAndFlush(response).addListener(
             ChannelFutureListener {
                 server.activeRequests.decrementAndGet()
@@ -283,40 +301,40 @@
             )
     }
 
-    /** Waits for a request on a connection that has been idle for [idleFor], and closes it if none comes. */
-    private fun awaitRequest(idleFor: Duration) {
-        val timeout = limits().idleTimeout + CALLER_LEAD
-        if (idleFor >= timeout) return close(CloseReason.IDLE)
-        idleAtTimeout = timeout
-        startTimer(timeout - idleFor, Awaited.REQUEST)
-    }
-
-    private fun startTimer(
-        timeout: Duration,
-        awaited: Awaited,
+    /** Waits for [event], for which the connection has waited for [waited] already, up to the limit that is in force at its end. */
+    private fun await(
+        event: Awaited,
+        waited: Duration = Duration.ZERO,
     ) {
-        this.awaited = awaited
+        val limit = limitOf(event)
+        if (waited >= limit) return onTimeout(event, limit)
+        awaited = event
         timer?.cancel(false)
-        timer = channel.eventLoop().schedule({ onTimeout(awaited) }, timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        timer = channel.eventLoop().schedule({ await(event, limit) }, (limit - waited).inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
-    private fun onTimeout(awaited: Awaited) {
-        when (awaited) {
-            // The limits may have changed since the timer was started.
-            Awaited.REQUEST -> awaitRequest(idleAtTimeout)
-            Awaited.HEAD -> reject(REQUEST_TIMEOUT, "head not complete in ${limits().headerTimeout}")
+    private fun limitOf(event: Awaited): Duration =
+        when (event) {
+            Awaited.REQUEST -> limits().idleTimeout + CALLER_LEAD
+            Awaited.HEAD -> limits().headerTimeout
+            Awaited.BODY -> limits().idleTimeout
+            Awaited.LAST_REQUEST -> ServerState.LINGER
+            Awaited.CALLER_TO_READ -> UNREAD_LIMIT
+        }
+
+    private fun onTimeout(
+        event: Awaited,
+        limit: Duration,
+    ) {
+        when (event) {
+            Awaited.REQUEST -> close(CloseReason.IDLE)
+            Awaited.HEAD -> reject(REQUEST_TIMEOUT, "head not complete in $limit")
             Awaited.LAST_REQUEST -> close(CloseReason.STOP)
             Awaited.CALLER_TO_READ -> close(CloseReason.UNREAD)
-            Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT, "body without progress for ${limits().idleTimeout}")
+            Awaited.BODY -> if (reading != null) reject(REQUEST_TIMEOUT, "body without progress for $limit")
         }
     }
 
-    private fun statusOf(failure: Throwable): Int =
-        when (failure) {
-            is TooLongHttpHeaderException, is TooLongHttpLineException -> FIELDS_TOO_LARGE
-            else -> BAD_REQUEST
-        }
-
     private enum class Awaited { REQUEST, HEAD, BODY, LAST_REQUEST, CALLER_TO_READ }
 
     /** What was read and is answered in its turn. */
--- a/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpServerTest.kt
@@ -11,20 +11,13 @@
 import io.kotest.matchers.types.shouldBeInstanceOf
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineExceptionHandler
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
-import lagoonrudder.model.Address
-import lagoonrudder.model.CallerLimits
 import lagoonrudder.model.Clock
 import lagoonrudder.model.HeaderField
-import lagoonrudder.model.SystemClock
 import java.net.ConnectException
-import java.util.Collections
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -33,37 +26,8 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.Instant
 
-private val LIMITS = CallerLimits(headerBytes = 1_000, bodyBytes = 100, headerTimeout = 300.milliseconds, idleTimeout = 500.milliseconds)
-
 private val REFUSAL = HttpResponse(HttpResponseHead(503, listOf(HeaderField("Retry-After", "0.1"))), NO_BYTES)
 
-private class TestServer(
-    @Volatile var limits: CallerLimits = LIMITS,
-    handler: HttpHandler? = null,
-    clock: Clock = SystemClock(),
-) : AutoCloseable {
-    private val loop = HttpEventLoop("test")
-    val handled: MutableList<HttpRequest> = Collections.synchronizedList(mutableListOf())
-    private val echo =
-        HttpHandler { exchange ->
-            handled += exchange.request
-            exchange.respond(200, emptyList(), exchange.request.body)
-        }
-    val failures = LinkedBlockingQueue<Throwable>()
-    private val scope = CoroutineScope(SupervisorJob() + loop.dispatcher + CoroutineExceptionHandler { _, error -> failures += error })
-    val reports = LinkedBlockingQueue<ServerReport>()
-    val unhandled: List<ServerReport.Unhandled> get() = reports.filterIsInstance<ServerReport.Unhandled>()
-    val server =
-        HttpServer.start(loop, scope, Address("127.0.0.1", 0), { limits }, { reports += it }, clock = clock, handler = handler ?: echo)
-
-    fun connect() = scriptedClient(server.port)
-
-    override fun close() {
-        server.close()
-        loop.close()
-    }
-}
-
 /** Runs [block] with an idle connection and a busy one. The response to its request is "done", sent when the last argument completes. */
 private suspend fun withActiveRequest(
     block: suspend (TestServer, ScriptedConnection, ScriptedConnection, CompletableDeferred<Unit>) -> Unit,
@@ -74,7 +38,7 @@
             release.await()
             exchange.respond(200, emptyList(), "done".encodeToByteArray())
         }
-    TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+    TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
         val idle = serving.connect()
         val busy = serving.connect()
         busy.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -135,7 +99,7 @@
                 Thread.sleep(100)
                 clock.time += time
             }
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler, clock).use { serving ->
+            TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), handler, clock).use { serving ->
                 val client = serving.connect()
                 client.sendPart("POST /slow HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nh", 2.seconds)
                 client.send("i")
@@ -267,7 +231,7 @@
         // Its response had begun before the drain, so its caller did not know that the connection would be closed.
         test("a draining server answers a request that follows a response without Connection: close") {
             val release = CompletableDeferred<Unit>()
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
+            TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
                 Thread.sleep(100)
@@ -289,7 +253,7 @@
         // The timeout of the body was cancelled by the second request, and the connection was kept without any.
         test("a body that stops arriving behind two pipelined requests is rejected with 408") {
             withActiveRequest { serving, _, busy, release ->
-                serving.limits = LIMITS
+                serving.limits = SHORT_LIMITS
                 busy.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\nPOST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhi")
                 Thread.sleep(100)
                 release.complete(Unit)
@@ -301,7 +265,7 @@
         test("a caller that waits for the word to send its body gets it after the response in front, however long that takes") {
             for (wait in listOf(100.milliseconds, 1.seconds)) {
                 withActiveRequest { serving, _, busy, release ->
-                    serving.limits = LIMITS
+                    serving.limits = SHORT_LIMITS
                     busy.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nConnection: close\r\nContent-Length: 2\r\n\r\n")
                     delay(wait)
                     release.complete(Unit)
@@ -368,7 +332,7 @@
                     if (exchange.request.target == "/1") error("unexpected")
                     exchange.respond(200, emptyList(), NO_BYTES)
                 }
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+            TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
                 client.readHead().orEmpty() shouldStartWith "HTTP/1.1 502"
@@ -401,7 +365,7 @@
         // It was read and dropped, and no line of the log told of it.
         test("a request that crosses the last response of its connection is reported, without a response") {
             val release = CompletableDeferred<Unit>()
-            TestServer(LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
+            TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), beginningThenDone(release)).use { serving ->
                 serving.server.drain()
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -421,7 +385,7 @@
                     val client = serving.connect()
                     client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
                     Thread.sleep(changedAfter.inWholeMilliseconds)
-                    serving.limits = LIMITS.copy(idleTimeout = 10.seconds)
+                    serving.limits = SHORT_LIMITS.copy(idleTimeout = 10.seconds)
                     Thread.sleep(3_000 - changedAfter.inWholeMilliseconds)
                     client.send("GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
                     client.readRest() shouldEndWith "\r\n\r\n"
@@ -435,7 +399,7 @@
                 val client = serving.connect()
                 client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
                 Thread.sleep(100)
-                serving.limits = LIMITS.copy(bodyBytes = 1_000)
+                serving.limits = SHORT_LIMITS.copy(bodyBytes = 1_000)
                 client.send("POST /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: 500\r\n\r\n${"x".repeat(500)}")
                 client.readRest() shouldEndWith "x".repeat(500)
             }
@@ -488,7 +452,7 @@
                         next(exchange)
                         exchange.end()
                     }
-                TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
                     val client = serving.connect()
                     client.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
                     client.readRest() shouldEndWith "4\r\npart\r\n"
@@ -505,7 +469,7 @@
                         exchange.write("part".encodeToByteArray())
                         exchange.end()
                     }
-                TestServer(LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
+                TestServer(SHORT_LIMITS.copy(idleTimeout = 10.seconds), handler).use { serving ->
                     val client = serving.connect()
                     client.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
                     val received = client.readRest()
