Count heads that are not complete towards the memory for requests

What callers could see: an entry daemon that ran out of memory, and with it all of its requests, when many callers sent heads within the limit but didn't end them. Found by measuring what the bound of the change before allows.

Cause: a head counted towards no bound over all connections until its end. At 16,384 bytes for the request line and as many for the fields, 2,000 connections may hold more than the heap of an entry daemon.

--- a/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/HttpServer.kt
@@ -128,7 +128,7 @@
 
         /**
          * Binds [address] and passes requests to [handler]. [limits] is evaluated for each request and idle time. [onReport] is called on the event loop
-         * thread. A request whose body does not fit into [bodies] is refused with 503. The ages of requests are measured with [clock].
+         * thread. A request whose body, or whose unfinished head, does not fit into [bodies] is refused with 503. The ages of requests are measured with [clock].
          */
         fun start(
             loop: HttpEventLoop,
--- a/http/src/main/kotlin/lagoonrudder/http/RequestBody.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/RequestBody.kt
@@ -1,12 +1,12 @@
 /**
- * The body of a request as it arrives, and the memory that all bodies of a process share.
+ * The body of a request as it arrives, and the memory that all unfinished requests of a process share.
  */
 package lagoonrudder.http
 
 import io.netty.buffer.ByteBuf
 import kotlin.time.Duration
 
-/** The memory for the bodies of requests. All functions are called on the event loop thread. */
+/** The memory for the bodies of requests and for heads that are not complete yet. All functions are called on the event loop thread. */
 interface BodyMemory {
     /**
      * Reserves [bytes] more for a body that has reserved [before]. Returns null if they are reserved, otherwise the time after which
--- a/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ServerConnection.kt
@@ -45,9 +45,11 @@
     /** Goes in front of the decoder of this connection. A request line and the fields of a head may each be as long as their limit. */
     val undecoded =
         UndecodedBytes(
+            server.bodies,
             maxBytes = { 2L * limits().headerBytes },
             onRead = ::onBytesReceived,
             onExcess = ::rejectUndecoded,
+            onRefused = { refuse("no memory for the head", it) },
         )
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -149,7 +151,7 @@
         val length = HttpUtil.getContentLength(message, 0L)
         if (length > limits().bodyBytes) return reject(CONTENT_TOO_LARGE, "body of $length bytes, limit ${limits().bodyBytes}")
         val request = RequestReader(message)
-        request.body.reserve(length.toInt())?.let { return refuseBody(it) }
+        request.body.reserve(length.toInt())?.let { return refuse(NO_BODY_MEMORY, it) }
         reading = request
         if (current == null) awaitBody()
     }
@@ -176,7 +178,7 @@
         val request = reading ?: return
         if (content.decoderResult().isFailure) return reject(BAD_REQUEST, "unreadable body: ${content.decoderResult().cause().message}")
         if (!request.body.allows(content.content())) return reject(CONTENT_TOO_LARGE, "body over the limit of ${request.maxBytes} bytes")
-        request.body.append(content.content())?.let { return refuseBody(it) }
+        request.body.append(content.content())?.let { return refuse(NO_BODY_MEMORY, it) }
         if (content !is LastHttpContent) {
             if (current == null) await(Awaited.BODY)
             return
@@ -248,10 +250,13 @@
         if (channel.isActive) processNext()
     }
 
-    /** Refuses a request for whose body there is no memory; its caller may try again after [retryAfter]. */
-    private fun refuseBody(retryAfter: Duration) {
+    /** Refuses the request that is being read; its caller may try again after [retryAfter]. */
+    private fun refuse(
+        reason: String,
+        retryAfter: Duration,
+    ) {
         val wait = HeaderField(HttpHeaderNames.RETRY_AFTER.toString(), retryAfter.toDouble(DurationUnit.SECONDS).toString())
-        reject(UNAVAILABLE, "no memory for the body", listOf(wait))
+        if (!closing) reject(UNAVAILABLE, reason, listOf(wait))
     }
 
     /** Responds with [status] to a request that does not reach the handler, after those in front of it, and closes the connection. */
@@ -384,6 +389,7 @@
 
     private companion object {
         const val MAX_PIPELINED = 4
+        const val NO_BODY_MEMORY = "no memory for the body"
 
         /** How long the end of a response may wait for its caller to read it, unless the handler sets a shorter time. */
         val UNREAD_LIMIT = 30.seconds
--- a/http/src/test/kotlin/lagoonrudder/http/ChangedLimitsTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/ChangedLimitsTest.kt
@@ -210,4 +210,30 @@
                 }
             }
         }
+
+        test("unfinished heads of all connections together take no more than the memory for requests, and release it") {
+            val memory = TestBodyMemory(20_000)
+            val limits = SHORT_LIMITS.copy(headerBytes = 4_000, headerTimeout = 10.seconds, idleTimeout = 10.seconds)
+            TestServer(limits, bodies = memory).use { serving ->
+                val unfinished = List(8) { serving.connect() }
+                unfinished.forEach { it.send(get(3_000).dropLast(4)) }
+                val refused =
+                    unfinished.filter {
+                        it.socket.let { socket ->
+                            Thread.sleep(50).let { socket.getInputStream().available() > 0 }
+                        }
+                    }
+                refused.forEach { it.readRest() shouldStartWith "HTTP/1.1 503" }
+                (memory.held <= 20_000) shouldBe true
+                withClue("held ${memory.held}") { unfinished.size - refused.size shouldBe 6 }
+                val others = serving.connect()
+                others.send(get().replace("Host", "Connection: close\r\nHost"))
+                others.readRest() shouldStartWith "HTTP/1.1 200"
+                val complete = unfinished - refused.toSet()
+                complete.first().send("\r\n\r\n")
+                complete.first().readStatus() shouldBe 200
+                complete.forEach { it.socket.close() }
+                while (memory.held > 0) Thread.sleep(10)
+            }
+        }
     })
--- a/http/src/test/kotlin/lagoonrudder/http/RequestBodyTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/RequestBodyTest.kt
@@ -149,4 +149,16 @@
                 }
             }
         }
+
+        // Each head is within its limit so far; together they are more than the heap of an entry daemon.
+        test("many unfinished heads don't exhaust the heap of an entry daemon, and other requests are served meanwhile") {
+            SmallHeapProcess().use { server ->
+                val head = "GET /${"x".repeat(15_000)} HTTP/1.1\r\nHost: a\r\nX: ${"x".repeat(15_000)}"
+                val unfinished = List(2_000) { scriptedClient(server.port).apply { runCatching { send(head) } } }
+                val others = List(20) { upload(server.port, 1_000) }
+                server.isAlive shouldBe true
+                withClue("other requests") { others.filterNot { it.startsWith("HTTP/1.1 200") }.shouldBeEmpty() }
+                unfinished.forEach { it.socket.close() }
+            }
+        }
     })
--- a/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestBodyBudget.kt
+++ b/traffic/src/main/kotlin/lagoonrudder/traffic/direct/RequestBodyBudget.kt
@@ -1,5 +1,5 @@
 /**
- * The bytes that request bodies of all callers together may hold in this process.
+ * The bytes that request bodies of all callers, and heads that are not complete yet, may hold together in this process.
  *
  * Bodies of a few kilobytes may use all of the budget, larger ones only a share of it, so that a few large bodies that arrive slowly
  * don't keep out the many small ones. This is state of the traffic, not of the control thread: all functions are called on the traffic
