Take responses with long header fields

What callers saw: a response of a back end with more than 8,192 bytes of header fields became a 502 although the request had run.

Cause: the decoder of responses had the default limit of its library.

Change: up to 65,536 bytes of fields are taken.

Evidence: HttpClientTest, 'a response with long header fields is complete, and fields without end are given up', failed before (header is larger than 8192 bytes) and passes.

--- a/http/src/main/kotlin/lagoonrudder/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/lagoonrudder/http/ResponseDecoder.kt
@@ -3,10 +3,11 @@
  */
 package lagoonrudder.http
 
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponseDecoder
 
-internal class ResponseDecoder : HttpResponseDecoder() {
+internal class ResponseDecoder : HttpResponseDecoder(HttpDecoderConfig().setMaxHeaderSize(MAX_FIELD_BYTES)) {
     /** Whether the response to the request in progress may have a body, which that to a HEAD request has not. */
     var expectsBody = true
 
@@ -14,4 +15,9 @@
     val holdsBytes: Boolean get() = actualReadableBytes() > 0
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean = !expectsBody || super.isContentAlwaysEmpty(message)
+
+    private companion object {
+        /** Far above the fields of any response, since nothing limits those of a request that has run. */
+        const val MAX_FIELD_BYTES = 65_536
+    }
 }
--- a/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/lagoonrudder/http/HttpClientTest.kt
@@ -511,6 +511,33 @@
             }
         }
 
+        // Such a response became a failure although the request had run.
+        test("a response with long header fields is complete, and fields without end are given up") {
+            ScriptedServer { connection ->
+                while (connection.readHead() != null) {
+                    connection.send(
+                        "HTTP/1.1 200 OK\r\nX-Long: ${"x".repeat(30_000)}\r\nY-Long: ${"y".repeat(30_000)}\r\nContent-Length: 2\r\n\r\nok",
+                    )
+                }
+            }.use { server ->
+                withClient { client ->
+                    val response = client.fetch(server.address).getOrElse { error(it.describe()) }
+                    response.body.decodeToString() shouldBe "ok"
+                    response.head
+                        .field("Y-Long")
+                        .orEmpty()
+                        .length shouldBe 30_000
+                }
+            }
+            ScriptedServer { connection ->
+                connection.readHead()
+                connection.send("HTTP/1.1 200 OK\r\n")
+                while (true) connection.send("X: ${"x".repeat(1_000)}\r\n")
+            }.use { server ->
+                withClient { client -> client.fetch(server.address).leftOrNull().shouldBeInstanceOf<Failure.Interrupted>() }
+            }
+        }
+
         test("request target and header fields are sent unchanged") {
             var seen = ""
             ScriptedServer { connection ->
