Replace chunks that nobody can name while the back end is closed

Cause: a target daemon that starts must not overwrite chunks which a late order of the process before it may load. If they matched no known manifest, it waited until no such order could be in transit, 30 s.

Change: unknown chunks are those of the held version if each newer one is known and has none of them. Otherwise they are replaced while the back end is closed: what a late order loads is never used, and an accepted order of this process excludes it. A mark in the place of the first chunk tells a later process. An order of an earlier process for a known version is repeated with the back end closed, and given up if its chunks can't be had.

--- a/control/src/test/kotlin/lagoonrudder/control/direct/EarlierOrderTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/EarlierOrderTest.kt
@@ -34,6 +34,15 @@
             earlierOrder(OLDER.digests, known = listOf(WANTED, HELD)) shouldBe EarlierOrder.PossibleForUnknownVersion
         }
 
+        // Back ends stayed without the wanted version for as long as an order may be in transit.
+        test("unknown chunks are those of the version that the back end holds if each newer one is known and has none of them") {
+            earlierOrder(HELD.digests, known = listOf(WANTED, OLDER)) shouldBe EarlierOrder.None
+            earlierOrder(HELD.digests, known = listOf(WANTED)) shouldBe EarlierOrder.PossibleForUnknownVersion
+            earlierOrder(manifest(9).digests, known = listOf(manifest(7), manifest(6), WANTED, OLDER)) shouldBe
+                EarlierOrder.PossibleForUnknownVersion
+            EarlierOrder.of(HELD.digests, listOf(WANTED, OLDER), held = null) shouldBe EarlierOrder.PossibleForUnknownVersion
+        }
+
         test("missing chunks, chunks of several versions and the version that the back end holds show that there is no order") {
             earlierOrder(OLDER.digests.dropLast(1) + null) shouldBe EarlierOrder.None
             earlierOrder(OLDER.digests.dropLast(1) + WANTED.digests.last()) shouldBe EarlierOrder.None
--- a/control/src/test/kotlin/lagoonrudder/control/direct/LoadOrderControllerTest.kt
+++ b/control/src/test/kotlin/lagoonrudder/control/direct/LoadOrderControllerTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import lagoonrudder.model.HeldWeights
 import lagoonrudder.model.ModelId
 import lagoonrudder.model.WeightNumber
 import kotlin.time.Duration
@@ -14,7 +15,11 @@
 private fun report(
     born: Long = 7,
     orders: Long = 3,
-) = BackEndReport(born, held = null, loading = false, orders, running = 0, waiting = 0)
+    holds: Long? = null,
+): BackEndReport {
+    val held = holds?.let { HeldWeights(ModelId("model"), WeightNumber(it), layers = 4) }
+    return BackEndReport(born, held, loading = false, orders, running = 0, waiting = 0)
+}
 
 /** Guards against an order that is taken for lost although the back end may still accept it. */
 class LoadOrderControllerTest :
@@ -83,4 +88,53 @@
             orders.onReport(report(), 35.seconds + 1.milliseconds) shouldBe OrderSettlement.EXPIRED
             orders.unsettled shouldBe null
         }
+
+        // A late order may load chunks of several versions while they are replaced.
+        test("a back end whose chunks are replaced under an order is closed until it holds what this process ordered") {
+            fun closedAfter(
+                next: BackEndReport,
+                at: Duration = 5.seconds,
+                whole: Long? = null,
+                sent: Boolean = false,
+            ) = LoadOrderController()
+                .apply {
+                    onReport(report(holds = 1), 1.seconds)
+                    onUnnamedEarlierOrder()
+                    onClosed(whole?.let { WeightNumber(it) })
+                    if (sent) onSent(ORDER, 2.seconds)
+                    onReport(next, at)
+                }.isClosed
+            closedAfter(report(holds = 1)) shouldBe true
+            closedAfter(report(holds = 5, orders = 4)) shouldBe true
+            closedAfter(report(holds = 5, orders = 4), sent = true) shouldBe true
+            closedAfter(report(holds = 5, orders = 4), at = 60.seconds) shouldBe true
+            closedAfter(report(holds = 2, orders = 4), sent = true) shouldBe false
+            closedAfter(report(holds = 2, orders = 4), whole = 2) shouldBe false
+            closedAfter(report(holds = 1), at = 32.seconds) shouldBe false
+            closedAfter(report(born = 8, orders = 0)) shouldBe false
+        }
+
+        test("a replacement that an earlier process has not finished keeps the back end closed however long that takes") {
+            fun closedAfter(next: BackEndReport) =
+                LoadOrderController()
+                    .apply {
+                        onUnfinishedReplacement()
+                        onReport(report(holds = 1), 1.seconds)
+                        onSent(ORDER, 2.seconds)
+                        onReport(next, 60.seconds)
+                    }.isClosed
+            closedAfter(report(holds = 1)) shouldBe true
+            closedAfter(report(holds = 2, orders = 4)) shouldBe false
+        }
+
+        test("an order of an earlier process whose chunks can't be had is given up only while the back end is closed") {
+            val open = unansweredAt(1.seconds).apply { onChunksUnavailable() }
+            open.unsettled shouldBe ORDER
+            val closed =
+                unansweredAt(1.seconds).apply {
+                    onClosed(whole = null)
+                    onChunksUnavailable()
+                }
+            closed.unsettled shouldBe null
+        }
     })
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/EarlierOrderCheck.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/EarlierOrderCheck.kt
@@ -3,47 +3,48 @@
  */
 package lagoonrudder.daemon.direct
 
-import kotlinx.coroutines.delay
 import lagoonrudder.control.direct.BackEndReport
 import lagoonrudder.control.direct.EarlierOrder
+import lagoonrudder.control.direct.EarlierOrderState
 import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.WeightManifest
 import lagoonrudder.model.WeightNumber
-import kotlin.time.Duration.Companion.seconds
 
 class EarlierOrderCheck(
     private val core: DirectCore,
     private val area: StagingArea,
     private val fetcher: WeightFetcher,
 ) {
-    private var lastEarlier: EarlierOrder? = null
-
     /**
-     * Returns whether the chunks that a process before this one left may be replaced by those of [wanted]. If it may have sent
-     * an order that can still be accepted, that order becomes this process's to settle.
+     * Returns whether the chunks that a process before this one left may be replaced by those of [wanted], if need be once the back end is
+     * closed. If it may have sent an order that can still be accepted and whose version is known, that order becomes this process's to
+     * settle, and the back end is closed until then.
      */
     suspend fun mayReplaceChunks(
         wanted: WeightManifest,
         report: BackEndReport,
     ): Boolean {
-        if (!core.thread.decide { core.loadOrders.earlierOrderPossible }) return true
+        if (core.thread.decide { core.loadOrders.earlierOrder } != EarlierOrderState.Unexamined) return true
         val staged = area.digests(wanted) ?: return false
         // Former manifests may have to come from the origin, whose link is scarce when many daemons have restarted.
         val former = if (null in staged || staged == wanted.digests) emptyList() else olderManifests(wanted, report)
         val earlier = EarlierOrder.of(staged, listOf(wanted) + former, report.held?.number)
-        if (earlier != lastEarlier) core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number)
-        lastEarlier = earlier
-        if (earlier == EarlierOrder.PossibleForUnknownVersion) delay(CHECK_INTERVAL)
+        core.log.info("earlier-order", "possible" to describe(earlier), "wanted" to wanted.number.number, "known" to former.size + 1)
         return core.thread.decide {
             when (earlier) {
                 EarlierOrder.None -> {
                     core.loadOrders.onNoEarlierOrder()
                     true
                 }
-                EarlierOrder.PossibleForUnknownVersion -> false
+                EarlierOrder.PossibleForUnknownVersion -> {
+                    core.loadOrders.onUnnamedEarlierOrder()
+                    true
+                }
                 is EarlierOrder.Possible -> {
+                    val isComplete = staged == earlier.manifest.digests
                     val isWanted = earlier.manifest.number == wanted.number
                     val order = LoadOrder(earlier.manifest, report.born, report.orders)
+                    if (isComplete || !isWanted) core.loadOrders.onClosed(earlier.manifest.number.takeIf { isComplete })
                     if (!isWanted) core.loadOrders.onUnanswered(order, core.clock.elapsed())
                     isWanted
                 }
@@ -77,8 +78,5 @@
 
         /** Entry daemons keep the manifests of former versions, the origin only the last one. */
         const val FORMER_VERSIONS = 3
-
-        /** The pause after which unknown chunks are read again. */
-        val CHECK_INTERVAL = 1.seconds
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/SlotMonitor.kt
@@ -16,6 +16,7 @@
     private val peers: GossipLoop,
 ) {
     private var reachable = false
+    private var isMarkRead = false
 
     /** The last report that the back end sent. */
     var lastReport: BackEndReport? = null
@@ -40,11 +41,23 @@
         reachable = true
         if (report.born != lastReport?.born) onRestart()
         logChange(report)
+        readMark(report)
         settleOrder(report)
         announce(report, closed = report.loading)
         return report
     }
 
+    /** Closes a back end with weights that may be the mixed ones that an earlier process has kept closed. */
+    private suspend fun readMark(report: BackEndReport) {
+        val held = report.held
+        if (isMarkRead || held == null) return
+        val isMarked = area.holdsMark(held.model) ?: return
+        isMarkRead = true
+        if (!isMarked) return
+        core.thread.decide { core.loadOrders.onUnfinishedReplacement() }
+        core.log.warning("back-end-closed", "reason" to "replacement-unfinished", "number" to held.number.number, "orders" to report.orders)
+    }
+
     private suspend fun onRestart() {
         area.clear()
         core.thread.decide { core.chunkWrites.onBackEndRestarted() }
@@ -56,7 +69,8 @@
         closed: Boolean,
     ) {
         val lastSequence = peers.slot?.sequence ?: 0
-        val state = SlotWord(slot.backEnd, report.born, report.held, closed, lastSequence)
+        val staysClosed = core.thread.decide { core.loadOrders.isClosed }
+        val state = SlotWord(slot.backEnd, report.born, report.held, closed || staysClosed, lastSequence)
         if (peers.slot == state) return
         peers.slot = state.copy(sequence = sequenceAfter(lastSequence))
         peers.announce()
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingArea.kt
@@ -41,6 +41,10 @@
     private var verifiedAt: ClockReading? = null
     private var lastEndangered = emptyList<Int>()
 
+    /** Whether this process has put the mark that chunks are being replaced under an order in the place of the first one. */
+    var isMarked = false
+        private set
+
     /** The version that is being staged; null if none has been since the back end started. */
     var manifest: WeightManifest? = null
         private set
@@ -66,7 +70,7 @@
     suspend fun digests(manifest: WeightManifest): List<Digest?>? {
         val digests = mutableListOf<Digest?>()
         for (index in manifest.digests.indices) {
-            digests += read(manifest, index).getOrElse { return null }
+            digests += read(manifest.model, index).getOrElse { return null }
             if (digests.last() == null) break
         }
         return digests
@@ -79,8 +83,11 @@
         verify(manifest)
     }
 
-    /** Returns the chunks of [manifest] that have to be fetched. */
-    fun missing(manifest: WeightManifest): List<Int> = manifest.digests.indices.filter { it !in intact }
+    /** Returns the chunks of [manifest] that have to be fetched, in the order in which they are stored. */
+    fun missing(manifest: WeightManifest): List<Int> =
+        manifest.digests.indices
+            .filter { it !in intact }
+            .sortedBy { it == MARKED_INDEX }
 
     /** Returns how often chunk [index] could not be had. */
     fun attempts(index: Int): Int = attempts[index] ?: 0
@@ -95,33 +102,62 @@
         index: Int,
         bytes: ByteArray,
     ): Boolean {
-        verifiedAt = null
-        val isStored =
-            when (val result = backEnd.stage(manifest.model, index, bytes)) {
-                is Either.Right -> {
-                    core.thread.decide { core.chunkWrites.onStored(index, manifest.digests[index]) }
-                    true
-                }
-                is Either.Left -> {
-                    core.log.failure("stage-failed", result.value, "piece" to index)
-                    result.value !is Failure.Unreachable && hasArrived(manifest, index)
-                }
-            }
+        val isStored = store(manifest.model, index, bytes, manifest.digests[index])
         if (isStored) {
+            if (index == MARKED_INDEX) isMarked = false
             intact += index
             reportHoldings()
         }
         return isStored
     }
 
+    /**
+     * Puts a mark in the place of the first chunk, which tells later processes that the chunks are being replaced although an order may
+     * load them. Returns whether the back end has it.
+     */
+    suspend fun mark(model: ModelId): Boolean {
+        intact -= MARKED_INDEX
+        reportHoldings()
+        isMarked = store(model, MARKED_INDEX, MARK, MARK_DIGEST)
+        return isMarked
+    }
+
+    /** Returns whether a process has left its mark, which is there until the chunks are complete; null if that can't be read. */
+    suspend fun holdsMark(model: ModelId): Boolean? = read(model, MARKED_INDEX).fold({ null }, { it == MARK_DIGEST })
+
+    /** Returns whether chunk [index] of [manifest] has to wait for others, since it replaces the mark. */
+    fun isLast(
+        manifest: WeightManifest,
+        index: Int,
+    ): Boolean = isMarked && index == MARKED_INDEX && missing(manifest).any { it != index }
+
+    private suspend fun store(
+        model: ModelId,
+        index: Int,
+        bytes: ByteArray,
+        digest: Digest,
+    ): Boolean {
+        verifiedAt = null
+        return when (val result = backEnd.stage(model, index, bytes)) {
+            is Either.Right -> {
+                core.thread.decide { core.chunkWrites.onStored(index, digest) }
+                true
+            }
+            is Either.Left -> {
+                core.log.failure("stage-failed", result.value, "piece" to index)
+                result.value !is Failure.Unreachable && hasArrived(model, index, digest)
+            }
+        }
+    }
+
     /** Returns whether a chunk whose write got no answer is there. If it is not, it may still arrive. */
     private suspend fun hasArrived(
-        manifest: WeightManifest,
+        model: ModelId,
         index: Int,
+        digest: Digest,
     ): Boolean {
-        val digest = manifest.digests[index]
         core.thread.decide { core.chunkWrites.onUnanswered(index, digest, core.clock.elapsed()) }
-        return read(manifest, index).getOrElse { null } == digest
+        return read(model, index).getOrElse { null } == digest
     }
 
     /** Reads a chunk that is there, for a peer. One that no longer matches its digest is missing from then on. */
@@ -155,10 +191,10 @@
 
     /** Reads the digest of a chunk back, null if it is missing. */
     private suspend fun read(
-        manifest: WeightManifest,
+        model: ModelId,
         index: Int,
     ): Either<Failure, Digest?> =
-        backEnd.staged(manifest.model, index).map { bytes ->
+        backEnd.staged(model, index).map { bytes ->
             bytes?.let { digestOf(it) }?.also { digest -> core.thread.decide { core.chunkWrites.onRead(index, digest) } }
         }
 
@@ -184,7 +220,7 @@
         val startedAt = core.clock.read()
         val before = intact.toSet()
         for (index in manifest.digests.indices) {
-            val isIntact = read(manifest, index).getOrElse { null } == manifest.digests[index]
+            val isIntact = read(manifest.model, index).getOrElse { null } == manifest.digests[index]
             if (isIntact) intact += index else intact -= index
         }
         reportHoldings()
@@ -206,5 +242,8 @@
     private companion object {
         /** Covers the reads and the time in which a back end closes and drains. A chunk may turn bad meanwhile. */
         val VERIFICATION_VALIDITY = 2.seconds
+        const val MARKED_INDEX = 0
+        val MARK = "chunks are being replaced".encodeToByteArray()
+        val MARK_DIGEST = digestOf(MARK)
     }
 }
--- a/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
+++ b/daemon/src/main/kotlin/lagoonrudder/daemon/direct/StagingLoop.kt
@@ -12,8 +12,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeoutOrNull
 import lagoonrudder.control.direct.BackEndReport
+import lagoonrudder.control.direct.EarlierOrderState
 import lagoonrudder.control.direct.Handover
 import lagoonrudder.control.direct.LoadOrder
 import lagoonrudder.control.direct.OrderResponse
@@ -43,6 +46,7 @@
     private val switchLog = SwitchLog(core)
     private val choiceLog = VersionChoiceLog(core)
     private val checkRequests = Channel<Unit>(Channel.CONFLATED)
+    private val closing = Mutex()
 
     /** What the back end holds, or is about to hold after it accepted an order. */
     private var held: HeldWeights? = null
@@ -94,7 +98,7 @@
     /**
      * Sends an order again that got no response, after replacing chunks that were damaged since. Chunks of another version
      * are not staged meanwhile, because the back end may still accept the order. It stays open for requests, since nobody
-     * knows when it will.
+     * knows when it will, unless an earlier process sent that order.
      */
     private suspend fun repeatOrder(
         manifest: WeightManifest,
@@ -102,7 +106,11 @@
     ) {
         if (area.manifest != manifest) area.begin(manifest)
         val isComplete = area.verify(manifest) || (stage(manifest) && area.verify(manifest))
-        if (isComplete) reportOfSameRun(report)?.let { sendOrder(manifest, it, Handover.DRAIN) }
+        if (isComplete) {
+            reportOfSameRun(report)?.let { sendOrder(manifest, it, Handover.DRAIN) }
+        } else {
+            core.thread.decide { core.loadOrders.onChunksUnavailable() }
+        }
         delay(RETRY_DELAY)
     }
 
@@ -187,6 +195,7 @@
         manifest: WeightManifest,
         index: Int,
     ): Boolean {
+        if (area.isLast(manifest, index)) return false
         val attempts = area.attempts(index)
         val sources = core.thread.decide { core.staging.sources(manifest.model, manifest.number, index, core.clock.elapsed(), attempts) }
         val bytes =
@@ -194,9 +203,32 @@
                 if (failure is Failure.NotHeld) skipped += manifest.number
                 return false
             }
+        if (!mayReplaceChunks(manifest) || area.isLast(manifest, index)) return false
         return area.put(manifest, index, bytes)
     }
 
+    /**
+     * Returns whether chunks of [manifest] may be stored now. If an order of an earlier process may load them together with others, the
+     * back end is closed first, and the chunks are marked.
+     */
+    private suspend fun mayReplaceChunks(manifest: WeightManifest): Boolean =
+        closing.withLock {
+            val (earlier, pinned) = core.thread.decide { core.loadOrders.earlierOrder to core.loadOrders.unsettled?.manifest }
+            when (earlier) {
+                EarlierOrderState.Unexamined, EarlierOrderState.Settled -> true
+                EarlierOrderState.Unnamed, is EarlierOrderState.Closed ->
+                    manifest == pinned || area.isMarked || (closeForReplacement() && area.mark(manifest.model))
+            }
+        }
+
+    /** Closes the back end; returns whether no request waits there. */
+    private suspend fun closeForReplacement(): Boolean {
+        val report = monitor.lastReport ?: return false
+        core.thread.decide { core.loadOrders.onClosed(whole = null) }
+        core.log.info("back-end-closed", "reason" to "replacement", "number" to report.held?.number?.number, "orders" to report.orders)
+        return closeAndDrain(report, Handover.DRAIN)?.waiting == 0
+    }
+
     /** Whether [manifest] is worth fetching. The chunks of an order that may still be accepted are, whatever was declared since. */
     private suspend fun isStillWanted(manifest: WeightManifest): Boolean =
         core.thread.decide { core.loadOrders.unsettled?.manifest } == manifest || choose(manifest).isWorthFetching(manifest.number)
@@ -229,6 +261,7 @@
     ): Boolean {
         while (isStillWanted(manifest)) {
             if (isOutdated(manifest)) return false
+            if (core.thread.decide { core.loadOrders.isClosed }) return true
             val scheduledSwitch = scheduledSwitch(manifest, report) ?: return true
             switchLog.onScheduled(manifest, scheduledSwitch)
             val wait = scheduledSwitch.at - core.clock.elapsed()
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/DirectSite.kt
@@ -98,14 +98,31 @@
     }
 
     /** Ends entry daemon [index] without notice and starts another one, with an empty cache, in its place. */
-    suspend fun restartEntry(index: Int) {
-        val before = cores.first { it.settings.name == DaemonId("entry-$index") }
-        cores -= before
-        before.close()
+    suspend fun restartEntry(index: Int) = startEntry(index, killEntry(index))
+
+    /** Ends all daemons at once without notice and starts others, which know nothing, in their places. */
+    suspend fun restartAll() {
+        workers.indices.forEach { stopTarget(it) }
+        val settings = entryListens.indices.map { killEntry(it) }
+        settings.forEachIndexed { index, each -> startEntry(index, each) }
+        workers.indices.forEach { startTarget(it) }
+    }
+
+    private fun killEntry(index: Int): DirectSettings {
+        val core = cores.first { it.settings.name == DaemonId("entry-$index") }
+        cores -= core
+        core.close()
+        return core.settings
+    }
+
+    private suspend fun startEntry(
+        index: Int,
+        settings: DirectSettings,
+    ) {
         val listen = entryListens[index]
         // The event loop that was closed may release its ports a little later.
-        eventually { listOf(listen.callers, listen.ready, listen.peers, before.settings.operators).all { isFree(it.port) } }
-        start(before.settings)
+        eventually { listOf(listen.callers, listen.ready, listen.peers, settings.operators).all { isFree(it.port) } }
+        start(settings)
     }
 
     fun stopTarget(index: Int) {
--- a/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
+++ b/stand-ins/src/main/kotlin/lagoonrudder/standins/direct/FakeWorker.kt
@@ -58,6 +58,13 @@
     var loadedInvalidChunks = false
         private set
 
+    /** Whether the loaded chunks were missing, corrupted or of another version when they were taken. */
+    private var holdsInvalidChunks = false
+
+    /** The requests that began on such chunks. */
+    var begunOnInvalidChunks = 0
+        private set
+
     var behavior = WorkerBehavior.NORMAL
 
     /** A part of prompts that crashes this back end when it begins to write an answer on it; null if there is none. */
@@ -123,6 +130,7 @@
     /** Starts anew: nothing is loaded, and the staged chunks are still there. */
     fun restart() {
         loadedVersion = null
+        holdsInvalidChunks = false
         loading = false
         orders = 0
         born++
@@ -234,11 +242,13 @@
         if (loadedVersion == ordered) return 200
         orders++
         loading = true
-        if (!hasStaged(ordered)) loadedInvalidChunks = true
+        val isInvalid = !hasStaged(ordered)
+        if (isInvalid) loadedInvalidChunks = true
         scope.launch {
             slots?.close()
             delay(loadTime)
             loadedVersion = ordered
+            holdsInvalidChunks = isInvalid
             loading = false
             slots?.open()
         }
@@ -303,6 +313,7 @@
         }
         val first = (exchange.request.field("Last-Event-Id")?.toInt() ?: 0) + 1
         val interval = requestTime / (EVENT_COUNT - 1)
+        if (holdsInvalidChunks) begunOnInvalidChunks++
         begins += WorkerBegin(exchange.request.field("Request-Id").orEmpty(), loaded, TimeSource.Monotonic.markNow())
         for (event in first..EVENT_COUNT) {
             if (event == EVENT_COUNT / 2 && behavior == WorkerBehavior.ABORTS_MID_EVENT) {
